--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,91 @@
+// Package metric counts with tally and serves the counters to Prometheus.
+package metric
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// reportInterval is how often tally hands its counters to the Prometheus page.
+const reportInterval = time.Second
+
+// Set is the metrics of one process. Its methods are safe for concurrent use.
+type Set struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+
+	mu       sync.RWMutex
+	refusals map[verdict.Reason]tally.Counter
+	retries  map[verdict.Reason]tally.Counter
+	counts   map[string]int64
+}
+
+// New returns a set whose names start with "currantferry_".
+func New() *Set {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "currantferry",
+		Separator:              promreporter.DefaultSeparator,
+		CachedReporter:         reporter,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Set{
+		scope:    scope,
+		closer:   closer,
+		handler:  reporter.HTTPHandler(),
+		refusals: make(map[verdict.Reason]tally.Counter),
+		retries:  make(map[verdict.Reason]tally.Counter),
+		counts:   make(map[string]int64),
+	}
+}
+
+// Scope returns the root scope for further counters, gauges and histograms.
+func (s *Set) Scope() tally.Scope { return s.scope }
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler { return s.handler }
+
+// Close stops reporting.
+func (s *Set) Close() error { return s.closer.Close() }
+
+// Refused counts a refusal by reason.
+func (s *Set) Refused(r verdict.Reason) { s.count("refusals", s.refusals, r) }
+
+// Retried counts a retry by the reason of the failure before it.
+func (s *Set) Retried(r verdict.Reason) { s.count("retries", s.retries, r) }
+
+func (s *Set) count(name string, counters map[verdict.Reason]tally.Counter, r verdict.Reason) {
+	s.mu.Lock()
+	c, ok := counters[r]
+	if !ok {
+		c = s.scope.Tagged(map[string]string{"reason": string(r)}).Counter(name)
+		counters[r] = c
+	}
+	s.counts[name+"/"+string(r)]++
+	s.mu.Unlock()
+	c.Inc(1)
+}
+
+// Refusals returns the refusals so far by reason.
+func (s *Set) Refusals() map[verdict.Reason]int64 { return s.snapshot("refusals", s.refusals) }
+
+// Retries returns the retries so far by reason.
+func (s *Set) Retries() map[verdict.Reason]int64 { return s.snapshot("retries", s.retries) }
+
+func (s *Set) snapshot(name string, counters map[verdict.Reason]tally.Counter) map[verdict.Reason]int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make(map[verdict.Reason]int64, len(counters))
+	for r := range counters {
+		out[r] = s.counts[name+"/"+string(r)]
+	}
+	return out
+}
--- /dev/null
+++ b/verdict/reason.go
@@ -0,0 +1,109 @@
+package verdict
+
+import "net/http"
+
+// Reason is the cause of a refusal or a retry. Each has a counter, see
+// docs/METRICS.md.
+type Reason string
+
+// Reasons of refusals and retries.
+const (
+	ReasonUnknownService   Reason = "unknown-service"
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonKeyRequired      Reason = "key-required"
+	ReasonKeyReused        Reason = "key-reused"
+	ReasonKeyInProgress    Reason = "key-in-progress"
+	ReasonKeyDone          Reason = "key-done"
+	ReasonKeyTableFull     Reason = "key-table-full"
+	ReasonKeyUnavailable   Reason = "key-owner-unavailable"
+	ReasonKeyHistoryLost   Reason = "key-history-lost"
+	ReasonCrashGuard       Reason = "crash-guard"
+	ReasonNoUpstream       Reason = "no-upstream"
+	ReasonSaturated        Reason = "saturated"
+	ReasonLongShare        Reason = "long-share"
+	ReasonDeadline         Reason = "deadline"
+	ReasonDeadlineAhead    Reason = "deadline-ahead"
+	ReasonRegionLimit      Reason = "region-limit"
+	ReasonLinkLimit        Reason = "link-limit"
+	ReasonShiftCap         Reason = "shift-cap"
+	ReasonRetryBudget      Reason = "retry-budget"
+	ReasonConnectFailed    Reason = "connect-failed"
+	ReasonConnectionLost   Reason = "connection-lost"
+	ReasonUpstreamRefused  Reason = "upstream-refused"
+	ReasonTruncated        Reason = "answer-truncated"
+	ReasonCallerGone       Reason = "caller-gone"
+	ReasonNotReady         Reason = "not-ready"
+	ReasonStopping         Reason = "stopping"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonSlowUpstream     Reason = "slow-upstream"
+	ReasonBodyNotRepeating Reason = "body-not-repeatable"
+)
+
+// Describe returns each reason with its meaning, in the order of the docs.
+func Describe() []Description {
+	return descriptions
+}
+
+// Description documents one reason.
+type Description struct {
+	Reason Reason
+	Status int
+	Proxy  string // error type of RFC 9209
+	Text   string
+}
+
+var descriptions = []Description{
+	{ReasonUnknownService, http.StatusNotFound, "destination_not_found", "no such service in the asset register"},
+	{ReasonBadRequest, http.StatusBadRequest, "http_request_error", "malformed request"},
+	{ReasonKeyRequired, http.StatusBadRequest, "http_request_denied", "the route demands an Idempotency-Key"},
+	{ReasonKeyReused, http.StatusUnprocessableEntity, "http_request_denied", "the key was used with another request"},
+	{ReasonKeyInProgress, http.StatusConflict, "http_request_denied", "a request with this key is running or its outcome is unknown"},
+	{ReasonKeyDone, http.StatusConflict, "http_request_denied", "a request with this key ran and its answer is no longer kept"},
+	{ReasonKeyTableFull, http.StatusServiceUnavailable, "connection_limit_reached", "the claim table is full"},
+	{ReasonKeyUnavailable, http.StatusServiceUnavailable, "destination_unavailable", "the partition of the key cannot grant now"},
+	{ReasonKeyHistoryLost, http.StatusConflict, "destination_unavailable", "all members of the key's partition were lost within the retention time"},
+	{ReasonCrashGuard, http.StatusServiceUnavailable, "http_request_denied", "the same request broke connections on two instances"},
+	{ReasonNoUpstream, http.StatusServiceUnavailable, "destination_unavailable", "no instance takes work"},
+	{ReasonSaturated, http.StatusServiceUnavailable, "connection_limit_reached", "every instance is at its limit"},
+	{ReasonLongShare, http.StatusServiceUnavailable, "connection_limit_reached", "the share for long work is in use"},
+	{ReasonDeadline, http.StatusGatewayTimeout, "http_response_timeout", "the deadline passed"},
+	{ReasonDeadlineAhead, http.StatusServiceUnavailable, "http_request_denied", "the deadline would pass before an answer"},
+	{ReasonRegionLimit, http.StatusServiceUnavailable, "connection_limit_reached", "no headroom in any allowed region"},
+	{ReasonLinkLimit, http.StatusServiceUnavailable, "connection_limit_reached", "the share of the link between regions is in use"},
+	{ReasonShiftCap, http.StatusServiceUnavailable, "connection_limit_reached", "the cap on shifts allows no more"},
+	{ReasonRetryBudget, http.StatusBadGateway, "connection_limit_reached", "the retry budget is used up"},
+	{ReasonConnectFailed, http.StatusBadGateway, "connection_refused", "no connection to the instance"},
+	{ReasonConnectionLost, http.StatusBadGateway, "connection_terminated", "the connection ended before an answer"},
+	{ReasonUpstreamRefused, http.StatusServiceUnavailable, "http_request_denied", "the instance shed the request unrun"},
+	{ReasonTruncated, http.StatusBadGateway, "http_response_incomplete", "the answer ended early"},
+	{ReasonCallerGone, 499, "http_request_error", "the caller closed the request"},
+	{ReasonNotReady, http.StatusServiceUnavailable, "proxy_internal_response", "this VM has not confirmed its configuration"},
+	{ReasonStopping, http.StatusServiceUnavailable, "proxy_internal_response", "this VM is stopping"},
+	{ReasonOverloaded, http.StatusServiceUnavailable, "connection_limit_reached", "this VM is at its own limit"},
+	{ReasonSlowUpstream, http.StatusGatewayTimeout, "http_response_timeout", "a hedged read overtook a slow instance"},
+	{ReasonBodyNotRepeating, http.StatusBadGateway, "connection_terminated", "the body was partly sent and cannot be sent again"},
+}
+
+var byReason = func() map[Reason]Description {
+	m := make(map[Reason]Description, len(descriptions))
+	for _, d := range descriptions {
+		m[d.Reason] = d
+	}
+	return m
+}()
+
+// Status returns the HTTP status of a refusal for this reason.
+func (r Reason) Status() int {
+	if d, ok := byReason[r]; ok {
+		return d.Status
+	}
+	return http.StatusBadGateway
+}
+
+// ProxyError returns the error type of RFC 9209 for this reason.
+func (r Reason) ProxyError() string {
+	if d, ok := byReason[r]; ok {
+		return d.Proxy
+	}
+	return "proxy_internal_error"
+}
