--- /dev/null
+++ b/config/head.go
@@ -0,0 +1,178 @@
+// Package config holds the decisions about the operators' configuration: the
+// head record and its chunks, change history, differences and conflicts, and
+// the Tracker that brings a VM to the newest version and never back.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of a head record and its chunks. They bound the memory that a faulty
+// or hostile record can take.
+const (
+	// MaxChunkBytes is the largest stored chunk, the value limit of the store.
+	MaxChunkBytes = 1 << 20
+	// MaxChunks bounds the chunks of one version.
+	MaxChunks = 4096
+	// MaxHeadBytes is the largest head record.
+	MaxHeadBytes = MaxChunkBytes
+	// MaxIDBytes bounds a change ID and the name of its author.
+	MaxIDBytes = 128
+	// MaxWhyBytes bounds the reason of a change.
+	MaxWhyBytes = 1024
+)
+
+// Hash is the SHA-256 of a chunk's stored bytes.
+type Hash [sha256.Size]byte
+
+// HashOf returns the hash of data.
+func HashOf(data []byte) Hash { return sha256.Sum256(data) }
+
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// IsZero tells whether h is unset.
+func (h Hash) IsZero() bool { return h == Hash{} }
+
+// MarshalText writes the hexadecimal form.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
+
+// UnmarshalText reads the hexadecimal form.
+func (h *Hash) UnmarshalText(text []byte) error {
+	if len(text) != 2*len(h) {
+		return errors.Errorf("config: hash of %d characters, want %d", len(text), 2*len(h))
+	}
+	_, err := hex.Decode(h[:], text)
+	return errors.Wrap(err, "config: hash")
+}
+
+// Section is a part of the content that is chunked by itself, so that a change
+// to one section leaves the chunks of the others as they are.
+type Section string
+
+// Sections of the content.
+const (
+	SectionRegister Section = "register"
+	SectionBlocks   Section = "blocks"
+	SectionRules    Section = "rules"
+	// SectionHistory is read on demand only. It changes with every version, and
+	// distributing it to every VM would exceed the traffic allowance.
+	SectionHistory Section = "history"
+)
+
+func (s Section) known() bool {
+	switch s {
+	case SectionRegister, SectionBlocks, SectionRules, SectionHistory:
+		return true
+	}
+	return false
+}
+
+// ChunkRef names an immutable chunk. The chunks of a section are joined in the
+// order of the head.
+type ChunkRef struct {
+	Section Section `json:"section"`
+	Hash    Hash    `json:"sha256"`
+	// Bytes is the stored size.
+	Bytes int `json:"bytes"`
+}
+
+// Meta says who made a change, when and why.
+type Meta struct {
+	// ChangeID identifies the change. A resend carries the same ID.
+	ChangeID string    `json:"change_id"`
+	By       string    `json:"by"`
+	At       time.Time `json:"at"`
+	Why      string    `json:"why,omitempty"`
+}
+
+// Validate checks the limits of the fields.
+func (m Meta) Validate() error {
+	switch {
+	case m.ChangeID == "" || len(m.ChangeID) > MaxIDBytes || strings.ContainsAny(m.ChangeID, "/\n"):
+		return errors.Errorf("config: change ID is empty, longer than %d bytes or contains / or a line end", MaxIDBytes)
+	case m.By == "" || len(m.By) > MaxIDBytes:
+		return errors.Errorf("config: author is empty or longer than %d bytes", MaxIDBytes)
+	case len(m.Why) > MaxWhyBytes:
+		return errors.Errorf("config: reason of %d bytes, at most %d", len(m.Why), MaxWhyBytes)
+	case !utf8.ValidString(m.ChangeID) || !utf8.ValidString(m.By) || !utf8.ValidString(m.Why):
+		return errors.New("config: change ID, author or reason is not UTF-8")
+	}
+	return nil
+}
+
+// Head is the record that names one version of the configuration.
+type Head struct {
+	// Version is greater than zero and grows by one with each change.
+	Version uint64 `json:"version"`
+	Meta
+	Chunks []ChunkRef `json:"chunks"`
+}
+
+// ParseHead reads and checks a head record.
+func ParseHead(data []byte) (*Head, error) {
+	if len(data) > MaxHeadBytes {
+		return nil, errors.Errorf("config: head of %d bytes, at most %d", len(data), MaxHeadBytes)
+	}
+	h := new(Head)
+	if err := json.Unmarshal(data, h); err != nil {
+		return nil, errors.Wrap(err, "config: head")
+	}
+	if err := h.validate(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Head) validate() error {
+	if h.Version == 0 {
+		return errors.New("config: head without a version")
+	}
+	if err := h.Meta.Validate(); err != nil {
+		return err
+	}
+	if len(h.Chunks) > MaxChunks {
+		return errors.Errorf("config: head with %d chunks, at most %d", len(h.Chunks), MaxChunks)
+	}
+	for _, c := range h.Chunks {
+		if !c.Section.known() {
+			return errors.Errorf("config: unknown section %q", c.Section)
+		}
+		if c.Bytes <= 0 || c.Bytes > MaxChunkBytes {
+			return errors.Errorf("config: chunk of %d bytes, at most %d", c.Bytes, MaxChunkBytes)
+		}
+	}
+	return nil
+}
+
+// Encode writes the record.
+func (h *Head) Encode() ([]byte, error) {
+	if err := h.validate(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(h)
+	if err != nil {
+		return nil, errors.Wrap(err, "config: head")
+	}
+	if len(data) > MaxHeadBytes {
+		return nil, errors.Errorf("config: head of %d bytes, at most %d", len(data), MaxHeadBytes)
+	}
+	return data, nil
+}
+
+// Section returns the chunks of one section in order.
+func (h *Head) Section(s Section) []ChunkRef {
+	var out []ChunkRef
+	for _, c := range h.Chunks {
+		if c.Section == s {
+			out = append(out, c)
+		}
+	}
+	return out
+}
