--- a/config/config_test.go
+++ b/config/config_test.go
@@ -36,9 +36,9 @@
 
 func meta(id string) Meta { return Meta{ChangeID: id, By: "anna", At: start, Why: "test " + id} }
 
-func build(t testing.TB, prev *Head, h History, c Content, id string) *Built {
+func build(t testing.TB, prev *Head, c Content, id string) *Built {
 	t.Helper()
-	b, err := Build(prev, h, c, meta(id), nil)
+	b, err := Build(prev, nil, c, meta(id), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 // Guards against content that changes on its way through head and chunks.
 func TestSnapshotHoldsWhatWasBuilt(t *testing.T) {
 	want := content("a", 50_000)
-	b := build(t, nil, nil, want, "c1")
+	b := build(t, nil, want, "c1")
 	s, err := NewSnapshot(b.HeadBytes, chunkMap(b))
 	if err != nil {
 		t.Fatal(err)
@@ -74,10 +74,10 @@
 // Guards against a change of one block that makes every VM fetch the table anew.
 func TestOneBlockChangesOneChunk(t *testing.T) {
 	c := content("a", 100_000)
-	first := chunkMap(build(t, nil, nil, c, "c1"))
+	first := chunkMap(build(t, nil, c, "c1"))
 	c.Register.Blocks = append(c.Register.Blocks, register.Block{Prefix: netip.MustParsePrefix("10.0.200.0/24"), Site: "site-0"})
 	changed := 0
-	for _, chunk := range build(t, nil, nil, c, "c1").Chunks {
+	for _, chunk := range build(t, nil, c, "c1").Chunks {
 		if _, ok := first[chunk.Ref.Hash]; !ok && chunk.Ref.Section == SectionBlocks {
 			changed++
 		}
@@ -142,9 +142,9 @@
 // Guards against an older or different version from the store or a peer taking
 // the place of the version in force.
 func TestTrackerRefusesOlderVersions(t *testing.T) {
-	b1 := build(t, nil, nil, content("a", 10), "c1")
-	b2 := build(t, b1.Head, nil, content("b", 10), "c2")
-	other := build(t, b1.Head, nil, content("c", 10), "c3")
+	b1 := build(t, nil, content("a", 10), "c1")
+	b2 := build(t, b1.Head, content("b", 10), "c2")
+	other := build(t, b1.Head, content("c", 10), "c3")
 	tr := NewTracker(1)
 	deliver(t, tr, b2)
 	for name, n := range map[RefuseReason]News{
@@ -184,7 +184,7 @@
 // Guards against an announced version that does not exist blocking later ones,
 // and against a corrupt chunk being put in force.
 func TestTrackerSurvivesBadPeers(t *testing.T) {
-	b := build(t, nil, nil, content("a", 10), "c1")
+	b := build(t, nil, content("a", 10), "c1")
 	tr := NewTracker(1)
 	now := start
 	work := tr.Step(now, PeerVersion{Peer: "liar", Version: 1 << 60, Head: HashOf([]byte("x"))})
@@ -194,7 +194,7 @@
 		}
 		for _, e := range work {
 			if f, ok := e.(Fetch); ok && i%2 == 0 {
-				tr.Step(now, Failed{Hash: f.Hash, Peer: f.Peer})
+				tr.Step(now, Failed(f))
 			}
 		}
 		now = now.Add(500 * time.Millisecond)
--- a/config/head.go
+++ b/config/head.go
@@ -134,7 +134,7 @@
 	if h.Version == 0 {
 		return errors.New("config: head without a version")
 	}
-	if err := h.Meta.Validate(); err != nil {
+	if err := h.Validate(); err != nil {
 		return err
 	}
 	if len(h.Chunks) > MaxChunks {
--- a/config/startup.go
+++ b/config/startup.go
@@ -63,18 +63,18 @@
 	if inForce == 0 {
 		return false
 	}
-	any, all := false, true
+	answered, complete := false, true
 	for _, c := range s.centres {
 		if !c.answered {
-			all = false
+			complete = false
 			continue
 		}
-		any = true
+		answered = true
 		if !c.confirms(inForce) {
 			return false
 		}
 	}
-	s.ready = any && (all || now.Sub(s.began) >= startupWait)
+	s.ready = answered && (complete || now.Sub(s.began) >= startupWait)
 	return s.ready
 }
 
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -193,17 +193,18 @@
 	if h == nil {
 		return nil, nil
 	}
-	for _, ref := range h.Section(config.SectionHistory) {
-		data, err := p.ReadChunk(ctx, ref)
-		if errors.Is(err, store.ErrNotFound) {
-			return nil, nil // Restore writes a version without its history.
-		}
-		if err != nil {
-			return nil, err
-		}
-		return config.ParseHistory(data)
+	refs := h.Section(config.SectionHistory)
+	if len(refs) == 0 {
+		return nil, nil
+	}
+	data, err := p.ReadChunk(ctx, refs[0])
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, nil // Restore writes a version without its history.
+	}
+	if err != nil {
+		return nil, err
 	}
-	return nil, nil
+	return config.ParseHistory(data)
 }
 
 // LoadVersion reads an earlier version, or returns ErrVersionGone.
