Add membership and messages between VMs

Cause: every VM has to know within 5 s which VMs are alive, without a coordination service, and learns of new versions from its peers.

--- /dev/null
+++ b/member/options.go
@@ -0,0 +1,125 @@
+package member
+
+import "time"
+
+// Options of a Cluster. Zero values mean the defaults.
+type Options struct {
+	// OwnTargets is how many VMs of the own data centre are probed. Zero means 8.
+	OwnTargets int
+	// OtherTargets is how many VMs of each other data centre are probed. Zero
+	// means 2.
+	OtherTargets int
+	// OwnInterval is the longest interval between probes of one VM of the own
+	// data centre. Zero means 3 s. A VM with fewer targets probes more often.
+	OwnInterval time.Duration
+	// OtherInterval is the same for other data centres. Zero means 8 s.
+	OtherInterval time.Duration
+	// ProbeTimeout is the wait for a reply. Zero means 500 ms, which is several
+	// times the round trip between regions.
+	ProbeTimeout time.Duration
+	// SuspectAfter is how long a VM without a reply is asked for at others
+	// before it is suspected. Zero means 600 ms.
+	SuspectAfter time.Duration
+	// GoneAfter is how long a suspicion waits for a refutation. Zero means
+	// 1,500 ms.
+	GoneAfter time.Duration
+	// ForgetAfter is how long a VM that is gone and not listed is kept. Zero
+	// means 10 min.
+	ForgetAfter time.Duration
+	// MaxMessageBytes bounds a message. Zero means 8 KB.
+	MaxMessageBytes int
+	// SectionBytes is the allowance for sending sections in bytes/s. Zero means
+	// 500. The newest version of each section waits for its turn.
+	SectionBytes int
+	// Sections describes the kinds of sections.
+	Sections map[uint8]SectionKind
+}
+
+// SectionKind tells how far sections of one kind are spread.
+type SectionKind struct {
+	// SameDataCentre and SameRegion limit the receivers.
+	SameDataCentre bool
+	SameRegion     bool
+}
+
+// Fixed limits.
+const (
+	// ownRate and otherRate are the probes/s above which the intervals are not
+	// shortened; they keep a node with 22 targets within its traffic allowance.
+	ownRate   = 2.7
+	otherRate = 1.75
+	// goneProbe is the interval at which one listed VM that is gone is probed,
+	// in turn, so that partitions heal.
+	goneProbe = 5 * time.Second
+	// pauseGap is the time between two ticks above which this VM was paused and
+	// draws no conclusions from silence.
+	pauseGap = time.Second
+	// burst and refill (messages/s) bound messages beyond regular probes.
+	burst  = 60
+	refill = 30
+	// waveGap is the shortest time between two pushes of urgent news, and
+	// waveSize how many VMs each push reaches.
+	waveGap  = 150 * time.Millisecond
+	waveSize = 4
+	// updateSends and sectionSends are how often one VM passes an item on. With
+	// 12 sends a news item misses a VM with a probability of about e^-12; at 740
+	// VMs and 92 VMs lost at once that is less than one miss. What is missed is
+	// repaired by comparing view hashes. When many items wait, as after a
+	// partition between regions, fewer sends keep the traffic down.
+	updateSends    = 12
+	crowdedSends   = 4
+	crowdedUpdates = 200
+	sectionSends   = 3
+	// askPeers is how many VMs are asked about one that does not answer, and
+	// askGap the time between two rounds.
+	askPeers = 3
+	askGap   = 250 * time.Millisecond
+	maxAsk   = 32
+	// massWindow and massDoubts recognise the loss of a rack or data centre:
+	// that many VMs of one data centre in doubt within the window.
+	massWindow = 5 * time.Second
+	massDoubts = 2
+	// buckets is the number of partial view hashes.
+	buckets    = 32
+	bucketsGap = 250 * time.Millisecond
+	// quietBefore is how long the view must be unchanged before differences are
+	// repaired, because news that is still spreading needs no repair.
+	quietBefore = time.Second
+	resyncGap   = 400 * time.Millisecond
+	// contactAge is how long after an exchange a VM counts as a correspondent.
+	contactAge = 10 * time.Second
+	// challengeWait is how long a VM that others call gone may take to raise its
+	// incarnation before it is suspected here as well.
+	challengeWait = time.Second
+	// cutOffAfter is the silence of all VMs after which this VM may itself be
+	// cut off; it then concludes nothing.
+	cutOffAfter = 1500 * time.Millisecond
+	// maxSectionBytes bounds the value of one section.
+	maxSectionBytes = 512
+	maxSections     = 20_000
+	maxMembers      = 20_000
+)
+
+func (o Options) withDefaults() Options {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	defInt := func(n *int, v int) {
+		if *n <= 0 {
+			*n = v
+		}
+	}
+	defInt(&o.OwnTargets, 8)
+	defInt(&o.OtherTargets, 2)
+	def(&o.OwnInterval, 3*time.Second)
+	def(&o.OtherInterval, 8*time.Second)
+	def(&o.ProbeTimeout, 500*time.Millisecond)
+	def(&o.SuspectAfter, 600*time.Millisecond)
+	def(&o.GoneAfter, 1500*time.Millisecond)
+	def(&o.ForgetAfter, 10*time.Minute)
+	defInt(&o.MaxMessageBytes, 8<<10)
+	defInt(&o.SectionBytes, 500)
+	return o
+}
--- /dev/null
+++ b/member/queue.go
@@ -0,0 +1,58 @@
+package member
+
+import "slices"
+
+// queue holds items that are passed on a limited number of times, those that
+// were passed on least often first.
+type queue[T comparable] struct {
+	items []queued[T]
+}
+
+type queued[T comparable] struct {
+	item T
+	left int
+}
+
+// push adds an item or restarts its count.
+func (q *queue[T]) push(item T, sends int) {
+	q.remove(item)
+	i, _ := slices.BinarySearchFunc(q.items, sends, func(e queued[T], left int) int {
+		// Descending by left; equal ones keep their order of arrival.
+		if e.left >= left {
+			return -1
+		}
+		return 1
+	})
+	q.items = slices.Insert(q.items, i, queued[T]{item, sends})
+}
+
+func (q *queue[T]) remove(item T) {
+	q.items = slices.DeleteFunc(q.items, func(e queued[T]) bool { return e.item == item })
+}
+
+// take calls send for items in order until it returns stop. Items for which it
+// returns sent are counted.
+func (q *queue[T]) take(send func(T) (sent, stop bool)) {
+	var again []queued[T]
+	keep := q.items[:0]
+	stopped := false
+	for _, e := range q.items {
+		if stopped {
+			keep = append(keep, e)
+			continue
+		}
+		sent, stop := send(e.item)
+		stopped = stop
+		if !sent {
+			keep = append(keep, e)
+			continue
+		}
+		if e.left--; e.left > 0 {
+			again = append(again, e)
+		}
+	}
+	q.items = keep
+	for _, e := range again {
+		q.push(e.item, e.left)
+	}
+}
--- /dev/null
+++ b/member/resync.go
@@ -0,0 +1,84 @@
+package member
+
+import "time"
+
+// compareViews counts exchanges in which the views differed and starts a repair
+// when the other side sent its partial hashes.
+func (c *Cluster) compareViews(now time.Time, e *entry, m *Message) {
+	if m.ViewHash == c.hash {
+		c.mismatches = 0
+		e.resync = 0
+		return
+	}
+	c.mismatches++
+	if len(m.Buckets) != buckets || now.Before(c.nextResync) {
+		return
+	}
+	own := c.bucketHashes()
+	var differ uint32
+	for i, h := range m.Buckets {
+		if h != own[i] {
+			differ |= 1 << i
+		}
+	}
+	if differ == 0 {
+		return
+	}
+	c.nextResync = now.Add(resyncGap)
+	e.resync = differ
+	e.due = now
+}
+
+func bucketOf(key uint32) uint32 { return key % buckets }
+
+func (c *Cluster) bucketHashes() []uint32 {
+	out := make([]uint32, buckets)
+	for _, e := range c.entries {
+		d := e.digest()
+		out[bucketOf(e.key)] ^= uint32(d) ^ uint32(d>>32)
+	}
+	return out
+}
+
+// addBuckets offers a repair when the views kept differing, or at the first
+// contact with a VM, which may have just started.
+func (c *Cluster) addBuckets(now time.Time, m *Message, first bool) {
+	if c.mismatches == 0 || now.Before(c.nextBuckets) {
+		return
+	}
+	if !first && (c.mismatches < 2 || now.Sub(c.quietSince) < quietBefore) {
+		return
+	}
+	c.nextBuckets = now.Add(bucketsGap)
+	m.Buckets = c.bucketHashes()
+}
+
+// addResync adds the members of the buckets that the other side asked for, as
+// far as the message has room. What is left out still differs and is asked for
+// again.
+func (c *Cluster) addResync(now time.Time, m *Message, mask uint32, to *entry) {
+	if mask == 0 {
+		return
+	}
+	left := c.opts.MaxMessageBytes
+	sent := make(map[uint32]bool)
+	for i := range m.Updates {
+		left -= updateBytes(&m.Updates[i])
+		sent[m.Updates[i].Key] = true
+	}
+	for b := uint32(0); b < buckets; b++ {
+		if mask&(1<<b) == 0 {
+			continue
+		}
+		for _, e := range c.sorted() {
+			if bucketOf(e.key) != b || !e.known() || e == to || sent[e.key] {
+				continue
+			}
+			u := c.update(now, e, true)
+			if left -= updateBytes(&u); left < 0 {
+				return
+			}
+			m.Updates = append(m.Updates, u)
+		}
+	}
+}
--- /dev/null
+++ b/peer/counters.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Counters counts messages, bytes and refusals of servers and pools. The zero
+// value counts without reporting. It is safe for concurrent use.
+type Counters struct {
+	// Scope reports to a metrics page. Nil means no report.
+	Scope tally.Scope
+
+	bytesIn  atomic.Int64
+	bytesOut atomic.Int64
+	mu       sync.Mutex
+	counts   map[string]int64
+}
+
+// Bytes returns the bytes received and sent on all connections.
+func (c *Counters) Bytes() (in, out int64) { return c.bytesIn.Load(), c.bytesOut.Load() }
+
+// Counts returns calls by name and refusals by "refused/REASON".
+func (c *Counters) Counts() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]int64, len(c.counts))
+	for k, v := range c.counts {
+		out[k] = v
+	}
+	return out
+}
+
+func (c *Counters) received(n int) {
+	c.bytesIn.Add(int64(n))
+	if c.Scope != nil {
+		c.Scope.Counter("peer_bytes_in").Inc(int64(n))
+	}
+}
+
+func (c *Counters) sent(n int) {
+	c.bytesOut.Add(int64(n))
+	if c.Scope != nil {
+		c.Scope.Counter("peer_bytes_out").Inc(int64(n))
+	}
+}
+
+func (c *Counters) called(name string) { c.count(name, "peer_calls", "call", name) }
+
+func (c *Counters) refused(reason string) {
+	c.count("refused/"+reason, "peer_refusals", "reason", reason)
+}
+
+func (c *Counters) count(key, metric, tag, value string) {
+	c.mu.Lock()
+	if c.counts == nil {
+		c.counts = make(map[string]int64)
+	}
+	c.counts[key]++
+	c.mu.Unlock()
+	if c.Scope != nil {
+		c.Scope.Tagged(map[string]string{tag: value}).Counter(metric).Inc(1)
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,367 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer/peerpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type echo struct{ notes chan []*peerpb.CrashNote }
+
+func (echo) Exchange(_ context.Context, m member.Message) *member.Message {
+	if m.To != member.Key("b") {
+		return nil
+	}
+	r := m
+	r.From, r.To, r.Reply = "b", member.Key(m.From), true
+	return &r
+}
+
+func (echo) Chunk(_ context.Context, h [32]byte) ([]byte, bool) {
+	return make([]byte, 1<<20), h[0] == 1
+}
+
+func (e echo) CrashNotes(_ context.Context, n []*peerpb.CrashNote) {
+	if e.notes != nil {
+		e.notes <- n
+	}
+}
+
+func serve(t *testing.T, address string, h Handler, o ServerOptions) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := NewServer(l, h, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Serve()
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func pool(t *testing.T, o PoolOptions) *Pool {
+	p := NewPool(o)
+	t.Cleanup(func() { p.Close() })
+	return p
+}
+
+func sample() member.Message {
+	return member.Message{
+		From: "a", To: member.Key("b"), Inc: member.Incarnation{Boot: 7, Seq: 2}, State: member.Serving, ViewHash: 99,
+		Docs:     [2]member.DocVersion{{Version: 5, Hash: [32]byte{1}}, {Version: 6}},
+		StoreAge: 1500 * time.Millisecond, Buckets: make([]uint32, bucketCount), Resync: 3, Ask: []uint32{4},
+		Updates: []member.Update{
+			{Key: 9, Inc: member.Incarnation{Boot: 1, Seq: 1}, Declared: member.Leaving, Info: &member.Info{ID: "c", DataCentre: "d", Region: "r", Address: "10.0.0.1:1"}},
+			{Key: 8, Inc: member.Incarnation{Boot: 2}, Suspected: true, Age: time.Second},
+			{Key: 7, Inc: member.Incarnation{Boot: 2}, Gone: true, Age: time.Minute},
+		},
+		Sections: []member.Section{{Kind: 1, Owner: "c", Version: 3, Value: []byte("x")}},
+		Heard:    []member.Evidence{{Key: 4, Inc: member.Incarnation{Boot: 3, Seq: 1}, Age: time.Millisecond}},
+	}
+}
+
+// Guards against a field that is lost between two VMs.
+func TestMessageSurvivesTheWire(t *testing.T) {
+	s := serve(t, "127.0.0.1:0", echo{}, ServerOptions{})
+	p := pool(t, PoolOptions{})
+	m := sample()
+	got, err := p.Exchange(t.Context(), s.Address(), &m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := m
+	want.From, want.To, want.Reply = "b", member.Key("a"), true
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v\nwant %+v", got, want)
+	}
+	m.To = 1
+	if _, err := p.Exchange(t.Context(), s.Address(), &m); err == nil {
+		t.Fatal("a message for another VM was answered")
+	}
+	data, err := p.Chunk(t.Context(), s.Address(), [32]byte{1})
+	if err != nil || len(data) != 1<<20 {
+		t.Fatal(len(data), err)
+	}
+	if _, err := p.Chunk(t.Context(), s.Address(), [32]byte{2}); !errors.Is(err, ErrNoChunk) {
+		t.Fatal(err)
+	}
+}
+
+// Guards against crash notes that do not reach the handler, or that exceed their
+// limits.
+func TestCrashNotesArrive(t *testing.T) {
+	h := echo{notes: make(chan []*peerpb.CrashNote, 1)}
+	s := serve(t, "127.0.0.1:0", h, ServerOptions{})
+	p := pool(t, PoolOptions{})
+	note := &peerpb.CrashNote{Service: "proefbank", Fingerprint: []byte{1}, Instances: []string{"p-1"}}
+	if err := p.CrashNotes(t.Context(), s.Address(), []*peerpb.CrashNote{note}); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-h.notes; len(got) != 1 || !proto.Equal(got[0], note) {
+		t.Fatal(got)
+	}
+	if err := p.CrashNotes(t.Context(), s.Address(), make([]*peerpb.CrashNote, maxNotes+1)); err == nil {
+		t.Fatal("too many notes were taken")
+	}
+}
+
+// Guards against a peer that takes the processor or memory of a VM with many or
+// large messages.
+func TestServerBoundsRateAndSize(t *testing.T) {
+	c := new(Counters)
+	s := serve(t, "127.0.0.1:0", echo{}, ServerOptions{ExchangeRate: 2, ChunkBytes: 1, Counters: c})
+	p := pool(t, PoolOptions{})
+	m := sample()
+	for range 10 {
+		_, _ = p.Exchange(t.Context(), s.Address(), &m)
+	}
+	for range 3 {
+		_, _ = p.Chunk(t.Context(), s.Address(), [32]byte{1})
+	}
+	m.Sections = make([]member.Section, maxSections+1)
+	_, _ = p.Exchange(t.Context(), s.Address(), &m)
+	got := c.Counts()
+	if got["exchange-served"] != 4 || got["refused/exchange-rate"] != 7 {
+		t.Errorf("heartbeats: %v", got)
+	}
+	if got["chunk-served"] != 1 || got["refused/chunk-rate"] != 2 {
+		t.Errorf("chunks: %v", got)
+	}
+	other := pool(t, PoolOptions{})
+	if _, err := other.Exchange(t.Context(), s.Address(), &m); err == nil {
+		t.Error("a message with too many sections was taken")
+	}
+	m.Sections = nil
+	m.Updates = nil
+	for range maxUpdates {
+		m.Updates = append(m.Updates, member.Update{Inc: member.Incarnation{Boot: 1}, Info: &member.Info{ID: "a long enough text for the limit"}})
+	}
+	if _, err := other.Exchange(t.Context(), s.Address(), &m); err == nil || c.Counts()["refused/exchange-size"] != 1 {
+		t.Errorf("a message of more than %d bytes was taken: %v, %v", maxExchangeBytes, err, c.Counts())
+	}
+}
+
+// Guards against connection attempts without a pause to a VM that is gone, and
+// against a pause after it was heard again.
+func TestPoolPausesAfterFailures(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	p := pool(t, PoolOptions{MinBackoff: time.Hour, MaxBackoff: time.Hour})
+	m := sample()
+	if _, err := p.Exchange(t.Context(), address, &m); err == nil || errors.Is(err, ErrBackoff) {
+		t.Fatal(err)
+	}
+	if _, err := p.Exchange(t.Context(), address, &m); !errors.Is(err, ErrBackoff) {
+		t.Fatal(err)
+	}
+	serve(t, address, echo{}, ServerOptions{})
+	p.Forget(address)
+	if _, err := p.Exchange(t.Context(), address, &m); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a connection that stays broken after the peer restarted.
+func TestPoolReconnects(t *testing.T) {
+	s := serve(t, "127.0.0.1:0", echo{}, ServerOptions{})
+	address := s.Address()
+	p := pool(t, PoolOptions{MinBackoff: time.Nanosecond, MaxBackoff: time.Nanosecond})
+	m := sample()
+	if _, err := p.Exchange(t.Context(), address, &m); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	serve(t, address, echo{}, ServerOptions{})
+	var err error
+	for range 3 {
+		if _, err = p.Exchange(t.Context(), address, &m); err == nil {
+			return
+		}
+	}
+	t.Fatal(err)
+}
+
+// Guards against a peer that never answers holding a call beyond its deadline.
+func TestCallsHaveDeadlines(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := pool(t, PoolOptions{CallTimeout: 20 * time.Millisecond, PerPeer: 1})
+	m := sample()
+	if _, err := p.Exchange(t.Context(), l.Addr().String(), &m); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal(err)
+	}
+}
+
+// Guards against plain or foreign connections where mutual TLS is demanded, and
+// against a certificate that stays in use after its file changed.
+func TestMutualTLSAndReload(t *testing.T) {
+	dir := t.TempDir()
+	ours, theirs := newAuthority(t), newAuthority(t)
+	ours.write(t, dir, "one")
+	f, err := NewTLSFiles(filepath.Join(dir, "cert"), filepath.Join(dir, "key"), filepath.Join(dir, "ca"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := serve(t, "127.0.0.1:0", echo{}, ServerOptions{TLS: f.Config})
+	m := sample()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if _, err := pool(t, PoolOptions{TLS: f.Config}).Exchange(ctx, s.Address(), &m); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pool(t, PoolOptions{}).Exchange(ctx, s.Address(), &m); err == nil {
+		t.Error("a plain connection was served")
+	}
+	foreign := func() (*tls.Config, error) { return MutualTLS(theirs.issue(t, "x"), ours.pool()), nil }
+	if _, err := pool(t, PoolOptions{TLS: foreign}).Exchange(ctx, s.Address(), &m); err == nil {
+		t.Error("a certificate of another authority was accepted")
+	}
+	ours.write(t, dir, "two")
+	later := time.Now().Add(time.Minute)
+	for _, name := range []string{"cert", "key", "ca"} {
+		if err := os.Chtimes(filepath.Join(dir, name), later, later); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.mu.Lock()
+	f.checked = time.Time{}
+	f.mu.Unlock()
+	cfg, err := f.Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(cfg.Certificates[0].Certificate[0])
+	if err != nil || leaf.SerialNumber.Int64() != 2 {
+		t.Fatalf("certificate %v is in use, %v", leaf.SerialNumber, err)
+	}
+}
+
+type authority struct {
+	cert   *x509.Certificate
+	key    *ecdsa.PrivateKey
+	serial int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &authority{cert: cert, key: key}
+}
+
+func (a *authority) pool() *x509.CertPool {
+	p := x509.NewCertPool()
+	p.AddCert(a.cert)
+	return p
+}
+
+func (a *authority) issue(t *testing.T, _ string) tls.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.serial++
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+func (a *authority) write(t *testing.T, dir, name string) {
+	t.Helper()
+	c := a.issue(t, name)
+	key, err := x509.MarshalPKCS8PrivateKey(c.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for file, block := range map[string]*pem.Block{
+		"cert": {Type: "CERTIFICATE", Bytes: c.Certificate[0]},
+		"key":  {Type: "PRIVATE KEY", Bytes: key},
+		"ca":   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		if err := os.WriteFile(filepath.Join(dir, file), pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a heartbeat from the network that makes the decoder panic or
+// that passes its limits.
+func FuzzFromProto(f *testing.F) {
+	m := sample()
+	for _, p := range []*peerpb.ExchangeMessage{ToProto(&m), {From: "a", Boot: 1}, {}} {
+		data, err := proto.Marshal(p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p := new(peerpb.ExchangeMessage)
+		if proto.Unmarshal(data, p) != nil {
+			return
+		}
+		m, err := FromProto(p, false)
+		if err != nil {
+			return
+		}
+		again, err := FromProto(ToProto(&m), false)
+		if err != nil || again.From != m.From || len(again.Updates) != len(m.Updates) {
+			t.Fatalf("%+v does not survive: %v", m, err)
+		}
+		c := member.New(member.Options{}, member.Info{ID: "self", DataCentre: "d"}, time.Unix(1, 0), 1)
+		m.To = member.Key("self")
+		c.Step(time.Unix(2, 0), m)
+		c.Tick(time.Unix(3, 0))
+	})
+}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,329 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer/peerpb"
+)
+
+// Defaults of PoolOptions.
+const (
+	DefaultDialTimeout = time.Second
+	DefaultCallTimeout = 2 * time.Second
+	DefaultIdle        = time.Minute
+	DefaultPerPeer     = 16
+	DefaultMinBackoff  = 100 * time.Millisecond
+	DefaultMaxBackoff  = 2 * time.Second
+)
+
+// PoolOptions of a Pool. Zero values mean the defaults.
+type PoolOptions struct {
+	// TLS returns the configuration for each new connection, so that
+	// certificates can change. Nil means no TLS.
+	TLS func() (*tls.Config, error)
+	// DialTimeout bounds connecting. Zero means 1 s.
+	DialTimeout time.Duration
+	// CallTimeout bounds calls whose context has no deadline. Zero means 2 s.
+	CallTimeout time.Duration
+	// Idle closes connections that are not used. Zero means 1 min, which is
+	// longer than the interval between heartbeats.
+	Idle time.Duration
+	// PerPeer bounds calls to one peer at a time. A connection carries one call
+	// at a time; one is kept per peer and more are opened while calls overlap.
+	// Zero means 16.
+	PerPeer int
+	// MinBackoff and MaxBackoff bound the pause after a failed connection
+	// attempt, which doubles and is jittered. Zero means 100 ms and 2 s.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	// Log receives events. Nil means none.
+	Log *slog.Logger
+	// Counters receives counts. Nil means none.
+	Counters *Counters
+}
+
+func (o PoolOptions) withDefaults() PoolOptions {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	def(&o.DialTimeout, DefaultDialTimeout)
+	def(&o.CallTimeout, DefaultCallTimeout)
+	def(&o.Idle, DefaultIdle)
+	def(&o.MinBackoff, DefaultMinBackoff)
+	def(&o.MaxBackoff, DefaultMaxBackoff)
+	if o.PerPeer <= 0 {
+		o.PerPeer = DefaultPerPeer
+	}
+	if o.Counters == nil {
+		o.Counters = new(Counters)
+	}
+	return o
+}
+
+// Errors of a Pool. With any of them the call was not sent.
+var (
+	ErrBackoff = errors.New("peer: waiting before the next connection attempt")
+	ErrBusy    = errors.New("peer: too many calls to this peer at the same time")
+	ErrClosed  = errors.New("peer: pool is closed")
+)
+
+// Pool holds connections to other VMs by address. It is safe for concurrent use.
+type Pool struct {
+	opts   PoolOptions
+	conns  *drpcpool.Pool[string, drpcpool.Conn]
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	closed bool
+	calls  sync.WaitGroup
+	peers  map[string]*peerState
+}
+
+// peerState is what the pool remembers about an address.
+type peerState struct {
+	slots   chan struct{}
+	backoff time.Duration
+	retryAt time.Time
+	used    time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(o PoolOptions) *Pool {
+	o = o.withDefaults()
+	return &Pool{
+		opts:   o,
+		conns:  drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: o.Idle, KeyCapacity: 2}),
+		dialer: net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second},
+		peers:  make(map[string]*peerState),
+	}
+}
+
+// Close closes all connections and waits for calls that are running; their
+// contexts bound the wait.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.calls.Wait()
+	return errors.Wrap(p.conns.Close(), "peer: close")
+}
+
+// Conn returns a connection to an address for generated drpc clients. It
+// connects on the first call and again whenever the connection broke.
+func (p *Pool) Conn(address string) drpc.Conn {
+	return &pooled{pool: p, address: address, closed: make(chan struct{})}
+}
+
+// Client returns the client of the Peer service at an address.
+func (p *Pool) Client(address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(p.Conn(address))
+}
+
+// Forget lets the next call to an address connect without a pause. It is called
+// when the peer at the address was heard.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.peers[address]; s != nil {
+		s.backoff, s.retryAt = 0, time.Time{}
+	}
+}
+
+// Exchange sends a heartbeat and returns the reply.
+func (p *Pool) Exchange(ctx context.Context, address string, m *member.Message) (member.Message, error) {
+	p.opts.Counters.called("exchange")
+	reply, err := p.Client(address).Exchange(ctx, ToProto(m))
+	if err != nil {
+		return member.Message{}, err
+	}
+	return FromProto(reply, true)
+}
+
+// ErrNoChunk means that the peer does not have a chunk.
+var ErrNoChunk = errors.New("peer: chunk not found")
+
+// Chunk fetches data by its SHA-256 hash. The caller verifies it.
+func (p *Pool) Chunk(ctx context.Context, address string, hash [32]byte) ([]byte, error) {
+	p.opts.Counters.called("chunk")
+	reply, err := p.Client(address).Chunk(ctx, &peerpb.ChunkRequest{Hash: hash[:]})
+	if err != nil {
+		return nil, err
+	}
+	if !reply.Found {
+		return nil, ErrNoChunk
+	}
+	return reply.Data, nil
+}
+
+// CrashNotes sends notes to a peer.
+func (p *Pool) CrashNotes(ctx context.Context, address string, notes []*peerpb.CrashNote) error {
+	p.opts.Counters.called("crash-note")
+	_, err := p.Client(address).CrashNote(ctx, &peerpb.CrashNoteRequest{Notes: notes})
+	return err
+}
+
+// maxPeers bounds the addresses that are remembered.
+const maxPeers = 8192
+
+// enter takes a slot for a call to an address.
+func (p *Pool) enter(address string) (*peerState, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	s := p.peers[address]
+	if s == nil {
+		p.prune()
+		s = &peerState{slots: make(chan struct{}, p.opts.PerPeer)}
+		p.peers[address] = s
+	}
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		p.opts.Counters.refused("busy")
+		return nil, ErrBusy
+	}
+	s.used = time.Now()
+	p.calls.Add(1)
+	return s, nil
+}
+
+func (p *Pool) leave(s *peerState) {
+	<-s.slots
+	p.calls.Done()
+}
+
+// prune drops addresses that were not used for long once there are many.
+func (p *Pool) prune() {
+	if len(p.peers) < maxPeers {
+		return
+	}
+	for a, s := range p.peers {
+		if len(s.slots) == 0 && time.Since(s.used) > p.opts.Idle {
+			delete(p.peers, a)
+		}
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	p.mu.Lock()
+	s := p.peers[address]
+	wait := s != nil && time.Now().Before(s.retryAt)
+	p.mu.Unlock()
+	if wait {
+		p.opts.Counters.refused("backoff")
+		return nil, ErrBackoff
+	}
+	c, err := p.connect(ctx, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s = p.peers[address]; s != nil {
+		if err != nil {
+			s.backoff = min(max(2*s.backoff, p.opts.MinBackoff), p.opts.MaxBackoff)
+			s.retryAt = time.Now().Add(s.backoff/2 + rand.N(s.backoff))
+		} else {
+			s.backoff, s.retryAt = 0, time.Time{}
+		}
+	}
+	if err != nil {
+		p.opts.Counters.refused("connect")
+		event.PeerConnectFailed.Log(p.opts.Log, "address", address, "error", err)
+		return nil, errors.Wrap(err, "peer: connect")
+	}
+	p.opts.Counters.called("connect")
+	return drpcconn.NewWithOptions(c, drpcconn.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+	}}), nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := raw
+	if p.opts.TLS != nil {
+		cfg, err := p.opts.TLS()
+		if err == nil {
+			err = handshake(ctx, tls.Client(raw, cfg), &c)
+		}
+		if err != nil {
+			raw.Close()
+			return nil, err
+		}
+	}
+	return &dialled{Conn: c, count: p.opts.Counters}, nil
+}
+
+// dialled counts the bytes of an outgoing connection.
+type dialled struct {
+	net.Conn
+	count *Counters
+}
+
+func (c *dialled) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count.received(n)
+	return n, err
+}
+
+func (c *dialled) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count.sent(n)
+	return n, err
+}
+
+// pooled is a drpc.Conn that borrows connections for each call.
+type pooled struct {
+	pool    *Pool
+	address string
+	once    sync.Once
+	closed  chan struct{}
+}
+
+var _ drpc.Conn = (*pooled)(nil)
+
+func (c *pooled) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (c *pooled) Closed() <-chan struct{} { return c.closed }
+
+func (c *pooled) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	s, err := c.pool.enter(c.address)
+	if err != nil {
+		return err
+	}
+	defer c.pool.leave(s)
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.pool.opts.CallTimeout)
+		defer cancel()
+	}
+	return c.pool.conns.Get(ctx, c.address, c.pool.dial).Invoke(ctx, rpc, enc, in, out)
+}
+
+// NewStream is refused: messages between VMs are single calls, whose size and
+// duration are bounded.
+func (c *pooled) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errors.New("peer: streams are not used")
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,339 @@
+// Package peer carries messages between VMs: drpc over TCP, optionally with
+// mutual TLS. Every call has a deadline, and sizes, rates and connections are
+// bounded.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer/peerpb"
+)
+
+// Handler answers the messages of other VMs. It is called concurrently.
+type Handler interface {
+	// Exchange answers a heartbeat. Nil means that it was meant for another VM.
+	Exchange(ctx context.Context, m member.Message) *member.Message
+	// Chunk returns data by its SHA-256 hash.
+	Chunk(ctx context.Context, hash [32]byte) ([]byte, bool)
+	// CrashNotes takes notes of another VM.
+	CrashNotes(ctx context.Context, notes []*peerpb.CrashNote)
+}
+
+// Defaults of ServerOptions.
+const (
+	DefaultMaxConnections = 4096
+	DefaultIdleTimeout    = 2 * time.Minute
+	DefaultCallRate       = 2000
+	DefaultExchangeRate   = 100
+	DefaultChunkBytes     = 32 << 20
+)
+
+// ServerOptions of a Server. Zero values mean the defaults.
+type ServerOptions struct {
+	// TLS returns the configuration for each new connection, so that
+	// certificates can change. Nil means no TLS.
+	TLS func() (*tls.Config, error)
+	// MaxConnections bounds open connections. Zero means 4,096.
+	MaxConnections int
+	// IdleTimeout closes connections without messages. Zero means 2 min.
+	IdleTimeout time.Duration
+	// CallRate bounds calls/s per connection, of all kinds. Zero means 2,000.
+	CallRate int
+	// ExchangeRate bounds heartbeats/s and crash notes/s per connection. Zero
+	// means 100.
+	ExchangeRate int
+	// ChunkBytes bounds the chunks that are served, in bytes/s. Zero means
+	// 32 MB/s.
+	ChunkBytes int
+	// Log receives events. Nil means none.
+	Log *slog.Logger
+	// Counters receives counts. Nil means none.
+	Counters *Counters
+}
+
+func (o ServerOptions) withDefaults() ServerOptions {
+	def := func(n *int, v int) {
+		if *n <= 0 {
+			*n = v
+		}
+	}
+	def(&o.MaxConnections, DefaultMaxConnections)
+	def(&o.CallRate, DefaultCallRate)
+	def(&o.ExchangeRate, DefaultExchangeRate)
+	def(&o.ChunkBytes, DefaultChunkBytes)
+	if o.IdleTimeout <= 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.Counters == nil {
+		o.Counters = new(Counters)
+	}
+	return o
+}
+
+// Server accepts connections of other VMs.
+type Server struct {
+	opts     ServerOptions
+	handler  Handler
+	mux      *drpcmux.Mux
+	rpc      *drpcserver.Server
+	chunks   *rate.Limiter
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       conc.WaitGroup
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewServer returns a server over a listener, which it closes in the end. Serve
+// starts it.
+func NewServer(l net.Listener, h Handler, o ServerOptions) (*Server, error) {
+	s := &Server{opts: o.withDefaults(), handler: h, mux: drpcmux.New(), listener: l, conns: make(map[net.Conn]struct{})}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.chunks = rate.NewLimiter(rate.Limit(s.opts.ChunkBytes), max(s.opts.ChunkBytes, MaxMessageBytes))
+	s.rpc = drpcserver.NewWithOptions(limited{s}, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+	}})
+	if err := peerpb.DRPCRegisterPeer(s.mux, service{s}); err != nil {
+		return nil, errors.Wrap(err, "peer: register")
+	}
+	return s, nil
+}
+
+// Register adds another drpc service to the same listener. It must be called
+// before Serve.
+func (s *Server) Register(impl any, d drpc.Description) error {
+	return errors.Wrap(s.mux.Register(impl, d), "peer: register")
+}
+
+// Serve accepts connections in the background until Close.
+func (s *Server) Serve() { s.wg.Go(s.accept) }
+
+// Address returns the address of the listener.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close closes the listener and all connections and waits for their handlers.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.listener.Close()
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	return errors.Wrap(err, "peer: close")
+}
+
+// acceptPause keeps a listener that fails, for example for lack of file
+// descriptors, from using up the processor.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if s.ctx.Err() != nil {
+			if err == nil {
+				c.Close()
+			}
+			return
+		}
+		if err != nil {
+			event.PeerAcceptFailed.Log(s.opts.Log, "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.mu.Lock()
+		full := len(s.conns) >= s.opts.MaxConnections
+		if !full {
+			s.conns[c] = struct{}{}
+		}
+		s.mu.Unlock()
+		if full {
+			s.opts.Counters.refused("connections")
+			c.Close()
+			continue
+		}
+		s.wg.Go(func() { s.serve(c) })
+	}
+}
+
+func (s *Server) serve(raw net.Conn) {
+	defer func() {
+		raw.Close()
+		s.mu.Lock()
+		delete(s.conns, raw)
+		s.mu.Unlock()
+	}()
+	c := raw
+	if s.opts.TLS != nil {
+		cfg, err := s.opts.TLS()
+		if err == nil {
+			err = handshake(s.ctx, tls.Server(raw, cfg), &c)
+		}
+		if err != nil {
+			s.opts.Counters.refused("tls")
+			event.PeerHandshakeFailed.Log(s.opts.Log, "peer", raw.RemoteAddr().String(), "error", err)
+			return
+		}
+	}
+	conn := &served{
+		Conn: c, idle: s.opts.IdleTimeout, count: s.opts.Counters,
+		calls:     rate.NewLimiter(rate.Limit(s.opts.CallRate), s.opts.CallRate),
+		exchanges: rate.NewLimiter(rate.Limit(s.opts.ExchangeRate), 2*s.opts.ExchangeRate),
+	}
+	// The error is that of a closed or broken connection; calls report their own.
+	_ = s.rpc.ServeOne(s.ctx, conn)
+}
+
+// handshakeTimeout bounds a TLS handshake.
+const handshakeTimeout = 5 * time.Second
+
+func handshake(ctx context.Context, t *tls.Conn, out *net.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := t.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	*out = t
+	return nil
+}
+
+// served is an accepted connection with its limits.
+type served struct {
+	net.Conn
+	idle      time.Duration
+	count     *Counters
+	calls     *rate.Limiter
+	exchanges *rate.Limiter
+}
+
+func (c *served) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.count.received(n)
+	return n, err
+}
+
+func (c *served) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.count.sent(n)
+	return n, err
+}
+
+// limited applies the rate of a connection to every call on it.
+type limited struct{ s *Server }
+
+func (l limited) HandleRPC(stream drpc.Stream, rpc string) error {
+	if c := connOf(stream.Context()); c != nil && !c.calls.Allow() {
+		l.s.opts.Counters.refused("call-rate")
+		return ErrTooMany
+	}
+	return l.s.mux.HandleRPC(stream, rpc)
+}
+
+func connOf(ctx context.Context) *served {
+	if tr, ok := drpcctx.Transport(ctx); ok {
+		if c, ok := tr.(*served); ok {
+			return c
+		}
+	}
+	return nil
+}
+
+// ErrTooMany refuses a call above the allowed rate.
+var ErrTooMany = errors.New("peer: too many calls")
+
+// service implements the drpc service.
+type service struct{ s *Server }
+
+var _ peerpb.DRPCPeerServer = service{}
+
+func (v service) allowExchange(ctx context.Context, kind string, p proto.Message) error {
+	if c := connOf(ctx); c != nil && !c.exchanges.Allow() {
+		v.s.opts.Counters.refused(kind + "-rate")
+		return ErrTooMany
+	}
+	if n := proto.Size(p); n > maxExchangeBytes {
+		v.s.opts.Counters.refused(kind + "-size")
+		return errors.Errorf("peer: message of %d bytes, at most %d", n, maxExchangeBytes)
+	}
+	return nil
+}
+
+func (v service) Exchange(ctx context.Context, p *peerpb.ExchangeMessage) (*peerpb.ExchangeMessage, error) {
+	if err := v.allowExchange(ctx, "exchange", p); err != nil {
+		return nil, err
+	}
+	m, err := FromProto(p, false)
+	if err != nil {
+		v.s.opts.Counters.refused("exchange-malformed")
+		return nil, err
+	}
+	reply := v.s.handler.Exchange(ctx, m)
+	if reply == nil {
+		return nil, errors.New("peer: message for another VM")
+	}
+	v.s.opts.Counters.called("exchange-served")
+	return ToProto(reply), nil
+}
+
+func (v service) Chunk(ctx context.Context, p *peerpb.ChunkRequest) (*peerpb.ChunkReply, error) {
+	if len(p.Hash) != 32 {
+		return nil, errors.Errorf("peer: chunk hash of %d bytes", len(p.Hash))
+	}
+	data, ok := v.s.handler.Chunk(ctx, [32]byte(p.Hash))
+	if !ok {
+		return &peerpb.ChunkReply{}, nil
+	}
+	if !v.s.chunks.AllowN(time.Now(), len(data)) {
+		v.s.opts.Counters.refused("chunk-rate")
+		return nil, ErrTooMany
+	}
+	v.s.opts.Counters.called("chunk-served")
+	return &peerpb.ChunkReply{Data: data, Found: true}, nil
+}
+
+// maxNotes bounds the crash notes of one message.
+const maxNotes = 64
+
+func (v service) CrashNote(ctx context.Context, p *peerpb.CrashNoteRequest) (*peerpb.CrashNoteReply, error) {
+	if err := v.allowExchange(ctx, "crash-note", p); err != nil {
+		return nil, err
+	}
+	if len(p.Notes) > maxNotes {
+		return nil, errors.Errorf("peer: %d crash notes in a message, at most %d", len(p.Notes), maxNotes)
+	}
+	for _, n := range p.Notes {
+		if len(n.GetService()) > maxTextBytes || len(n.GetFingerprint()) > maxTextBytes || len(n.GetInstances()) > maxNotes {
+			return nil, errors.New("peer: crash note outside its limits")
+		}
+	}
+	v.s.opts.Counters.called("crash-note-served")
+	v.s.handler.CrashNotes(ctx, p.Notes)
+	return &peerpb.CrashNoteReply{}, nil
+}
