Let VMs that do not watch leave chunks to their peers

Cause: 190 VMs that restart at once would each read every chunk from the store. Change: Tracker waits 3 to 6 s for peers unless the VM watches the store; a Version call for progress reports; First picks one VM for a task.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -148,10 +148,10 @@
 	tr := NewTracker(1)
 	deliver(t, tr, b2)
 	for name, n := range map[RefuseReason]News{
-		RefuseOlder:     StoreHead{b1.HeadBytes},
-		RefuseOtherHead: StoreHead{other.HeadBytes},
+		RefuseOlder:     StoreHead{Data: b1.HeadBytes},
+		RefuseOtherHead: StoreHead{Data: other.HeadBytes},
 		RefuseMissing:   StoreEmpty{},
-		RefuseInvalid:   StoreHead{[]byte("{")},
+		RefuseInvalid:   StoreHead{Data: []byte("{")},
 	} {
 		out := tr.Step(start, n)
 		if r, ok := out[0].(Refused); !ok || r.Reason != name || len(out) != 1 {
@@ -168,7 +168,7 @@
 func deliver(t *testing.T, tr *Tracker, b *Built) {
 	t.Helper()
 	chunks := chunkMap(b)
-	work := tr.Step(start, StoreHead{b.HeadBytes})
+	work := tr.Step(start, StoreHead{Data: b.HeadBytes, Watcher: true})
 	for len(work) > 0 {
 		f, ok := work[0].(Fetch)
 		work = work[1:]
--- a/config/tracker.go
+++ b/config/tracker.go
@@ -19,6 +19,9 @@
 	// headAttempts bounds the attempts to get a head that only peers announced,
 	// so that an announcement of a version that does not exist is given up.
 	headAttempts = 6
+	// storeWait is how long a VM that does not watch the store waits for peers
+	// before it reads chunks from the store; the jitter is of the same size.
+	storeWait = 3 * time.Second
 	// fetchTimeout is the first wait for a chunk; it doubles up to 16 times.
 	fetchTimeout = time.Second
 	// banned bounds the heads that are remembered as unusable.
@@ -29,7 +32,13 @@
 type News interface{ isNews() }
 
 // StoreHead is the head record as read from the store.
-type StoreHead struct{ Data []byte }
+type StoreHead struct {
+	Data []byte
+	// Watcher is set on VMs that watch the store. The others leave it time until
+	// peers offer the chunks, so that a restart of many VMs does not read all
+	// chunks from the store once per VM.
+	Watcher bool
+}
 
 // StoreEmpty means that the store holds no head record.
 type StoreEmpty struct{}
@@ -113,7 +122,8 @@
 	head      Hash
 	headBytes []byte
 	parsed    *Head
-	fromStore bool
+	// storeAfter is when chunks may be read from the store.
+	storeAfter time.Time
 	peers     []string
 	wants     map[Hash]*want
 	order     []Hash
@@ -170,7 +180,7 @@
 	var out []Effect
 	switch n := n.(type) {
 	case StoreHead:
-		out = t.storeHead(n.Data)
+		out = t.storeHead(now, n)
 	case StoreEmpty:
 		if t.current != nil {
 			out = append(out, Refused{Reason: RefuseMissing, Current: t.Version()})
@@ -185,7 +195,8 @@
 	return append(out, t.fetches(now)...)
 }
 
-func (t *Tracker) storeHead(data []byte) []Effect {
+func (t *Tracker) storeHead(now time.Time, n StoreHead) []Effect {
+	data := n.Data
 	h, err := ParseHead(data)
 	if err != nil {
 		return []Effect{Refused{Reason: RefuseInvalid, Current: t.Version(), Err: err}}
@@ -195,7 +206,9 @@
 		return refused
 	}
 	if t.target != nil && t.target.head == hash {
-		t.target.fromStore = true
+		if n.Watcher {
+			t.target.storeAfter = time.Time{}
+		}
 		if t.target.parsed == nil {
 			t.setHead(data, h)
 		}
@@ -206,7 +219,9 @@
 		return nil
 	}
 	t.aim(h.Version, hash)
-	t.target.fromStore = true
+	if !n.Watcher {
+		t.target.storeAfter = now.Add(storeWait + time.Duration(t.rng.Int64N(int64(storeWait))))
+	}
 	t.setHead(data, h)
 	return t.finish()
 }
@@ -385,7 +400,7 @@
 			t.target = nil
 			return out
 		}
-		peer, ok := g.source(w.attempts, h, t.rng)
+		peer, ok := g.source(now, w.attempts, h, t.rng)
 		if !ok {
 			continue
 		}
@@ -401,12 +416,13 @@
 // source picks a peer for the first attempts and then alternates with the store,
 // so that a new version costs the store few reads however many VMs there are.
 // A head is never under its hash in the store.
-func (g *target) source(attempt int, h Hash, rng *rand.Rand) (peer string, ok bool) {
+func (g *target) source(now time.Time, attempt int, h Hash, rng *rand.Rand) (peer string, ok bool) {
 	isHead := h == g.head && g.parsed == nil
+	store := !isHead && !now.Before(g.storeAfter)
 	if len(g.peers) == 0 {
-		return "", !isHead
+		return "", store
 	}
-	if !isHead && attempt >= peerAttempts && attempt%2 == 0 {
+	if store && attempt >= peerAttempts && attempt%2 == 0 {
 		return "", true
 	}
 	return g.peers[rng.IntN(len(g.peers))], true
--- a/member/targets.go
+++ b/member/targets.go
@@ -144,6 +144,19 @@
 	return position
 }
 
+// First tells whether this VM comes first for a task that one VM is enough for.
+// Another VM with a different view may hold the same of itself, so the task must
+// allow that.
+func (c *Cluster) First(task string) bool {
+	own := hashOf(task, c.self.info.ID)
+	for _, e := range c.entries {
+		if e != c.self && e.known() && e.live == alive && e.declared == Serving && hashOf(task, e.info.ID) > own {
+			return false
+		}
+	}
+	return c.self.declared == Serving
+}
+
 // lastStore is when anybody is known to have heard from the store.
 func (c *Cluster) lastStore() time.Time {
 	if c.storeSeen.IsZero() {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -41,6 +41,8 @@
 	return make([]byte, 1<<20), h[0] == 1
 }
 
+func (echo) Version(context.Context) *peerpb.VersionReply { return &peerpb.VersionReply{Id: "b", Config: 3} }
+
 func (e echo) CrashNotes(_ context.Context, n []*peerpb.CrashNote) {
 	if e.notes != nil {
 		e.notes <- n
@@ -101,6 +103,9 @@
 	if _, err := p.Exchange(t.Context(), s.Address(), &m); err == nil {
 		t.Fatal("a message for another VM was answered")
 	}
+	if v, err := p.Version(t.Context(), s.Address()); err != nil || v.Id != "b" || v.Config != 3 {
+		t.Fatal(v, err)
+	}
 	data, err := p.Chunk(t.Context(), s.Address(), [32]byte{1})
 	if err != nil || len(data) != 1<<20 {
 		t.Fatal(len(data), err)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -172,6 +172,12 @@
 	return reply.Data, nil
 }
 
+// Version asks a peer which versions it has in force.
+func (p *Pool) Version(ctx context.Context, address string) (*peerpb.VersionReply, error) {
+	p.opts.Counters.called("version")
+	return p.Client(address).Version(ctx, &peerpb.VersionRequest{})
+}
+
 // CrashNotes sends notes to a peer.
 func (p *Pool) CrashNotes(ctx context.Context, address string, notes []*peerpb.CrashNote) error {
 	p.opts.Counters.called("crash-note")
