--- /dev/null
+++ b/store/kvhttp/kvhttp.go
@@ -0,0 +1,302 @@
+// Package kvhttp adapts store.Store to the HTTP protocol that key-value services
+// of this kind publish: index-numbered compare-and-swap, sessions with a time to
+// live, blocking queries and transactions.
+package kvhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/store"
+)
+
+var (
+	_ store.Store    = (*Client)(nil)
+	_ store.VMLister = (*Client)(nil)
+)
+
+// Options configures a Client.
+type Options struct {
+	// Addresses are IP addresses with ports of the service. At least one.
+	Addresses []string
+	// Timeout bounds each call, beside the deadline of its context. A watch
+	// adds its waiting time. Zero means 2 s.
+	Timeout time.Duration
+	// ServiceName is the name of the system's VMs in the platform's list.
+	// Empty means "currantferry".
+	ServiceName string
+	// Transport is used for tests. Nil means a new http.Transport.
+	Transport http.RoundTripper
+}
+
+const (
+	defaultTimeout = 2 * time.Second
+	// maxReply leaves room for base64 and the other fields of many entries.
+	maxReply = 64 << 20
+	// watchSlack covers the jitter that services add to a blocking query,
+	// up to a sixteenth of the waiting time.
+	watchSlack = 16
+)
+
+// Client talks to the service. It is safe for concurrent use.
+type Client struct {
+	options Options
+	http    *http.Client
+	current atomic.Uint32
+	calls   atomic.Uint64
+}
+
+// New returns a client. It makes no call.
+func New(o Options) (*Client, error) {
+	if len(o.Addresses) == 0 {
+		return nil, errors.New("kvhttp: no address")
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.ServiceName == "" {
+		o.ServiceName = "currantferry"
+	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     time.Minute,
+		}
+	}
+	return &Client{options: o, http: &http.Client{Transport: o.Transport}}, nil
+}
+
+// Calls returns the number of calls made.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// kvPair is an entry in the service's JSON.
+type kvPair struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	Session     string `json:",omitempty"`
+}
+
+func (p kvPair) entry() store.Entry {
+	return store.Entry{Key: p.Key, Value: p.Value, Index: p.ModifyIndex, Holder: store.LeaseID(p.Session)}
+}
+
+// request is one call.
+type request struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	wait   time.Duration
+}
+
+// reply is an answer that was read to its end.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// statusError is an answer that the protocol does not foresee.
+type statusError struct {
+	status int
+	body   string
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("store: status %d: %s", e.status, e.body)
+}
+
+func (r reply) unexpected() error {
+	return &statusError{status: r.status, body: strings.TrimSpace(string(r.body[:min(len(r.body), 200)]))}
+}
+
+func (c *Client) do(ctx context.Context, q request) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout+q.wait+q.wait/watchSlack)
+	defer cancel()
+	c.calls.Add(1)
+	first := c.current.Load()
+	r, err := c.send(ctx, q, first)
+	if err == nil {
+		return r, nil
+	}
+	// The next call goes to the next address. A call is not repeated here,
+	// because a write whose reply was lost may have taken effect.
+	c.current.CompareAndSwap(first, first+1)
+	return reply{}, errors.Wrap(err, "store")
+}
+
+func (c *Client) send(ctx context.Context, q request, current uint32) (reply, error) {
+	address := c.options.Addresses[int(current)%len(c.options.Addresses)]
+	u := url.URL{Scheme: "http", Host: address, Path: q.path, RawQuery: q.query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, q.method, u.String(), bytes.NewReader(q.body))
+	if err != nil {
+		return reply{}, err
+	}
+	// Without GetBody the transport never repeats a request by itself.
+	req.GetBody = nil
+	res, err := c.http.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	if err != nil {
+		return reply{}, err
+	}
+	if res.StatusCode >= http.StatusInternalServerError {
+		return reply{}, reply{res.StatusCode, body}.unexpected()
+	}
+	return reply{res.StatusCode, body}, nil
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	return c.get(ctx, key, url.Values{}, 0)
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (store.Entry, error) {
+	query := url.Values{"index": {strconv.FormatUint(after, 10)}, "wait": {fmt.Sprintf("%dms", wait.Milliseconds())}}
+	return c.get(ctx, key, query, wait)
+}
+
+func (c *Client) get(ctx context.Context, key string, query url.Values, wait time.Duration) (store.Entry, error) {
+	r, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/kv/" + key, query: query, wait: wait})
+	if err != nil {
+		return store.Entry{}, err
+	}
+	pairs, err := r.pairs()
+	if err != nil {
+		return store.Entry{}, err
+	}
+	if len(pairs) == 0 {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return pairs[0].entry(), nil
+}
+
+func (r reply) pairs() ([]kvPair, error) {
+	switch r.status {
+	case http.StatusNotFound:
+		return nil, nil
+	case http.StatusOK:
+	default:
+		return nil, r.unexpected()
+	}
+	var pairs []kvPair
+	if err := json.Unmarshal(r.body, &pairs); err != nil {
+		return nil, errors.Wrap(err, "store: reply")
+	}
+	return pairs, nil
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	r, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/kv/" + prefix, query: url.Values{"recurse": {"true"}}})
+	if err != nil {
+		return nil, err
+	}
+	pairs, err := r.pairs()
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]store.Entry, len(pairs))
+	for i, p := range pairs {
+		entries[i] = p.entry()
+	}
+	return entries, nil
+}
+
+// CompareAndSwap implements store.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, w store.Write) error {
+	if len(w.Value) > store.MaxValueBytes {
+		return errors.Errorf("store: value of %s has %d bytes, at most %d are held", w.Key, len(w.Value), store.MaxValueBytes)
+	}
+	if w.LockKey != "" {
+		return c.transaction(ctx, w)
+	}
+	query := url.Values{"cas": {strconv.FormatUint(w.Index, 10)}}
+	r, err := c.do(ctx, request{method: http.MethodPut, path: "/v1/kv/" + w.Key, query: query, body: w.Value})
+	if err != nil {
+		return err
+	}
+	return r.isTrue()
+}
+
+// txnOp is one operation of a transaction.
+type txnOp struct {
+	KV txnKV
+}
+
+type txnKV struct {
+	Verb    string
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Index   uint64 `json:",omitempty"`
+	Session string `json:",omitempty"`
+}
+
+// transaction writes only if the lease holds the lock at that time.
+func (c *Client) transaction(ctx context.Context, w store.Write) error {
+	ops := []txnOp{
+		{txnKV{Verb: "check-session", Key: w.LockKey, Session: string(w.Lease)}},
+		{txnKV{Verb: "cas", Key: w.Key, Value: w.Value, Index: w.Index}},
+	}
+	body, err := json.Marshal(ops)
+	if err != nil {
+		return err
+	}
+	r, err := c.do(ctx, request{method: http.MethodPut, path: "/v1/txn", body: body})
+	if err != nil {
+		return err
+	}
+	switch r.status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return store.ErrConflict
+	default:
+		return r.unexpected()
+	}
+}
+
+// isTrue reads the plain true or false of a conditional write.
+func (r reply) isTrue() error {
+	if r.status != http.StatusOK {
+		return r.unexpected()
+	}
+	switch strings.TrimSpace(string(r.body)) {
+	case "true":
+		return nil
+	case "false":
+		return store.ErrConflict
+	default:
+		return r.unexpected()
+	}
+}
+
+// Delete implements store.Store.
+func (c *Client) Delete(ctx context.Context, key string, index uint64) error {
+	query := url.Values{"cas": {strconv.FormatUint(index, 10)}}
+	r, err := c.do(ctx, request{method: http.MethodDelete, path: "/v1/kv/" + key, query: query})
+	if err != nil {
+		return err
+	}
+	return r.isTrue()
+}
