Add the request path and the upstream stand-in

Cause: callers' requests must reach an upstream, and each ending needs a verdict that is proven and not guessed. Change: package proxy on net/http's client and server.

--- /dev/null
+++ b/proxy/answer.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// deliver passes a whole answer to the caller. An answer that ends early is an
+// error as long as nothing was passed on; after that the connection is aborted,
+// so that the caller cannot take the part for the whole.
+func (x *exchange) deliver(a *attempt) *verdict.Error {
+	res := a.res
+	defer res.Body.Close()
+	if !hasEnd(res) {
+		a.err = verdict.Wrap(errors.New("answer without length or chunks"), verdict.MayHaveRun, verdict.ReasonTruncated)
+		return x.failed(a)
+	}
+	var kept []byte
+	if res.ContentLength >= 0 && res.ContentLength <= smallBody {
+		held, err := io.ReadAll(res.Body)
+		if err != nil {
+			a.err = x.truncated(a, err)
+			return x.failed(a)
+		}
+		kept = held
+	}
+	x.writeHeader(res)
+	n, err := x.copyBody(a, &kept)
+	if err != nil {
+		a.err = x.truncated(a, err)
+		failure := x.failed(a)
+		x.h.options.Metrics.Refused(failure.Reason)
+		event.AnswerAborted.Log(x.h.options.Log, "service", x.query.Service.Name, "bytes", n, "error", err)
+		panic(http.ErrAbortHandler)
+	}
+	a.finish(Outcome{Verdict: verdict.Ran, AnswerBytes: n})
+	x.h.options.Guard.Answered(x.fingerprint, a.selection.Instance().ID)
+	if x.claim != nil {
+		x.claim.Done(&Answer{Status: res.StatusCode, Header: res.Header, Body: kept})
+	}
+	return nil
+}
+
+// hasEnd tells whether the end of the answer can be recognised.
+func hasEnd(res *http.Response) bool {
+	chunked := len(res.TransferEncoding) > 0 && res.TransferEncoding[0] == "chunked"
+	return res.ContentLength >= 0 || chunked || res.Request.Method == http.MethodHead
+}
+
+func (x *exchange) truncated(a *attempt, err error) *verdict.Error {
+	if x.ctx.Err() != nil {
+		return a.classify(err)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonTruncated)
+}
+
+func (x *exchange) writeHeader(res *http.Response) {
+	h := x.w.Header()
+	for name, values := range res.Header {
+		h[name] = values
+	}
+	removeHopByHop(h)
+	// A refusal in the upstream's name is its own; this VM's verdict headers
+	// are set only on refusals of this VM.
+	h.Del(verdict.HeaderVerdict)
+	if res.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
+	}
+	x.begun = true
+	x.w.WriteHeader(res.StatusCode)
+}
+
+// copyBody passes the body on, and keeps it if it is small.
+func (x *exchange) copyBody(a *attempt, kept *[]byte) (int64, error) {
+	if *kept != nil {
+		// Failure to write means that the caller went; the answer is whole.
+		n, _ := x.w.Write(*kept)
+		return int64(n), nil
+	}
+	buffer, _ := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	var out io.Writer = flushWriter{x.w, http.NewResponseController(x.w)}
+	var keep bytes.Buffer
+	if x.claim != nil {
+		out = &keepWriter{out: out, keep: &keep}
+	}
+	n, err := io.CopyBuffer(out, a.res.Body, *buffer)
+	if x.claim != nil && keep.Len() == int(n) && n <= smallBody {
+		*kept = append([]byte{}, keep.Bytes()...)
+	}
+	return n, err
+}
+
+const copyBufferBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBufferBytes); return &b }}
+
+// flushWriter passes each part on at once, so that streams are not delayed.
+type flushWriter struct {
+	w http.ResponseWriter
+	c *http.ResponseController
+}
+
+func (f flushWriter) Write(p []byte) (int, error) {
+	n, err := f.w.Write(p)
+	if err == nil && n < copyBufferBytes {
+		err = f.c.Flush()
+	}
+	return n, err
+}
+
+// keepWriter keeps the first bytes of what it passes on. It goes on after the
+// caller has gone, because the answer is kept for a resend.
+type keepWriter struct {
+	out  io.Writer
+	keep *bytes.Buffer
+	gone bool
+}
+
+func (k *keepWriter) Write(p []byte) (int, error) {
+	if k.keep.Len()+len(p) <= smallBody {
+		k.keep.Write(p)
+	}
+	if !k.gone {
+		if _, err := k.out.Write(p); err != nil {
+			k.gone = true
+		}
+	}
+	return len(p), nil
+}
+
+// replay answers with what an earlier send of the same request got.
+func (x *exchange) replay(a *Answer) {
+	h := x.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	removeHopByHop(h)
+	h.Set(HeaderReplayed, "true")
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	// The request ID of a resend is its own.
+	if id := x.r.Header.Get(HeaderRequestID); id != "" && h.Get(HeaderRequestID) != "" {
+		h.Set(HeaderRequestID, id)
+	}
+	x.w.WriteHeader(a.Status)
+	_, _ = x.w.Write(a.Body)
+}
--- /dev/null
+++ b/proxy/serve.go
@@ -0,0 +1,193 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// serve answers the request or refuses it.
+func (x *exchange) serve() {
+	if err := x.admit(); err != nil {
+		x.h.refuse(x.w, err)
+		return
+	}
+	if x.claim != nil && x.claim.Kept() != nil {
+		x.replay(x.claim.Kept())
+		return
+	}
+	if x.body.rest != nil {
+		// An upstream may answer before it has read the whole body.
+		_ = http.NewResponseController(x.w).EnableFullDuplex()
+	}
+	x.h.options.Budget.Sent(x.query.Service.Name, x.caller)
+	err := x.attemptAll()
+	if err == nil {
+		return
+	}
+	if x.claim != nil && err.Verdict == verdict.NotRun {
+		x.claim.Release()
+	}
+	x.h.refuse(x.w, err)
+}
+
+// admit asks the crash guard and takes the claim of a keyed request.
+func (x *exchange) admit() error {
+	if err := x.h.options.Guard.Admit(x.fingerprint); err != nil {
+		return err
+	}
+	if !x.isClaimed() {
+		return nil
+	}
+	claim, err := x.h.options.Claimer.Claim(x.ctx, x.query.Service.Name, x.key, x.fingerprint)
+	if err != nil {
+		return err
+	}
+	x.claim = claim
+	return nil
+}
+
+// attemptAll sends the request until it is answered or must be given up. The
+// verdict of the error covers all attempts: it says not run only if none may
+// have run.
+func (x *exchange) attemptAll() *verdict.Error {
+	worst := verdict.NotRun
+	for {
+		err := x.attemptOnce()
+		if err == nil {
+			return nil
+		}
+		if err.Verdict != verdict.NotRun {
+			worst = verdict.MayHaveRun
+		}
+		if stop := x.mayRetry(err); stop != nil {
+			final := *stop
+			final.Verdict = worst
+			return &final
+		}
+		x.h.options.Metrics.Retried(err.Reason)
+		event.RequestRetried.Log(x.h.options.Log, "reason", string(err.Reason), "attempt", x.attempts)
+		x.query.IsRetry = true
+	}
+}
+
+// mayRetry returns nil if another attempt is allowed, or the final error.
+func (x *exchange) mayRetry(err *verdict.Error) *verdict.Error {
+	if x.begun || x.ctx.Err() != nil || x.attempts == 0 || x.attempts >= x.h.options.MaxAttempts {
+		return err
+	}
+	switch err.Reason {
+	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonRegionLimit,
+		verdict.ReasonLinkLimit, verdict.ReasonShiftCap, verdict.ReasonDeadlineAhead, verdict.ReasonCrashGuard:
+		// The selector or the guard refused; it would refuse again.
+		return err
+	}
+	if !verdict.MayResend(err.Verdict, x.query.Idempotent) {
+		return err
+	}
+	if !x.body.isRepeatable() {
+		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonBodyNotRepeating, RetryAfter: retryAdvice, Err: err}
+	}
+	if !x.h.options.Budget.Retry(x.query.Service.Name, x.caller) {
+		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonRetryBudget, RetryAfter: retryAdvice, Err: err}
+	}
+	return nil
+}
+
+// attemptOnce makes one attempt, hedged if it is a slow read, and passes the
+// answer on.
+func (x *exchange) attemptOnce() *verdict.Error {
+	selection, err := x.h.options.Selector.Select(x.ctx, &x.query)
+	if err != nil {
+		return asError(err)
+	}
+	x.attempts++
+	first := x.newAttempt(selection)
+	x.query.Exclude = append(x.query.Exclude, selection.Instance().ID)
+	winner := x.run(first)
+	if winner.err != nil {
+		return x.failed(winner)
+	}
+	return x.deliver(winner)
+}
+
+// failed ends a failed attempt and tells the crash guard about a connection that
+// ended while the request ran.
+func (x *exchange) failed(a *attempt) *verdict.Error {
+	a.fail()
+	if a.err.Reason != verdict.ReasonConnectionLost && a.err.Reason != verdict.ReasonTruncated {
+		return a.err
+	}
+	if !x.h.options.Guard.Crashed(x.fingerprint, a.selection.Instance().ID) {
+		return &verdict.Error{Verdict: a.err.Verdict, Reason: verdict.ReasonCrashGuard, Err: a.err}
+	}
+	return a.err
+}
+
+// run sends an attempt, and a hedge if the answer is late. It returns the first
+// attempt with an answer, or the last failure; all others have ended.
+func (x *exchange) run(first *attempt) *attempt {
+	delay, ok := x.h.options.Selector.HedgeAfter(&x.query)
+	if !ok || !x.query.Idempotent || !x.body.isRepeatable() || x.body.rest != nil {
+		first.send()
+		return first
+	}
+	done := make(chan *attempt, 2)
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { first.send(); done <- first })
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case a := <-done:
+		return a
+	case <-timer.C:
+	}
+	second := x.hedge()
+	if second == nil {
+		return <-done
+	}
+	group.Go(func() { second.send(); done <- second })
+	winner := <-done
+	if winner.err != nil {
+		_ = x.failed(winner)
+		return <-done
+	}
+	loser := first
+	if winner == first {
+		loser = second
+	}
+	loser.cancel()
+	<-done
+	loser.endLoser()
+	return winner
+}
+
+// hedge selects an instance for a second attempt, or returns nil.
+func (x *exchange) hedge() *attempt {
+	q := x.query
+	q.IsHedge = true
+	selection, err := x.h.options.Selector.Select(x.ctx, &q)
+	if err != nil {
+		return nil
+	}
+	x.query.Exclude = append(x.query.Exclude, selection.Instance().ID)
+	x.h.options.Metrics.Retried(verdict.ReasonSlowUpstream)
+	return x.newAttempt(selection)
+}
+
+// endLoser ends an attempt that another one overtook.
+func (a *attempt) endLoser() {
+	if a.res != nil {
+		a.res.Body.Close()
+	}
+	o := Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonSlowUpstream, Cancelled: true}
+	if a.err != nil {
+		o.Verdict = a.err.Verdict
+	}
+	a.finish(o)
+}
--- /dev/null
+++ b/standin/ledger.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+)
+
+// Ledger records which requests ran on which instances. It is safe for
+// concurrent use, and may be shared by many instances.
+type Ledger struct {
+	mu       sync.Mutex
+	began    map[string][]string
+	finished map[string]int
+	cut      map[string]int
+	total    int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{began: make(map[string][]string), finished: make(map[string]int), cut: make(map[string]int)}
+}
+
+// Key is what a request counts under: its idempotency key, or its request ID.
+func Key(h http.Header) string {
+	if key := h.Get("Idempotency-Key"); key != "" {
+		return key
+	}
+	return h.Get(HeaderRequestID)
+}
+
+func (l *Ledger) begin(r *http.Request, instance string) {
+	key := Key(r.Header)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total++
+	if key != "" {
+		l.began[key] = append(l.began[key], instance)
+	}
+}
+
+func (l *Ledger) end(r *http.Request, whole bool) {
+	key := Key(r.Header)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if whole {
+		l.finished[key]++
+	} else {
+		l.cut[key]++
+	}
+}
+
+// Runs returns the instances on which key began, in order.
+func (l *Ledger) Runs(key string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.began[key]...)
+}
+
+// Total returns the number of requests that began.
+func (l *Ledger) Total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total
+}
+
+// RunTwice returns, of the given keys, those that began more than once.
+func (l *Ledger) RunTwice(keys []string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var twice []string
+	for _, k := range keys {
+		if len(l.began[k]) > 1 {
+			twice = append(twice, k)
+		}
+	}
+	sort.Strings(twice)
+	return twice
+}
+
+// CutOff returns the requests whose connection ended while they ran.
+func (l *Ledger) CutOff() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.cut)
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -31,6 +31,7 @@
 	ReasonConnectionLost   Reason = "connection-lost"
 	ReasonUpstreamRefused  Reason = "upstream-refused"
 	ReasonTruncated        Reason = "answer-truncated"
+	ReasonAnswerMismatch   Reason = "answer-mismatch"
 	ReasonCallerGone       Reason = "caller-gone"
 	ReasonNotReady         Reason = "not-ready"
 	ReasonStopping         Reason = "stopping"
@@ -76,6 +77,7 @@
 	{ReasonConnectionLost, http.StatusBadGateway, "connection_terminated", "the connection ended before an answer"},
 	{ReasonUpstreamRefused, http.StatusServiceUnavailable, "http_request_denied", "the instance shed the request unrun"},
 	{ReasonTruncated, http.StatusBadGateway, "http_response_incomplete", "the answer ended early"},
+	{ReasonAnswerMismatch, http.StatusBadGateway, "http_protocol_error", "the answer names another request"},
 	{ReasonCallerGone, 499, "http_request_error", "the caller closed the request"},
 	{ReasonNotReady, http.StatusServiceUnavailable, "proxy_internal_response", "this VM has not confirmed its configuration"},
 	{ReasonStopping, http.StatusServiceUnavailable, "proxy_internal_response", "this VM is stopping"},
@@ -107,3 +109,6 @@
 	}
 	return "proxy_internal_error"
 }
+
+// Text returns what the reason means, for the body of a refusal.
+func (r Reason) Text() string { return byReason[r].Text }
