Add package control, which runs membership and configuration

Cause: the daemon needs the decisions of config and member over connections and the store, with few watchers and no herd after an outage.

--- a/config/startup.go
+++ b/config/startup.go
@@ -32,6 +32,9 @@
 	return s
 }
 
+// Expect adds a data centre from the platform's list.
+func (s *Startup) Expect(dc string) { s.centre(dc) }
+
 func (s *Startup) centre(dc string) *centre {
 	c, ok := s.centres[dc]
 	if !ok {
--- a/config/tracker.go
+++ b/config/tracker.go
@@ -124,10 +124,10 @@
 	parsed    *Head
 	// storeAfter is when chunks may be read from the store.
 	storeAfter time.Time
-	peers     []string
-	wants     map[Hash]*want
-	order     []Hash
-	chunks    map[Hash][]byte
+	peers      []string
+	wants      map[Hash]*want
+	order      []Hash
+	chunks     map[Hash][]byte
 }
 
 // want is a chunk that is still missing.
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,295 @@
+// Package control runs the membership and configuration decisions of one VM over
+// the connections between VMs and the platform's store.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer"
+	"github.com/currantferry/currantferry/peer/peerpb"
+	"github.com/currantferry/currantferry/store"
+)
+
+// Options of a Control. Zero durations mean the defaults.
+type Options struct {
+	Self member.Info
+	// Store and Lister are the platform's services.
+	Store  store.Store
+	Lister store.VMLister
+	// Seeds are VMs from the settings, which are asked while the platform's list
+	// cannot be read.
+	Seeds []member.Info
+	// Pool carries calls to other VMs. Its owner closes it after the Control.
+	Pool *peer.Pool
+	// Member tunes the membership.
+	Member member.Options
+	// TickInterval is how often time-driven decisions are taken. Zero means
+	// 100 ms.
+	TickInterval time.Duration
+	// StoreTimeout bounds a call to the store. Zero means 5 s.
+	StoreTimeout time.Duration
+	// WatchWait is how long a watch of the store waits. Zero means 2,500 ms,
+	// half of the silence after which further VMs start to watch.
+	WatchWait time.Duration
+	// ListInterval is the shortest interval between reads of the platform's
+	// list; it grows by 100 ms per VM up to 1 min. Zero means 10 s.
+	ListInterval time.Duration
+	// CleanInterval is how often unreferenced chunks are looked for. Zero means
+	// 1 h.
+	CleanInterval time.Duration
+	// Seed spreads timers and retries.
+	Seed uint64
+	// Log receives events. Nil means none.
+	Log *slog.Logger
+
+	// The callbacks below are called one at a time and in order, outside of all
+	// locks. Nil means none.
+
+	// OnSnapshot is called when a version is put in force.
+	OnSnapshot func(*config.Snapshot)
+	// OnReady is called once the version in force is confirmed.
+	OnReady func()
+	// OnMember is called when a VM appears or changes.
+	OnMember func(member.Changed)
+	// OnPlan is called when a peer announces a newer plan than SetPlan did.
+	OnPlan func(member.DocNews)
+	// OnSection is called with a newer section of another VM.
+	OnSection func(member.Section)
+
+	// OnCrashNotes is called with crash notes of other VMs, concurrently.
+	OnCrashNotes func([]*peerpb.CrashNote)
+	// Chunk returns further data by hash, for example the plan. Nil means none.
+	Chunk func(hash [32]byte) ([]byte, bool)
+}
+
+// Defaults of Options.
+const (
+	DefaultTickInterval  = 100 * time.Millisecond
+	DefaultWatchWait     = 2500 * time.Millisecond
+	DefaultListInterval  = 10 * time.Second
+	DefaultCleanInterval = time.Hour
+)
+
+func (o Options) withDefaults() Options {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	def(&o.TickInterval, DefaultTickInterval)
+	def(&o.StoreTimeout, configstore.DefaultCallTimeout)
+	def(&o.WatchWait, DefaultWatchWait)
+	def(&o.ListInterval, DefaultListInterval)
+	def(&o.CleanInterval, DefaultCleanInterval)
+	return o
+}
+
+// Control is one VM's membership and configuration. It is safe for concurrent
+// use and implements peer.Handler.
+type Control struct {
+	opts      Options
+	publisher *configstore.Publisher
+	notify    *notifier
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        conc.WaitGroup
+	sends     chan struct{}
+
+	mu      sync.Mutex
+	cluster *member.Cluster
+	tracker *config.Tracker
+	startup *config.Startup
+	ready   bool
+	began   time.Time
+	// refused keeps the log from repeating the same refusal.
+	refused config.Refused
+	closed  bool
+}
+
+var _ peer.Handler = (*Control)(nil)
+
+// maxSends bounds calls to other VMs that run at the same time. Further ones
+// count as failed.
+const maxSends = 256
+
+// New returns a control that is not running. The caller serves it to peers and
+// then calls Start.
+func New(o Options) (*Control, error) {
+	o = o.withDefaults()
+	if o.Self.ID == "" || o.Self.DataCentre == "" || o.Self.Address == "" {
+		return nil, errors.New("control: the VM has no ID, data centre or address")
+	}
+	if o.Store == nil || o.Lister == nil || o.Pool == nil {
+		return nil, errors.New("control: store, lister and pool are needed")
+	}
+	now := time.Now()
+	c := &Control{
+		opts: o, began: now, notify: newNotifier(), sends: make(chan struct{}, maxSends),
+		cluster: member.New(o.Member, o.Self, now, o.Seed),
+		tracker: config.NewTracker(o.Seed),
+		startup: config.NewStartup(now, nil),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.publisher = configstore.New(o.Store, configstore.Options{CallTimeout: o.StoreTimeout, InForce: c.Version})
+	var seeds []member.Listed
+	for _, s := range o.Seeds {
+		if s.ID != o.Self.ID {
+			seeds = append(seeds, member.Listed{Info: s})
+		}
+	}
+	c.perform(c.cluster.SetList(now, seeds))
+	return c, nil
+}
+
+// Start runs the control until Close.
+func (c *Control) Start() {
+	c.wg.Go(c.notify.run)
+	for _, loop := range []func(){c.tickLoop, c.watchLoop, c.confirmLoop, c.listLoop, c.cleanLoop} {
+		c.wg.Go(loop)
+	}
+}
+
+// Close stops everything and waits for it. The caller has stopped serving it to
+// peers before, and declares the VM gone with Leave if the process ends.
+func (c *Control) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.notify.close()
+	c.wg.Wait()
+}
+
+// Declare changes the state of this VM, for example to member.Serving.
+func (c *Control) Declare(s member.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cluster.Declare(time.Now(), s)
+}
+
+// Leave tells some peers that this process ends, so that they need not find out.
+func (c *Control) Leave(ctx context.Context) {
+	c.mu.Lock()
+	c.cluster.Declare(time.Now(), member.Gone)
+	effects := c.cluster.Farewell(time.Now())
+	c.mu.Unlock()
+	wg := conc.NewWaitGroup()
+	for _, e := range effects {
+		if s, ok := e.(member.Send); ok {
+			wg.Go(func() { _, _ = c.opts.Pool.Exchange(ctx, s.Address, &s.Message) })
+		}
+	}
+	wg.Wait()
+}
+
+// Members returns all VMs in the order of their IDs.
+func (c *Control) Members() []member.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.Members()
+}
+
+// Member returns one VM.
+func (c *Control) Member(id string) (member.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.Member(id)
+}
+
+// Self returns this VM.
+func (c *Control) Self() member.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.Self()
+}
+
+// Snapshot returns the version in force, or nil.
+func (c *Control) Snapshot() *config.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Current()
+}
+
+// Version returns the number of the version in force, or zero.
+func (c *Control) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Version()
+}
+
+// Ready tells whether the version in force is confirmed and the VM may accept
+// callers.
+func (c *Control) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready
+}
+
+// Watching tells whether this VM watches the store.
+func (c *Control) Watching() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.ShouldWatch(time.Now())
+}
+
+// StoreSeen returns when any VM is known to have heard from the store, or the
+// zero time.
+func (c *Control) StoreSeen() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.StoreSeen()
+}
+
+// SetPlan announces the plan that this VM has.
+func (c *Control) SetPlan(version uint64, hash [32]byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cluster.SetDoc(time.Now(), member.Plan, member.DocVersion{Version: version, Hash: hash})
+}
+
+// SetSection publishes a section of this VM. It reports false for values above
+// 512 bytes and for versions that are not newer.
+func (c *Control) SetSection(kind uint8, version uint64, value []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.SetSection(kind, version, value)
+}
+
+// FetchChunk fetches data by hash from a VM. The caller verifies it.
+func (c *Control) FetchChunk(ctx context.Context, id string, hash [32]byte) ([]byte, error) {
+	m, ok := c.Member(id)
+	if !ok {
+		return nil, errors.Errorf("control: unknown VM %q", id)
+	}
+	return c.opts.Pool.Chunk(ctx, m.Address, hash)
+}
+
+// First tells whether this VM comes first for a task that one VM is enough for.
+func (c *Control) First(task string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cluster.First(task)
+}
+
+// Publisher returns the access to versions in the store. Changes go through
+// Publish of the Control, which puts them in force here at once.
+func (c *Control) Publisher() *configstore.Publisher { return c.publisher }
+
+func (c *Control) logMember(e member.Changed) {
+	ev := event.MemberChanged
+	if e.Member.State == member.Gone {
+		ev = event.MemberGone
+	}
+	ev.Log(c.opts.Log, "vm", e.Member.ID, "state", e.Member.State.String(), "was", e.Was.String(),
+		"boot", e.Member.Incarnation.Boot, "seq", e.Member.Incarnation.Seq, "listed", e.Member.Listed)
+}
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,240 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer/peerpb"
+)
+
+// chunkTimeout bounds the transfer of a chunk between VMs.
+const chunkTimeout = 5 * time.Second
+
+// sleep waits for d and reports false when the control is closed before.
+func (c *Control) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// jitter returns between 75 and 125 % of d.
+func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
+
+func (c *Control) tickLoop() {
+	for c.sleep(c.opts.TickInterval) {
+		c.mu.Lock()
+		now := time.Now()
+		c.perform(c.cluster.Tick(now))
+		c.follow(now, nil)
+		c.checkReady(now)
+		c.mu.Unlock()
+	}
+}
+
+// goIfOpen starts f unless the control is being closed. The lock is held.
+func (c *Control) goIfOpen(f func()) {
+	if !c.closed {
+		c.wg.Go(f)
+	}
+}
+
+// perform carries out the effects of the membership. The lock is held.
+func (c *Control) perform(effects []member.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case member.Send:
+			c.goIfOpen(func() { c.send(e) })
+		case member.Changed:
+			c.logMember(e)
+			if f := c.opts.OnMember; f != nil {
+				c.notify.add(func() { f(e) })
+			}
+		case member.DocNews:
+			if e.Doc == member.Config {
+				c.follow(time.Now(), config.PeerVersion{Peer: e.Peer, Version: e.Version, Head: e.Hash})
+			} else if f := c.opts.OnPlan; f != nil {
+				c.notify.add(func() { f(e) })
+			}
+		case member.SectionNews:
+			if f := c.opts.OnSection; f != nil {
+				c.notify.add(func() { f(e.Section) })
+			}
+		case member.Refuted:
+			ev := event.MemberRefuted
+			if e.Duplicate {
+				ev = event.MemberDuplicate
+			}
+			ev.Log(c.opts.Log, "by", e.By, "boot", e.Incarnation.Boot, "seq", e.Incarnation.Seq)
+		}
+	}
+}
+
+// send delivers a heartbeat and takes its reply.
+func (c *Control) send(s member.Send) {
+	select {
+	case c.sends <- struct{}{}:
+		defer func() { <-c.sends }()
+	default:
+		c.failed(s.To)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.exchangeTimeout())
+	defer cancel()
+	reply, err := c.opts.Pool.Exchange(ctx, s.Address, &s.Message)
+	if err != nil {
+		c.failed(s.To)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered(&reply)
+	_, effects := c.cluster.Step(time.Now(), reply)
+	c.perform(effects)
+}
+
+// exchangeTimeout lets a late reply still count as heard.
+func (c *Control) exchangeTimeout() time.Duration {
+	if d := c.opts.Member.ProbeTimeout; d > 0 {
+		return 2 * d
+	}
+	return time.Second
+}
+
+func (c *Control) failed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cluster.Failed(time.Now(), id)
+}
+
+// answered notes the version of a peer for the confirmation at the start. The
+// lock is held.
+func (c *Control) answered(m *member.Message) {
+	if c.ready {
+		return
+	}
+	if from, ok := c.cluster.Member(m.From); ok {
+		c.startup.PeerAnswered(from.DataCentre, m.From, m.Docs[member.Config].Version)
+	}
+}
+
+// follow gives news to the tracker and carries out its effects. The lock is held.
+func (c *Control) follow(now time.Time, n config.News) {
+	for _, e := range c.tracker.Step(now, n) {
+		switch e := e.(type) {
+		case config.Fetch:
+			c.goIfOpen(func() { c.fetch(e) })
+		case config.Apply:
+			c.apply(now, e.Snapshot)
+		case config.Refused:
+			if e.Reason != c.refused.Reason || e.Version != c.refused.Version || e.Current != c.refused.Current {
+				c.refused = e
+				event.ConfigRefused.Log(c.opts.Log, "reason", string(e.Reason), "version", e.Version,
+					"in_force", e.Current, "peer", e.Peer, "error", e.Err)
+			}
+		}
+	}
+}
+
+func (c *Control) apply(now time.Time, s *config.Snapshot) {
+	c.cluster.SetDoc(now, member.Config, member.DocVersion{Version: s.Head.Version, Hash: s.HeadHash()})
+	event.ConfigApplied.Log(c.opts.Log, "version", s.Head.Version, "change", s.Head.ChangeID, "by", s.Head.By)
+	if f := c.opts.OnSnapshot; f != nil {
+		c.notify.add(func() { f(s) })
+	}
+	// The announcement need not wait for the next tick.
+	c.goIfOpen(func() {
+		if c.sleep(30 * time.Millisecond) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.perform(c.cluster.Tick(time.Now()))
+		}
+	})
+}
+
+// fetch gets a chunk for the tracker.
+func (c *Control) fetch(f config.Fetch) {
+	data, err := c.fetchFrom(f)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.follow(time.Now(), config.Failed(f))
+		return
+	}
+	c.follow(time.Now(), config.Received{Hash: f.Hash, Data: data, Peer: f.Peer})
+}
+
+func (c *Control) fetchFrom(f config.Fetch) ([]byte, error) {
+	if f.Peer != "" {
+		ctx, cancel := context.WithTimeout(c.ctx, chunkTimeout)
+		defer cancel()
+		return c.FetchChunk(ctx, f.Peer, f.Hash)
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.opts.StoreTimeout)
+	defer cancel()
+	e, err := c.opts.Store.Get(ctx, configstore.ChunkPrefix+f.Hash.String())
+	return e.Value, err
+}
+
+// checkReady confirms the version in force at the start. The lock is held.
+func (c *Control) checkReady(now time.Time) {
+	if c.ready || !c.startup.Ready(now, c.tracker.Version()) {
+		return
+	}
+	c.ready = true
+	if f := c.opts.OnReady; f != nil {
+		c.notify.add(f)
+	}
+}
+
+// Exchange implements peer.Handler.
+func (c *Control) Exchange(_ context.Context, m member.Message) *member.Message {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	reply, effects := c.cluster.Step(now, m)
+	if reply == nil {
+		c.perform(effects)
+		return nil
+	}
+	if from, ok := c.cluster.Member(m.From); ok {
+		c.opts.Pool.Forget(from.Address)
+	}
+	c.answered(&m)
+	c.perform(effects)
+	return reply
+}
+
+// Chunk implements peer.Handler.
+func (c *Control) Chunk(_ context.Context, hash [32]byte) ([]byte, bool) {
+	c.mu.Lock()
+	data, ok := c.tracker.Chunk(hash)
+	c.mu.Unlock()
+	if !ok && c.opts.Chunk != nil {
+		return c.opts.Chunk(hash)
+	}
+	return data, ok
+}
+
+// CrashNotes implements peer.Handler.
+func (c *Control) CrashNotes(_ context.Context, notes []*peerpb.CrashNote) {
+	if c.opts.OnCrashNotes != nil {
+		c.opts.OnCrashNotes(notes)
+	}
+}
+
+// Versions implements peer.Handler.
+func (c *Control) Versions(context.Context) *peerpb.VersionReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &peerpb.VersionReply{Id: c.opts.Self.ID, Config: c.tracker.Version(), Plan: c.cluster.Doc(member.Plan).Version}
+}
--- /dev/null
+++ b/control/publish.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer/peerpb"
+)
+
+// Publish writes a change to the store, see configstore.Publisher.Publish, and
+// announces it to other VMs without waiting for the watchers.
+func (c *Control) Publish(ctx context.Context, base uint64, content config.Content, m config.Meta) (configstore.Result, error) {
+	r, err := c.publisher.Publish(ctx, base, content, m)
+	return r, c.announce(ctx, r, err)
+}
+
+// RollForward makes the content of an earlier version the next version.
+func (c *Control) RollForward(ctx context.Context, base, to uint64, m config.Meta) (configstore.Result, error) {
+	r, err := c.publisher.RollForward(ctx, base, to, m)
+	return r, c.announce(ctx, r, err)
+}
+
+// announce puts an accepted change in force here, from where it spreads.
+func (c *Control) announce(ctx context.Context, r configstore.Result, err error) error {
+	if err != nil {
+		return err
+	}
+	event.ConfigAccepted.Log(c.opts.Log, "version", r.Version, "change", r.ChangeID, "merged", r.Merged, "resent", r.Resent)
+	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
+	defer cancel()
+	if e, err := c.opts.Store.Get(ctx, configstore.HeadKey); err == nil {
+		c.storeAnswered(e, nil, 0, true)
+	}
+	return nil
+}
+
+// Progress tells on how many VMs a version is in force.
+type Progress struct {
+	Version uint64
+	InForce int
+	Total   int
+	// Lagging are the IDs of the VMs that have an older version or did not
+	// answer, in order.
+	Lagging []string
+}
+
+// Limits of InForce.
+const (
+	inForceCalls = 32
+	inForcePause = 200 * time.Millisecond
+	inForceCall  = time.Second
+)
+
+// InForce asks all VMs that are not gone which version they have until all have
+// the given version or ctx ends. report, if not nil, is called after each round.
+func (c *Control) InForce(ctx context.Context, version uint64, report func(Progress)) Progress {
+	done := make(map[string]bool)
+	for {
+		p := c.askVersions(ctx, version, done)
+		if report != nil {
+			report(p)
+		}
+		if len(p.Lagging) == 0 || ctx.Err() != nil {
+			return p
+		}
+		t := time.NewTimer(jitter(inForcePause))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return p
+		case <-c.ctx.Done():
+			t.Stop()
+			return p
+		}
+	}
+}
+
+// askVersions asks the VMs that are not known to have the version.
+func (c *Control) askVersions(ctx context.Context, version uint64, done map[string]bool) Progress {
+	if c.Version() >= version {
+		done[c.opts.Self.ID] = true
+	}
+	p := Progress{Version: version}
+	var mu sync.Mutex
+	calls := pool.New().WithMaxGoroutines(inForceCalls)
+	for _, m := range c.Members() {
+		if m.State == member.Gone || m.Incarnation.Boot == 0 {
+			continue
+		}
+		mu.Lock()
+		known := done[m.ID]
+		mu.Unlock()
+		if known || m.ID == c.opts.Self.ID {
+			continue
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, inForceCall)
+			defer cancel()
+			v, err := c.opts.Pool.Version(ctx, m.Address)
+			if err == nil && v.Id == m.ID && v.Config >= version {
+				mu.Lock()
+				done[m.ID] = true
+				mu.Unlock()
+			}
+		})
+	}
+	calls.Wait()
+	for _, m := range c.Members() {
+		if m.State == member.Gone || m.Incarnation.Boot == 0 {
+			continue
+		}
+		if done[m.ID] {
+			p.InForce++
+		} else {
+			p.Lagging = append(p.Lagging, m.ID)
+		}
+	}
+	p.Total = p.InForce + len(p.Lagging)
+	slices.Sort(p.Lagging)
+	return p
+}
+
+// BroadcastCrashNotes sends notes to all VMs that are not gone. It returns when
+// all calls have ended; ctx bounds them.
+func (c *Control) BroadcastCrashNotes(ctx context.Context, notes []*peerpb.CrashNote) {
+	calls := pool.New().WithMaxGoroutines(inForceCalls)
+	for _, m := range c.Members() {
+		if m.State == member.Gone || m.Incarnation.Boot == 0 || m.ID == c.opts.Self.ID {
+			continue
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, inForceCall)
+			defer cancel()
+			// A VM that misses a note learns from its own loss of an instance.
+			_ = c.opts.Pool.CrashNotes(ctx, m.Address, notes)
+		})
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,210 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/store"
+)
+
+// Pauses of the loops below.
+const (
+	// minBackoff and maxBackoff bound the pause after a failed call to the
+	// store. With 16 watchers and a pause of about 10 s, a store that returns
+	// meets two calls a second.
+	minBackoff = 250 * time.Millisecond
+	maxBackoff = 10 * time.Second
+	// roleCheck is how often a VM looks whether it watches the store.
+	roleCheck = 250 * time.Millisecond
+	// emptyPause is the pause while the store holds no configuration.
+	emptyPause = time.Second
+	// confirmAfter is how long a starting VM leaves the confirmation to its
+	// peers before it asks the store, plus jitter of the same size.
+	confirmAfter = 4 * time.Second
+	// maxListInterval bounds the growth of the list interval.
+	maxListInterval = time.Minute
+	listPerVM       = 100 * time.Millisecond
+)
+
+// backoff grows with each failure and is jittered.
+type backoff struct{ pause time.Duration }
+
+func (b *backoff) next() time.Duration {
+	b.pause = min(max(2*b.pause, minBackoff), maxBackoff)
+	return jitter(b.pause)
+}
+
+func (b *backoff) reset() { b.pause = 0 }
+
+// watchLoop watches the store while this VM is a watcher.
+func (c *Control) watchLoop() {
+	var after uint64
+	var wait backoff
+	watching, failing := false, false
+	// VMs that start together do not yet know each other, and each of them would
+	// take itself for a watcher.
+	if !c.sleep(jitter(time.Second)) {
+		return
+	}
+	for {
+		if role := c.Watching(); role != watching {
+			watching = role
+			ev := event.ConfigWatchEnded
+			if role {
+				ev = event.ConfigWatching
+			}
+			ev.Log(c.opts.Log)
+		}
+		if !watching {
+			after = 0
+			if !c.sleep(jitter(roleCheck)) {
+				return
+			}
+			continue
+		}
+		e, err := c.watch(after)
+		switch {
+		case err == nil || errors.Is(err, store.ErrNotFound):
+			if failing {
+				event.ConfigStoreBack.Log(c.opts.Log)
+			}
+			failing = false
+			wait.reset()
+			c.storeAnswered(e, err, after, true)
+			after = e.Index
+			if err != nil && !c.sleep(jitter(emptyPause)) {
+				return
+			}
+		default:
+			if !failing {
+				event.ConfigStoreFailing.Log(c.opts.Log, "error", err)
+			}
+			failing = true
+			if !c.sleep(wait.next()) {
+				return
+			}
+		}
+	}
+}
+
+// watch waits for a newer head. The deadline covers a watch that is stuck.
+func (c *Control) watch(after uint64) (store.Entry, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.opts.WatchWait+c.opts.StoreTimeout)
+	defer cancel()
+	if after == 0 {
+		return c.opts.Store.Get(ctx, configstore.HeadKey)
+	}
+	return c.opts.Store.Watch(ctx, configstore.HeadKey, after, c.opts.WatchWait)
+}
+
+// storeAnswered takes what the store said about the head.
+func (c *Control) storeAnswered(e store.Entry, err error, after uint64, watcher bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.cluster.StoreAnswered(now)
+	if err != nil {
+		c.follow(now, config.StoreEmpty{})
+		return
+	}
+	if e.Index != after {
+		c.follow(now, config.StoreHead{Data: e.Value, Watcher: watcher})
+	}
+	if h, err := config.ParseHead(e.Value); err == nil {
+		c.startup.StoreConfirmed(h.Version, c.tracker.Version())
+		c.checkReady(now)
+	}
+}
+
+// confirmLoop asks the store for the head while the version is not confirmed.
+// Watchers hear from the store anyway.
+func (c *Control) confirmLoop() {
+	var wait backoff
+	pause := confirmAfter/2 + jitter(confirmAfter)
+	for c.sleep(pause) {
+		if c.Ready() {
+			return
+		}
+		pause = jitter(confirmAfter)
+		if c.Watching() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, c.opts.StoreTimeout)
+		e, err := c.opts.Store.Get(ctx, configstore.HeadKey)
+		cancel()
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			pause = max(pause, wait.next())
+			continue
+		}
+		wait.reset()
+		c.storeAnswered(e, err, 0, false)
+	}
+}
+
+// listLoop reads the platform's list.
+func (c *Control) listLoop() {
+	var wait backoff
+	failing := false
+	for {
+		ctx, cancel := context.WithTimeout(c.ctx, c.opts.StoreTimeout)
+		list, err := c.opts.Lister.ListVMs(ctx)
+		cancel()
+		if c.ctx.Err() != nil {
+			return
+		}
+		pause := jitter(min(max(c.opts.ListInterval, time.Duration(len(list))*listPerVM), max(maxListInterval, c.opts.ListInterval)))
+		if err != nil {
+			if !failing {
+				event.MemberListStale.Log(c.opts.Log, "error", err)
+			}
+			pause = wait.next()
+		} else {
+			wait.reset()
+			c.setList(list)
+		}
+		failing = err != nil
+		if !c.sleep(pause) {
+			return
+		}
+	}
+}
+
+func (c *Control) setList(list []store.VM) {
+	listed := make([]member.Listed, 0, len(list))
+	for _, v := range list {
+		listed = append(listed, member.Listed{
+			Info:    member.Info{ID: v.ID, DataCentre: v.DataCentre, Region: v.Region, Address: v.PeerAddress},
+			Leaving: v.Leaving,
+		})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.perform(c.cluster.SetList(time.Now(), listed))
+	for _, l := range listed {
+		if l.ID != c.opts.Self.ID {
+			c.startup.Expect(l.DataCentre)
+		}
+	}
+}
+
+// cleanLoop deletes unreferenced chunks on the VM that comes first for it.
+func (c *Control) cleanLoop() {
+	cleaner := configstore.NewCleaner(c.publisher)
+	for c.sleep(jitter(c.opts.CleanInterval)) {
+		if !c.First("clean") {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, configstore.DefaultChangeLimit)
+		n, err := cleaner.Clean(ctx, time.Now())
+		cancel()
+		if n > 0 || err != nil {
+			event.ConfigCleaned.Log(c.opts.Log, "deleted", n, "error", err)
+		}
+	}
+}
--- a/member/cluster.go
+++ b/member/cluster.go
@@ -141,6 +141,9 @@
 	return out
 }
 
+// Doc returns the version of a document that this VM has.
+func (c *Cluster) Doc(d Doc) DocVersion { return c.docs[d] }
+
 // PeerDoc returns the version of a document that a VM last told this one.
 func (c *Cluster) PeerDoc(id string, d Doc) uint64 {
 	if e, ok := c.entries[id]; ok {
--- a/member/sections.go
+++ b/member/sections.go
@@ -1,14 +1,12 @@
 package member
 
-import "time"
-
 type sectionKey struct {
 	kind  uint8
 	owner string
 }
 
 // SetSection publishes a section of this VM. Values above 512 bytes are refused.
-func (c *Cluster) SetSection(_ time.Time, kind uint8, version uint64, value []byte) bool {
+func (c *Cluster) SetSection(kind uint8, version uint64, value []byte) bool {
 	s := Section{Kind: kind, Owner: c.self.info.ID, Version: version, Value: value}
 	return c.store(&s)
 }
@@ -31,7 +29,7 @@
 	return true
 }
 
-func (c *Cluster) applySection(s *Section, _ string) {
+func (c *Cluster) applySection(s *Section) {
 	owner := c.entries[s.Owner]
 	if owner == nil || owner == c.self || !c.inScope(s.Kind, owner, c.self) {
 		return
--- a/member/step.go
+++ b/member/step.go
@@ -22,7 +22,7 @@
 		c.storeSeen = later(c.storeSeen, now.Add(-m.StoreAge))
 	}
 	for i := range m.Sections {
-		c.applySection(&m.Sections[i], m.From)
+		c.applySection(&m.Sections[i])
 	}
 	for _, h := range m.Heard {
 		c.applyEvidence(now, h)
--- a/member/tick.go
+++ b/member/tick.go
@@ -156,7 +156,7 @@
 		if helper == c.self || !helper.known() || helper.live != alive || !helper.doubtSince.IsZero() || !c.urgent.spend(1) {
 			continue
 		}
-		c.sendAsk(now, helper, []uint32{e.key})
+		c.send(now, helper, []uint32{e.key})
 		asked++
 	}
 }
@@ -233,8 +233,6 @@
 	c.send(now, e, nil)
 }
 
-func (c *Cluster) sendAsk(now time.Time, e *entry, ask []uint32) { c.send(now, e, ask) }
-
 func (c *Cluster) send(now time.Time, e *entry, ask []uint32) {
 	m := c.compose(now, e)
 	m.Ask = ask
@@ -294,6 +292,16 @@
 	}
 }
 
+// Farewell returns messages that tell some targets the last state of this VM.
+func (c *Cluster) Farewell(now time.Time) []Effect {
+	for i, start := 0, c.rng.IntN(max(1, len(c.targets))); i < min(waveSize, len(c.targets)); i++ {
+		if e := c.targets[(start+i)%len(c.targets)]; e.live == alive {
+			c.send(now, e, nil)
+		}
+	}
+	return c.take()
+}
+
 // forget removes a VM that is gone for good.
 func (c *Cluster) forget(e *entry) {
 	delete(c.entries, e.info.ID)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -41,7 +41,9 @@
 	return make([]byte, 1<<20), h[0] == 1
 }
 
-func (echo) Version(context.Context) *peerpb.VersionReply { return &peerpb.VersionReply{Id: "b", Config: 3} }
+func (echo) Versions(context.Context) *peerpb.VersionReply {
+	return &peerpb.VersionReply{Id: "b", Config: 3}
+}
 
 func (e echo) CrashNotes(_ context.Context, n []*peerpb.CrashNote) {
 	if e.notes != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,8 +33,8 @@
 	Exchange(ctx context.Context, m member.Message) *member.Message
 	// Chunk returns data by its SHA-256 hash.
 	Chunk(ctx context.Context, hash [32]byte) ([]byte, bool)
-	// Version tells which versions are in force.
-	Version(ctx context.Context) *peerpb.VersionReply
+	// Versions tells which versions are in force.
+	Versions(ctx context.Context) *peerpb.VersionReply
 	// CrashNotes takes notes of another VM.
 	CrashNotes(ctx context.Context, notes []*peerpb.CrashNote)
 }
@@ -322,7 +322,7 @@
 
 func (v service) Version(ctx context.Context, _ *peerpb.VersionRequest) (*peerpb.VersionReply, error) {
 	v.s.opts.Counters.called("version-served")
-	return v.s.handler.Version(ctx), nil
+	return v.s.handler.Versions(ctx), nil
 }
 
 // maxNotes bounds the crash notes of one message.
