Push new documents to peers that lack them; share the list of VMs

Cause: with 48 and 96 nodes a change was in force after 1,180 and 1,095 ms at most, because one push misses some VMs; each VM read the platform's list. Change: pushes repeat until no target lacks the document; watchers read the list and announce it like a document, the others fetch it from peers.

--- a/control/control.go
+++ b/control/control.go
@@ -41,8 +41,8 @@
 	// WatchWait is how long a watch of the store waits. Zero means 2,500 ms,
 	// half of the silence after which further VMs start to watch.
 	WatchWait time.Duration
-	// ListInterval is the shortest interval between reads of the platform's
-	// list; it grows by 100 ms per VM up to 1 min. Zero means 10 s.
+	// ListInterval is how often VMs that watch the store read the platform's
+	// list. The others get it from them. Zero means 10 s.
 	ListInterval time.Duration
 	// CleanInterval is how often unreferenced chunks are looked for. Zero means
 	// 1 h.
@@ -114,6 +114,9 @@
 	// refused keeps the log from repeating the same refusal.
 	refused config.Refused
 	closed  bool
+	// listData is the platform's list in the form that peers fetch.
+	listData     []byte
+	fetchingList bool
 }
 
 var _ peer.Handler = (*Control)(nil)
--- a/control/loop.go
+++ b/control/loop.go
@@ -60,11 +60,7 @@
 				c.notify.add(func() { f(e) })
 			}
 		case member.DocNews:
-			if e.Doc == member.Config {
-				c.follow(time.Now(), config.PeerVersion{Peer: e.Peer, Version: e.Version, Head: e.Hash})
-			} else if f := c.opts.OnPlan; f != nil {
-				c.notify.add(func() { f(e) })
-			}
+			c.docNews(e)
 		case member.SectionNews:
 			if f := c.opts.OnSection; f != nil {
 				c.notify.add(func() { f(e.Section) })
@@ -79,6 +75,23 @@
 	}
 }
 
+// docNews takes the announcement of a newer document. The lock is held.
+func (c *Control) docNews(e member.DocNews) {
+	switch e.Doc {
+	case member.Config:
+		c.follow(time.Now(), config.PeerVersion{Peer: e.Peer, Version: e.Version, Head: e.Hash})
+	case member.Plan:
+		if f := c.opts.OnPlan; f != nil {
+			c.notify.add(func() { f(e) })
+		}
+	case member.List:
+		if !c.fetchingList {
+			c.fetchingList = true
+			c.goIfOpen(func() { c.fetchList(e) })
+		}
+	}
+}
+
 // send delivers a heartbeat and takes its reply.
 func (c *Control) send(s member.Send) {
 	select {
@@ -218,6 +231,9 @@
 func (c *Control) Chunk(_ context.Context, hash [32]byte) ([]byte, bool) {
 	c.mu.Lock()
 	data, ok := c.tracker.Chunk(hash)
+	if !ok && c.listData != nil && hash == c.cluster.Doc(member.List).Hash {
+		data, ok = c.listData, true
+	}
 	c.mu.Unlock()
 	if !ok && c.opts.Chunk != nil {
 		return c.opts.Chunk(hash)
--- a/control/watch.go
+++ b/control/watch.go
@@ -9,7 +9,6 @@
 	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/configstore"
 	"github.com/currantferry/currantferry/event"
-	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/store"
 )
 
@@ -27,9 +26,6 @@
 	// confirmAfter is how long a starting VM leaves the confirmation to its
 	// peers before it asks the store, plus jitter of the same size.
 	confirmAfter = 4 * time.Second
-	// maxListInterval bounds the growth of the list interval.
-	maxListInterval = time.Minute
-	listPerVM       = 100 * time.Millisecond
 )
 
 // backoff grows with each failure and is jittered.
@@ -147,52 +143,6 @@
 	}
 }
 
-// listLoop reads the platform's list.
-func (c *Control) listLoop() {
-	var wait backoff
-	failing := false
-	for {
-		ctx, cancel := context.WithTimeout(c.ctx, c.opts.StoreTimeout)
-		list, err := c.opts.Lister.ListVMs(ctx)
-		cancel()
-		if c.ctx.Err() != nil {
-			return
-		}
-		pause := jitter(min(max(c.opts.ListInterval, time.Duration(len(list))*listPerVM), max(maxListInterval, c.opts.ListInterval)))
-		if err != nil {
-			if !failing {
-				event.MemberListStale.Log(c.opts.Log, "error", err)
-			}
-			pause = wait.next()
-		} else {
-			wait.reset()
-			c.setList(list)
-		}
-		failing = err != nil
-		if !c.sleep(pause) {
-			return
-		}
-	}
-}
-
-func (c *Control) setList(list []store.VM) {
-	listed := make([]member.Listed, 0, len(list))
-	for _, v := range list {
-		listed = append(listed, member.Listed{
-			Info:    member.Info{ID: v.ID, DataCentre: v.DataCentre, Region: v.Region, Address: v.PeerAddress},
-			Leaving: v.Leaving,
-		})
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.perform(c.cluster.SetList(time.Now(), listed))
-	for _, l := range listed {
-		if l.ID != c.opts.Self.ID {
-			c.startup.Expect(l.DataCentre)
-		}
-	}
-}
-
 // cleanLoop deletes unreferenced chunks on the VM that comes first for it.
 func (c *Control) cleanLoop() {
 	cleaner := configstore.NewCleaner(c.publisher)
--- a/member/cluster.go
+++ b/member/cluster.go
@@ -40,6 +40,7 @@
 	urgent   bucket
 	nextWave time.Time
 	wave     bool
+	docWaves int
 	nextGone time.Time
 	goneTurn int
 	// quietSince is when the view last changed, for the comparison of views.
@@ -173,6 +174,7 @@
 		return
 	}
 	c.docs[d] = v
+	c.docWaves = docWaves
 	c.alarm(now)
 }
 
--- a/member/message.go
+++ b/member/message.go
@@ -9,6 +9,8 @@
 const (
 	Config Doc = iota
 	Plan
+	// List is the platform's list of VMs as a watcher of the store read it.
+	List
 	docs
 )
 
--- a/member/options.go
+++ b/member/options.go
@@ -61,6 +61,9 @@
 	// waveSize how many VMs each push reaches.
 	waveGap  = 150 * time.Millisecond
 	waveSize = 4
+	// docWaves bounds the pushes of a new document version. One push of 4 misses
+	// about one VM in 50, which then waits for the next heartbeat.
+	docWaves = 8
 	// updateSends and sectionSends are how often one VM passes an item on. With
 	// 12 sends a news item misses a VM with a probability of about e^-12; at 740
 	// VMs and 92 VMs lost at once that is less than one miss. What is missed is
--- a/member/tick.go
+++ b/member/tick.go
@@ -74,7 +74,7 @@
 			e.due = now.Add(c.random(c.every(e)))
 		}
 	}
-	c.alarm(now)
+	c.spread(now, c.self)
 }
 
 // cutOff tells whether nobody is heard, so that this VM itself may be cut off.
@@ -276,20 +276,58 @@
 	}
 	c.wave = false
 	c.nextWave = now.Add(waveGap)
-	for sent, i := 0, 0; sent < waveSize && i < 4*waveSize && len(c.targets) > 0; i++ {
-		e := c.targets[c.rng.IntN(len(c.targets))]
-		if e.awaiting || e.live != alive || !e.doubtSince.IsZero() {
+	sent := 0
+	if c.docWaves > 0 {
+		c.docWaves--
+		sent = c.pushDocs(now)
+	}
+	for i := 0; sent < waveSize && i < 4*waveSize && len(c.targets) > 0 && len(c.updates.items) > 0; i++ {
+		if c.pushTo(now, c.targets[c.rng.IntN(len(c.targets))]) {
+			sent++
+		}
+	}
+	if (len(c.updates.items) > 0 && c.updates.items[0].left > updateSends/2) || c.docWaves > 0 {
+		c.alarm(now)
+	}
+}
+
+// pushDocs tells targets that are not known to have the newest documents. It
+// ends the waves when there are none left.
+func (c *Cluster) pushDocs(now time.Time) (sent int) {
+	lacking := 0
+	for i, first := 0, c.rng.IntN(max(1, len(c.targets))); i < len(c.targets); i++ {
+		e := c.targets[(first+i)%len(c.targets)]
+		if !e.known() || e.live != alive || c.hasDocs(e) {
 			continue
 		}
-		if !c.urgent.spend(1) {
-			break
+		lacking++
+		if sent < waveSize && c.pushTo(now, e) {
+			sent++
 		}
-		c.send(now, e, nil)
-		sent++
 	}
-	if len(c.updates.items) > 0 && c.updates.items[0].left > updateSends/2 {
-		c.alarm(now)
+	if lacking == 0 {
+		c.docWaves = 0
 	}
+	return sent
+}
+
+// hasDocs tells whether a VM is known to have all documents that this one has.
+func (c *Cluster) hasDocs(e *entry) bool {
+	for d := range c.docs {
+		if e.peerVersions[d] < c.docs[d].Version {
+			return false
+		}
+	}
+	return true
+}
+
+// pushTo sends a heartbeat beyond the regular ones, within their limit.
+func (c *Cluster) pushTo(now time.Time, e *entry) bool {
+	if e.awaiting || e.live != alive || !e.doubtSince.IsZero() || !c.urgent.spend(1) {
+		return false
+	}
+	c.send(now, e, nil)
+	return true
 }
 
 // Farewell returns messages that tell some targets the last state of this VM.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -29,7 +29,7 @@
 func ToProto(m *member.Message) *peerpb.ExchangeMessage {
 	p := &peerpb.ExchangeMessage{
 		From: m.From, To: m.To, Boot: m.Inc.Boot, Seq: m.Inc.Seq, State: uint32(m.State), ViewHash: m.ViewHash,
-		Config: toDocument(m.Docs[member.Config]), Plan: toDocument(m.Docs[member.Plan]),
+		Config: toDocument(m.Docs[member.Config]), Plan: toDocument(m.Docs[member.Plan]), List: toDocument(m.Docs[member.List]),
 		Buckets: m.Buckets, Resync: m.Resync, Ask: m.Ask,
 	}
 	if m.StoreAge >= 0 {
@@ -88,7 +88,7 @@
 	if p.StoreAgeMsPlusOne > 0 {
 		m.StoreAge = age(p.StoreAgeMsPlusOne - 1)
 	}
-	for i, d := range []*peerpb.Document{p.Config, p.Plan} {
+	for i, d := range []*peerpb.Document{p.Config, p.Plan, p.List} {
 		m.Docs[i].Version = d.GetVersion()
 		copy(m.Docs[i].Hash[:], d.GetHash())
 	}
@@ -126,7 +126,7 @@
 	case len(p.Ask) > maxKeys || len(p.Heard) > maxKeys || (len(p.Buckets) != 0 && len(p.Buckets) != bucketCount):
 		return errors.New("peer: message with too many keys")
 	}
-	for _, d := range []*peerpb.Document{p.Config, p.Plan} {
+	for _, d := range []*peerpb.Document{p.Config, p.Plan, p.List} {
 		if n := len(d.GetHash()); n != 0 && n != 32 {
 			return errors.Errorf("peer: document hash of %d bytes", n)
 		}
