End stuck watches by a plain read; test control by failure

Cause: a watch that never returns was followed by another one, so that a change was not seen while watches were stuck. Change: a failed watch is followed by a read of the head, and a watch may take 2 s beyond its waiting time.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -76,17 +76,18 @@
 		client:  f.storeClient(),
 		applied: make(map[uint64]time.Time),
 	}
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	seed := uint64(len(f.nodes))
+	f.mu.Unlock()
 	o := Options{
-		Self: n.info, Store: n.client, Lister: n.client, Pool: n.pool, Seed: uint64(len(f.nodes) + 1),
+		Self: n.info, Store: n.client, Lister: n.client, Pool: n.pool, Seed: seed,
 		OnSnapshot: func(s *config.Snapshot) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.applied[s.Head.Version] = time.Now()
 		},
 	}
-	f.mu.Lock()
-	f.nodes = append(f.nodes, n)
-	f.mu.Unlock()
 	f.list()
 	if f.tune != nil {
 		f.tune(&o)
--- a/control/watch.go
+++ b/control/watch.go
@@ -19,6 +19,8 @@
 	// meets two calls a second.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 10 * time.Second
+	// watchGrace is how long a watch may take beyond its waiting time.
+	watchGrace = 2 * time.Second
 	// roleCheck is how often a VM looks whether it watches the store.
 	roleCheck = 250 * time.Millisecond
 	// emptyPause is the pause while the store holds no configuration.
@@ -82,6 +84,8 @@
 				event.ConfigStoreFailing.Log(c.opts.Log, "error", err)
 			}
 			failing = true
+			// Watches may be stuck while plain reads are answered.
+			after = 0
 			if !c.sleep(wait.next()) {
 				return
 			}
@@ -89,13 +93,17 @@
 	}
 }
 
-// watch waits for a newer head. The deadline covers a watch that is stuck.
+// watch waits for a newer head, or reads the head when after is zero. The
+// deadline ends a watch that is stuck early enough for a plain read to put a
+// change in force in time.
 func (c *Control) watch(after uint64) (store.Entry, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.opts.WatchWait+c.opts.StoreTimeout)
-	defer cancel()
 	if after == 0 {
+		ctx, cancel := context.WithTimeout(c.ctx, c.opts.StoreTimeout)
+		defer cancel()
 		return c.opts.Store.Get(ctx, configstore.HeadKey)
 	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.opts.WatchWait+min(c.opts.StoreTimeout, watchGrace))
+	defer cancel()
 	return c.opts.Store.Watch(ctx, configstore.HeadKey, after, c.opts.WatchWait)
 }
 
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -45,6 +45,7 @@
 
 // Guards against a VM that keeps only a part of the members.
 func TestEveryVMLearnsAll(t *testing.T) {
+	t.Parallel()
 	l := newLoop(24, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	l.expect(t, "after 10 s")
@@ -53,6 +54,7 @@
 // Guards against a VM that is removed although others hear it: first only its
 // way from one VM is broken, then every way from one half of the VMs.
 func TestOneWayFailureRemovesNobody(t *testing.T) {
+	t.Parallel()
 	l := newLoop(24, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	removed := l.removals(anyone)
@@ -71,6 +73,7 @@
 
 // Guards against lost and late messages that remove a VM.
 func TestLossRemovesNobody(t *testing.T) {
+	t.Parallel()
 	l := newLoop(48, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	removed := l.removals(anyone)
@@ -84,6 +87,7 @@
 // Guards against a paused VM that stays removed after it resumed, that loses its
 // boot, or that takes the others for gone.
 func TestPausedVMReturns(t *testing.T) {
+	t.Parallel()
 	l := newLoop(24, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	v := l.order[5]
@@ -105,6 +109,7 @@
 // Guards against a partition between regions that removes VMs of the own side,
 // and against removals or lasting differences after it ended.
 func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
 	l := newLoop(48, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	side := func(v *vm) bool { return v.info.Region == "region-0" }
@@ -132,6 +137,7 @@
 // Guards against a lost data centre that is noticed late or that causes more
 // messages than the limit beyond regular heartbeats allows.
 func TestDataCentreLostWithoutStorm(t *testing.T) {
+	t.Parallel()
 	l := newLoop(96, 4, seed(), member.Options{})
 	l.run(15 * time.Second)
 	removed := l.removals(anyone)
@@ -151,6 +157,7 @@
 // Guards against the platform's list removing a VM that answers, or a VM that is
 // merely silent counting as lost.
 func TestListAloneRemovesNobody(t *testing.T) {
+	t.Parallel()
 	l := newLoop(12, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	a, v := l.order[0], l.order[3]
@@ -189,6 +196,7 @@
 // Guards against a restart that others do not notice: what a VM held in memory
 // is lost with its boot.
 func TestRestartChangesBoot(t *testing.T) {
+	t.Parallel()
 	l := newLoop(12, 3, seed(), member.Options{})
 	l.run(10 * time.Second)
 	v, a := l.order[3], l.order[0]
@@ -216,6 +224,7 @@
 
 // Guards against too many or no watchers of the store.
 func TestWatchersPerDataCentre(t *testing.T) {
+	t.Parallel()
 	l := newLoop(48, 3, seed(), member.Options{})
 	l.run(8 * time.Second)
 	count := func() map[string]int {
@@ -268,6 +277,7 @@
 // Guards against sections that leave their scope, that are not delivered or that
 // take more traffic than their allowance.
 func TestSectionsStayInScopeAndAllowance(t *testing.T) {
+	t.Parallel()
 	const local, global = 1, 2
 	l := newLoop(24, 3, seed(), member.Options{Sections: map[uint8]member.SectionKind{local: {SameDataCentre: true}, global: {Lasting: true}}})
 	l.run(10 * time.Second)
@@ -311,6 +321,7 @@
 // Runs pauses, deaths, restarts, losses and partitions at random. Guards against
 // views that stay different once the network is whole again.
 func TestRandomisedHistoryConverges(t *testing.T) {
+	t.Parallel()
 	for round := range envInt("CURRANTFERRY_ROUNDS", 3) {
 		l := newLoop(24, 3, seed()*1000+round, member.Options{})
 		var list []member.Listed
