--- a/metric/metric.go
+++ b/metric/metric.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
@@ -30,7 +31,9 @@
 
 // New returns a set whose names start with "currantferry_".
 func New() *Set {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	// A registry of its own keeps several sets in one process apart.
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "currantferry",
 		Separator:              promreporter.DefaultSeparator,
