--- /dev/null
+++ b/steer/snapshot.go
@@ -0,0 +1,303 @@
+package steer
+
+import (
+	"math"
+	"math/bits"
+	"net/netip"
+)
+
+// noDataCentre marks the absence of a data centre.
+const noDataCentre = math.MaxUint16
+
+// Snapshot answers lookups. It is immutable and safe for concurrent use.
+type Snapshot struct {
+	cfg      Config
+	blocks   *Blocks
+	services map[string]struct{}
+	// vms are the VMs that are handed out, ordered by data centre and ID.
+	vms []candidate
+	dcs []dataCentre
+	// regions holds the data centres of each region.
+	regions [][]uint16
+	// orders holds the order of data centres for each site of blocks. The last
+	// one is for callers in no block and for sites that the register lacks.
+	orders []order
+}
+
+// candidate is a VM that may be handed out.
+type candidate struct {
+	vm   VM
+	hash uint64
+	// capacity is the weight in the rendezvous hash.
+	capacity float64
+	// weight is that in the answer, 1 to 100.
+	weight uint16
+}
+
+// dataCentre holds the usable VMs of a data centre.
+type dataCentre struct {
+	name   string
+	region uint16
+	// from and to bound its VMs in Snapshot.vms.
+	from, to int
+	// equal tells that all VMs have the same capacity, so that the hashes can
+	// be compared without their logarithms.
+	equal bool
+	// keep is the part of its callers that the data centre keeps, in units of
+	// 1/65,536. The others go to other data centres of the region.
+	keep uint32
+}
+
+func (d *dataCentre) empty() bool { return d.from == d.to }
+
+const keepAll = 1 << 16
+
+// order is what a site prefers.
+type order struct {
+	// dcs are all data centres in order of preference, those of the nearest
+	// region first.
+	dcs []uint16
+}
+
+// Services returns how many services the snapshot knows.
+func (s *Snapshot) Services() int { return len(s.services) }
+
+// Usable returns how many entry VMs the snapshot hands out.
+func (s *Snapshot) Usable() int { return len(s.vms) }
+
+// Blocks returns the block table.
+func (s *Snapshot) Blocks() *Blocks { return s.blocks }
+
+// Known tells whether the register has the service.
+func (s *Snapshot) Known(service string) bool {
+	_, ok := s.services[service]
+	return ok
+}
+
+// Lookup returns the entry VMs for a caller. The errors are ErrUnknownService,
+// ErrNoVM and ErrBadCaller. It allocates nothing.
+func (s *Snapshot) Lookup(caller netip.Addr, service string) (Answer, error) {
+	if !s.Known(service) {
+		return Answer{}, ErrUnknownService
+	}
+	if !caller.IsValid() {
+		return Answer{}, ErrBadCaller
+	}
+	if len(s.vms) == 0 {
+		return Answer{}, ErrNoVM
+	}
+	caller = caller.Unmap().WithZone("")
+	a := Answer{TTL: s.cfg.TTL}
+	m := s.blocks.Lookup(caller)
+	o := &s.orders[len(s.orders)-1]
+	if m.OK {
+		a.Site = s.blocks.SiteName(m.Site)
+		a.Scope = m.Scope
+		a.Block, _ = caller.Prefix(int(m.Bits))
+		o = &s.orders[m.Site]
+		s.fill(&a, o, blockKey(a.Block))
+		return a, nil
+	}
+	// Callers in no block share an answer per /24 or /48, the lengths that
+	// resolvers usually send, so that their load spreads too.
+	spread := unassigned4
+	if caller.Is6() {
+		spread = unassigned6
+	}
+	a.Scope = max(m.Scope, spread)
+	p, _ := caller.Prefix(int(spread))
+	s.fill(&a, o, blockKey(p))
+	return a, nil
+}
+
+const (
+	unassigned4 uint8 = 24
+	unassigned6 uint8 = 48
+)
+
+// fill chooses the VMs of an answer.
+//
+// The first comes from the caller's data centre, the second from another data
+// centre of its region, so that the loss of a data centre leaves one, the rest
+// from the caller's data centre again, and the last ones from other regions.
+// Each choice is by rendezvous hash, so the loss of a VM changes only the
+// answers that named it.
+func (s *Snapshot) fill(a *Answer, o *order, key uint64) {
+	first := s.firstDC(o, key)
+	region := s.dcs[first].region
+	near := s.cfg.Set
+	if s.hasOther(region) {
+		near -= s.cfg.Away
+	}
+	s.pick(a, key, first, PriorityNear, 1)
+	if other := s.otherDC(o, first); other != noDataCentre {
+		s.pick(a, key, other, PriorityNear, farShare)
+	}
+	s.pickUpTo(a, near, key, first, 1)
+	for _, dc := range o.dcs {
+		if dc != first && s.dcs[dc].region == region {
+			s.pickUpTo(a, near, key, dc, farShare)
+		}
+	}
+	s.fillAway(a, o, region, key)
+}
+
+// farShare is the part of the full weight that a VM in another data centre of
+// the caller's region gets. Such a VM costs 1 ms more each way, but must carry
+// some traffic, so that callers notice when they cannot reach it.
+const farShare = 0.25
+
+// fillAway adds VMs of other regions until the set is full, more than Away of
+// them when the caller's region has few. Each region has its turn before one has
+// a second, so that two VMs do not fail with the same region.
+func (s *Snapshot) fillAway(a *Answer, o *order, home uint16, key uint64) {
+	if s.cfg.Away == 0 {
+		return
+	}
+	want := s.cfg.Set
+	var used uint64 = 1 << (home % 64)
+	for pass := 0; pass < 2 && int(a.n) < want; pass++ {
+		for _, dc := range o.dcs {
+			d := &s.dcs[dc]
+			if int(a.n) == want {
+				return
+			}
+			if d.region == home || d.empty() || (pass == 0 && used&(1<<(d.region%64)) != 0) {
+				continue
+			}
+			if s.pick(a, key, dc, PriorityAway, 1) {
+				used |= 1 << (d.region % 64)
+			}
+		}
+	}
+}
+
+// firstDC returns the data centre that a block uses first: the nearest with
+// usable VMs, unless that one gives this block's share of its callers away.
+func (s *Snapshot) firstDC(o *order, key uint64) uint16 {
+	nearest := uint16(noDataCentre)
+	for _, dc := range o.dcs {
+		if !s.dcs[dc].empty() {
+			nearest = dc
+			break
+		}
+	}
+	d := &s.dcs[nearest]
+	if d.keep >= keepAll || uint32(mix(key^keepSalt)&(keepAll-1)) < d.keep {
+		return nearest
+	}
+	if other := s.spillDC(d.region, nearest, key); other != noDataCentre {
+		return other
+	}
+	return nearest
+}
+
+// keepSalt makes the choice of the blocks that move independent of that of VMs.
+const keepSalt = 0x9e3779b97f4a7c15
+
+// spillDC chooses among the other data centres of the region by capacity.
+func (s *Snapshot) spillDC(region, not uint16, key uint64) uint16 {
+	best, bestScore := uint16(noDataCentre), math.Inf(1)
+	for _, dc := range s.regions[region] {
+		d := &s.dcs[dc]
+		if dc == not || d.empty() || d.keep < keepAll {
+			continue
+		}
+		sum := 0.0
+		for i := d.from; i < d.to; i++ {
+			sum += s.vms[i].capacity
+		}
+		if score := expScore(mix(key^keepSalt^uint64(dc+1)<<32)) / sum; score < bestScore {
+			best, bestScore = dc, score
+		}
+	}
+	return best
+}
+
+func (s *Snapshot) otherDC(o *order, first uint16) uint16 {
+	for _, dc := range o.dcs {
+		if dc != first && s.dcs[dc].region == s.dcs[first].region && !s.dcs[dc].empty() {
+			return dc
+		}
+	}
+	return noDataCentre
+}
+
+func (s *Snapshot) hasOther(region uint16) bool {
+	for i := range s.dcs {
+		if s.dcs[i].region != region && !s.dcs[i].empty() {
+			return true
+		}
+	}
+	return false
+}
+
+// pickUpTo adds VMs of a data centre until the answer has n.
+func (s *Snapshot) pickUpTo(a *Answer, n int, key uint64, dc uint16, share float64) {
+	for int(a.n) < n {
+		if !s.pick(a, key, dc, PriorityNear, share) {
+			return
+		}
+	}
+}
+
+// pick adds the VM of a data centre with the best rendezvous score that the
+// answer does not have yet. It returns false when there is none.
+func (s *Snapshot) pick(a *Answer, key uint64, dc uint16, priority uint8, share float64) bool {
+	d := &s.dcs[dc]
+	best := -1
+	var bestHash uint64
+	bestScore := math.Inf(1)
+	for i := d.from; i < d.to; i++ {
+		h := mix(key ^ s.vms[i].hash)
+		if d.equal {
+			if (best < 0 || h > bestHash) && !a.has(&s.vms[i].vm) {
+				best, bestHash = i, h
+			}
+			continue
+		}
+		if score := expScore(h) / s.vms[i].capacity; score < bestScore && !a.has(&s.vms[i].vm) {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	c := &s.vms[best]
+	a.add(&c.vm, max(1, uint16(math.Round(share*float64(c.weight)))), priority)
+	return true
+}
+
+func (a *Answer) has(vm *VM) bool {
+	for i := range a.targets[:a.n] {
+		if a.targets[i].VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// expScore turns a hash into an exponentially distributed score. The lowest
+// score divided by a weight is a choice in proportion to the weights. A higher
+// hash gives a lower score.
+func expScore(h uint64) float64 {
+	return -math.Log((float64(h>>11) + 0.5) / (1 << 53))
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// blockKey hashes a block, the same on every node.
+func blockKey(p netip.Prefix) uint64 {
+	a := p.Addr().As16()
+	var hi, lo uint64
+	for i := range 8 {
+		hi = hi<<8 | uint64(a[i])
+		lo = lo<<8 | uint64(a[i+8])
+	}
+	return mix(mix(hi+1) ^ bits.RotateLeft64(mix(lo+uint64(p.Bits())<<56+2), 17))
+}
