--- a/steer/snapshot.go
+++ b/steer/snapshot.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/bits"
 	"net/netip"
+	"time"
 )
 
 // noDataCentre marks the absence of a data centre.
@@ -65,6 +66,19 @@
 // Usable returns how many entry VMs the snapshot hands out.
 func (s *Snapshot) Usable() int { return len(s.vms) }
 
+// VM returns the VM with the given ID if it is handed out.
+func (s *Snapshot) VM(id string) (*VM, bool) {
+	for i := range s.vms {
+		if s.vms[i].vm.ID == id {
+			return &s.vms[i].vm, true
+		}
+	}
+	return nil, false
+}
+
+// TTL returns how long callers may keep an answer.
+func (s *Snapshot) TTL() time.Duration { return s.cfg.TTL }
+
 // Blocks returns the block table.
 func (s *Snapshot) Blocks() *Blocks { return s.blocks }
 
