--- a/lookup/http.go
+++ b/lookup/http.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -105,7 +104,7 @@
 	c.count(HTTP, Answered)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set("Cache-Control", fmt.Sprintf("%s, max-age=%d", visibility, int(a.TTL.Seconds())))
+	h.Set("Cache-Control", fmt.Sprintf("%s, max-age=%d", visibility, seconds(a.TTL)))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
 }
@@ -199,7 +198,8 @@
 	return addr.Unmap(), nil
 }
 
-// seconds returns a TTL for DNS, at least 1 s unless it is zero.
+// seconds returns a TTL in whole seconds, rounded down so that no caller keeps
+// an answer for longer, but at least 1.
 func seconds(ttl time.Duration) uint32 {
-	return uint32(math.Ceil(ttl.Seconds()))
+	return uint32(max(1, ttl/time.Second))
 }
