Add the at-most-once core with randomised histories

Change: package once: claim table, records, grants after every witness, view changes (read, seal, copy, compare-and-swap), placement, hand-over of a leaving VM. A randomised test checks histories with porcupine in virtual time.

--- /dev/null
+++ b/once/message.go
@@ -0,0 +1,159 @@
+package once
+
+import (
+	"time"
+
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Kind is the kind of a message. A reply has the kind of its request.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// KindClaim asks the owner for a grant.
+	KindClaim Kind = iota + 1
+	// KindRecord asks a witness to record a claim or a change of its state.
+	KindRecord
+	// KindRelease tells the owner that the request did not run.
+	KindRelease
+	// KindDone tells the owner that the request ran.
+	KindDone
+	// KindSeal seals a view at a member and asks for a piece of its claims.
+	KindSeal
+	// KindInstall copies a piece of the claims to a member of a proposed view.
+	KindInstall
+	// KindPing is sent by the owner to its witnesses. It carries the record.
+	KindPing
+	// KindView spreads a record.
+	KindView
+)
+
+var kindNames = [...]string{
+	"none", "claim", "record", "release", "done", "seal", "install", "ping", "view",
+}
+
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Result is the outcome in a reply.
+type Result uint8
+
+// Results.
+const (
+	ResultNone Result = iota
+	// ResultGranted: the claim is granted.
+	ResultGranted
+	// ResultInProgress: another request holds the key.
+	ResultInProgress
+	// ResultDone: the request ran.
+	ResultDone
+	// ResultReused: the key belongs to another request.
+	ResultReused
+	// ResultFull: the table is full.
+	ResultFull
+	// ResultHistoryLost: the key is unknown and history was lost.
+	ResultHistoryLost
+	// ResultNotOwner: this VM cannot answer for the partition now.
+	ResultNotOwner
+	// ResultAcked: the message took effect.
+	ResultAcked
+	// ResultSealed: the view is sealed here.
+	ResultSealed
+	// ResultNotActive: this VM does not hold the view.
+	ResultNotActive
+	// ResultLost: this VM holds no claims of the view and never will.
+	ResultLost
+	// ResultImpaired, in a ping, means that the owner wants a view change.
+	ResultImpaired
+)
+
+// Message is a message between VMs.
+type Message struct {
+	Kind  Kind
+	Reply bool
+	// ID is chosen by the sender of a request and repeated in the reply.
+	ID uint64
+	// FromInc and ToInc are incarnations. A reply to another incarnation is
+	// dropped.
+	FromInc, ToInc uint64
+	Partition      int
+	// Epoch and View name the view that the message is about.
+	Epoch  uint64
+	View   string
+	Result Result
+	Claim  Claim
+	// Unused, in a claim, says that the sender abandoned every claim of this
+	// key whose Seq is in [Unused, Claim.Seq) without using it. Zero: none.
+	Unused uint64
+	// Record is a record that was read from the store or written to it.
+	Record *Record
+	// Piece and Pieces number a part of a copied table; Claims is its content.
+	Piece, Pieces int
+	Claims        []Claim
+}
+
+// Send is a message to send.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Swap asks for a compare-and-swap of a partition record.
+type Swap struct {
+	Record Record
+	// Index is the index of the entry that the record replaces, 0 for none.
+	Index uint64
+}
+
+// SwapResult is the outcome of a Swap.
+type SwapResult uint8
+
+// Outcomes of a Swap.
+const (
+	// SwapUnknown is the zero value: the write may have taken effect.
+	SwapUnknown SwapResult = iota
+	SwapDone
+	SwapConflict
+)
+
+// Answer answers a local request for a claim.
+type Answer struct {
+	Seq uint64
+	// Err is nil if the claim is granted.
+	Err *verdict.Error
+	// Attempt is the number of the grant, from 1.
+	Attempt uint16
+	// Status, Holder and Incarnation are set for a request that ran: its HTTP
+	// status and the VM that may hold its answer.
+	Status      int
+	Holder      string
+	Incarnation uint64
+}
+
+// Effects is what the caller of the Machine must do. The slices are valid until
+// the next call of the Machine.
+type Effects struct {
+	Sends []Send
+	// Reads lists partitions whose record is to be read from the store. Each
+	// must be followed by a call of StoreRead.
+	Reads []int
+	// Swaps must each be followed by a call of StoreSwapped.
+	Swaps   []Swap
+	Answers []Answer
+	// Settled lists local requests whose release or completion every member
+	// has recorded.
+	Settled []uint64
+	// Views lists records that took effect here, to be spread to other VMs.
+	Views []Record
+	// Notes report view changes for logs and counters.
+	Notes []Note
+}
+
+// retryAfter is the advice to callers that are refused because a partition
+// cannot grant. A view change takes about 2 s.
+const retryAfter = 2 * time.Second
--- /dev/null
+++ b/once/note.go
@@ -0,0 +1,45 @@
+package once
+
+// Reason is the cause of a view change.
+type Reason string
+
+// Reasons of view changes.
+const (
+	ReasonFirst          Reason = "first-assignment"
+	ReasonOwnerSilent    Reason = "owner-silent"
+	ReasonWitnessSilent  Reason = "witness-silent"
+	ReasonMemberReplaced Reason = "member-replaced"
+	ReasonMembersGone    Reason = "members-gone"
+	ReasonLeaving        Reason = "member-leaving"
+	ReasonSealed         Reason = "sealed"
+	ReasonInactive       Reason = "member-without-claims"
+	ReasonOwnerImpaired  Reason = "owner-impaired"
+	ReasonSpread         Reason = "spread"
+	ReasonPlacement      Reason = "placement"
+)
+
+// NoteKind is the kind of a Note.
+type NoteKind uint8
+
+// Kinds of notes, for logs and counters.
+const (
+	NoteChangeStarted NoteKind = iota + 1
+	NoteChangeInstalled
+	// NoteChangeFailed: the proposal ended without a view; Text says why.
+	NoteChangeFailed
+	// NoteHistoryLost: a view was installed after all members were lost.
+	NoteHistoryLost
+)
+
+// Note reports a step of a view change.
+type Note struct {
+	Kind      NoteKind
+	Partition int
+	Epoch     uint64
+	Reason    Reason
+	Text      string
+}
+
+func (m *Machine) note(k NoteKind, p *partition, epoch uint64, r Reason, text string) {
+	m.eff.Notes = append(m.eff.Notes, Note{Kind: k, Partition: p.n, Epoch: epoch, Reason: r, Text: text})
+}
--- /dev/null
+++ b/once/random_test.go
@@ -0,0 +1,148 @@
+package once
+
+import (
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/invariant"
+)
+
+func envUint(t testing.TB, name string, def uint64) uint64 {
+	s := os.Getenv(name)
+	if s == "" {
+		return def
+	}
+	v, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return v
+}
+
+// violations collects invariant violations until the test ends.
+func violations(t testing.TB) func() []invariant.Violation {
+	var mu sync.Mutex
+	var got []invariant.Violation
+	restore := invariant.OnViolation(func(v invariant.Violation) {
+		mu.Lock()
+		defer mu.Unlock()
+		got = append(got, v)
+	})
+	t.Cleanup(restore)
+	return func() []invariant.Violation {
+		mu.Lock()
+		defer mu.Unlock()
+		return got
+	}
+}
+
+// chaos runs one randomised history of 50 s of virtual time.
+func chaos(t testing.TB, seed uint64, cfg Config) *fleet {
+	cfg.Partitions = 4
+	cfg.PieceClaims = 8
+	f := newFleet(t, seed, cfg)
+	f.run(5 * time.Second)
+	f.net = netFaults{loss: 0.02, dup: 0.03, late: 0.02}
+	f.store.loseAck = 0.1
+	keys := make([]Key, 0, 400)
+	f.every(15*time.Millisecond, func() {
+		var k Key
+		// Half of the requests are resends of recent keys.
+		if len(keys) > 0 && f.rnd.IntN(2) == 0 {
+			k = keys[max(0, len(keys)-1-f.rnd.IntN(20))]
+		} else {
+			k = KeyOf("s", strconv.Itoa(len(keys)))
+			keys = append(keys, k)
+		}
+		n := f.nodes[f.rnd.IntN(len(f.nodes))]
+		n.do(func() { f.claim(n, k, f.work) })
+	})
+	f.every(1500*time.Millisecond, func() { f.fault() })
+	f.run(45 * time.Second)
+	return f
+}
+
+// fault injects one fault, which ends by itself.
+func (f *fleet) fault() {
+	n := f.nodes[f.rnd.IntN(len(f.nodes))]
+	secs := func(most int) time.Duration { return time.Duration(f.rnd.IntN(most*1000)) * time.Millisecond }
+	restart := func(n *node) {
+		n.kill()
+		f.after(100*time.Millisecond+secs(8), func() {
+			if !n.up {
+				n.start()
+			}
+		})
+	}
+	if r, ok := f.store.entries[f.rnd.IntN(4)]; ok && f.rnd.IntN(2) == 0 {
+		mb := r.Members()
+		n = f.byID[mb[f.rnd.IntN(len(mb))].VM]
+	}
+	switch f.rnd.IntN(9) {
+	case 0, 1:
+		restart(n)
+	case 2, 3:
+		n.pause(secs(12))
+	case 4:
+		a, b := f.rnd.IntN(3), f.rnd.IntN(3)
+		ra, rb := f.nodes[4*a].vm.Region, f.nodes[4*b].vm.Region
+		f.net.cut = func(x, y *node) bool {
+			return x.vm.Region != y.vm.Region && (x.vm.Region == ra || y.vm.Region == ra) &&
+				(a == b || x.vm.Region == rb || y.vm.Region == rb)
+		}
+		f.after(secs(8), func() { f.net.cut = nil })
+	case 5:
+		f.store.down = func(*node) bool { return true }
+		f.after(secs(8), func() { f.store.down = nil })
+	case 6:
+		// Only some VMs reach the store.
+		f.store.down = func(x *node) bool { return mix(0, x.vm.VM)%2 == 0 }
+		f.after(secs(5), func() { f.store.down = nil })
+	case 7:
+		if f.rnd.IntN(8) == 0 {
+			r := f.store.entries[f.rnd.IntN(4)]
+			for _, mb := range r.Members() {
+				restart(f.byID[mb.VM])
+			}
+		}
+	case 8:
+		if !n.up || n.leaving {
+			return
+		}
+		n.leaving = true
+		n.do(func() { n.apply(n.m.Leave(f.now)) })
+		f.after(4*time.Second, func() { restart(n) })
+	}
+}
+
+// Guards against any interleaving of faults that runs a key twice: loss, delay,
+// duplication, kills, restarts, long pauses, partitions, store outages, lost
+// store replies and concurrent proposers.
+func TestRandomHistories(t *testing.T) {
+	first, rounds := envUint(t, "CURRANTFERRY_SEED", 1), envUint(t, "CURRANTFERRY_ROUNDS", 20)
+	got := violations(t)
+	for seed := first; seed < first+rounds; seed++ {
+		f := chaos(t, seed, Config{})
+		bad := f.verify()
+		for _, v := range got() {
+			bad = append(bad, v.String())
+		}
+		if len(bad) > 0 {
+			t.Fatalf("seed %d: %q\nCURRANTFERRY_SEED=%d CURRANTFERRY_ROUNDS=1 go test ./once -run TestRandomHistories",
+				seed, bad, seed)
+		}
+		if f.hist.outs[outGranted] < 500 {
+			t.Errorf("seed %d: %d grants are too few to show anything: %v", seed, f.hist.outs[outGranted], f.hist.reasons)
+		}
+		if testing.Verbose() {
+			epochs := uint64(0)
+			for _, r := range f.store.entries {
+				epochs += r.Epoch
+			}
+			t.Logf("seed %d: %d grants, refusals %v, epochs %d, store reads %d writes %d", seed, f.hist.outs[outGranted], f.hist.reasons, epochs, f.store.reads, f.store.writes)
+		}
+	}
+}
--- /dev/null
+++ b/once/sim_test.go
@@ -0,0 +1,509 @@
+package once
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// fleet runs machines in virtual time over a network, a store and a directory
+// that fail as told.
+type fleet struct {
+	t      testing.TB
+	rnd    *rand.Rand
+	now    time.Time
+	queue  eventQueue
+	num    int
+	nodes  []*node
+	byID   map[string]*node
+	cfg    Config
+	net    netFaults
+	store  simStore
+	hist   history
+	sent   map[Kind]int
+	failed []string
+}
+
+type netFaults struct {
+	loss, dup, late float64
+	cut             func(a, b *node) bool
+}
+
+type node struct {
+	f       *fleet
+	vm      VM
+	m       *Machine
+	up      bool
+	leaving bool
+	since   time.Time // of the last start or kill
+	paused  time.Time // until
+	backlog []func()
+	reqs    map[uint64]*request
+}
+
+type simStore struct {
+	entries map[int]Record
+	index   map[int]uint64
+	down    func(n *node) bool
+	loseAck float64 // probability that a reply is lost after the call took effect
+	slow    time.Duration
+	reads   int
+	writes  int
+}
+
+type event struct {
+	at  time.Time
+	num int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || (q[i].at.Equal(q[j].at) && q[i].num < q[j].num)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newFleet starts 3 regions of 2 data centres with 2 VMs each.
+func newFleet(t testing.TB, seed uint64, cfg Config) *fleet {
+	f := &fleet{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: simStart, cfg: cfg,
+		byID: make(map[string]*node), sent: make(map[Kind]int),
+	}
+	f.store.entries, f.store.index = make(map[int]Record), make(map[int]uint64)
+	for r := 0; r < 3; r++ {
+		for d := 0; d < 2; d++ {
+			for v := 0; v < 2; v++ {
+				n := &node{f: f, vm: VM{
+					Member:     Member{VM: fmt.Sprintf("vm-%d%d%d", r, d, v)},
+					DataCentre: fmt.Sprintf("dc-%d%d", r, d), Region: fmt.Sprintf("region-%d", r), State: VMServing,
+				}}
+				f.nodes = append(f.nodes, n)
+				f.byID[n.vm.VM] = n
+			}
+		}
+	}
+	for _, n := range f.nodes {
+		n.start()
+	}
+	f.every(500*time.Millisecond, f.spreadDirectory)
+	return f
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.num++
+	heap.Push(&f.queue, event{f.now.Add(d), f.num, run})
+}
+
+func (f *fleet) every(d time.Duration, run func()) {
+	var again func()
+	again = func() { run(); f.after(d, again) }
+	f.after(0, again)
+}
+
+// run advances virtual time.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+func (n *node) start() {
+	n.vm.Incarnation++
+	n.up, n.leaving, n.since, n.backlog, n.paused = true, false, n.f.now, nil, time.Time{}
+	n.reqs = make(map[uint64]*request)
+	cfg := n.f.cfg
+	cfg.Self, cfg.DataCentre, cfg.Region = n.vm.Member, n.vm.DataCentre, n.vm.Region
+	n.m = New(n.f.now, cfg)
+	inc := n.vm.Incarnation
+	for p := 0; p < len(n.m.parts); p++ { // the initial load
+		if r, ok := n.f.store.entries[p]; ok && n.f.rnd.Float64() < 0.8 {
+			n.apply(n.m.Observe(n.f.now, r))
+		}
+	}
+	var tick func()
+	tick = func() {
+		if n.vm.Incarnation != inc || !n.up {
+			return
+		}
+		n.do(func() { n.apply(n.m.Tick(n.f.now)) })
+		n.f.after(25*time.Millisecond, tick)
+	}
+	n.f.after(time.Duration(n.f.rnd.IntN(25))*time.Millisecond, tick)
+}
+
+func (n *node) kill() {
+	if n.up {
+		n.up, n.since, n.backlog = false, n.f.now, nil
+	}
+}
+
+func (n *node) pause(d time.Duration) {
+	if !n.up {
+		return
+	}
+	n.paused = n.f.now.Add(d)
+	inc := n.vm.Incarnation
+	n.f.after(d, func() {
+		if !n.up || n.vm.Incarnation != inc || n.f.now.Before(n.paused) {
+			return
+		}
+		todo := n.backlog
+		n.backlog = nil
+		for _, f := range todo {
+			f()
+		}
+	})
+}
+
+// do runs an event of the node's present incarnation, after its pause if any.
+func (n *node) do(run func()) {
+	if !n.up {
+		return
+	}
+	if n.f.now.Before(n.paused) {
+		if len(n.backlog) < 5000 {
+			n.backlog = append(n.backlog, run)
+		}
+		return
+	}
+	run()
+}
+
+// doAs schedules an event that is dropped if the node restarts before.
+func (n *node) doAs(d time.Duration, run func()) {
+	inc := n.vm.Incarnation
+	n.f.after(d, func() {
+		if n.vm.Incarnation == inc {
+			n.do(run)
+		}
+	})
+}
+
+func (n *node) apply(e Effects) {
+	for i := range e.Sends {
+		n.f.deliver(n, e.Sends[i].To, e.Sends[i].Message)
+	}
+	for _, p := range e.Reads {
+		n.f.read(n, p)
+	}
+	for _, s := range e.Swaps {
+		n.f.swap(n, s)
+	}
+	for _, a := range e.Answers {
+		n.f.answered(n, a)
+	}
+	for _, seq := range e.Settled {
+		n.f.settled(n, seq)
+	}
+}
+
+func (f *fleet) latency(a, b *node) time.Duration {
+	d := 300 * time.Microsecond
+	switch {
+	case a.vm.Region != b.vm.Region:
+		d = 55 * time.Millisecond
+	case a.vm.DataCentre != b.vm.DataCentre:
+		d = time.Millisecond
+	}
+	return d + time.Duration(f.rnd.Int64N(int64(d)/10+1))
+}
+
+func (f *fleet) deliver(from *node, to string, msg Message) {
+	f.sent[msg.Kind]++
+	dst := f.byID[to]
+	copies := 1
+	if f.rnd.Float64() < f.net.dup {
+		copies = 2
+	}
+	for ; copies > 0; copies-- {
+		if dst == nil || f.rnd.Float64() < f.net.loss || (f.net.cut != nil && f.net.cut(from, dst)) {
+			continue
+		}
+		d := f.latency(from, dst)
+		if f.rnd.Float64() < f.net.late {
+			d += time.Duration(f.rnd.Int64N(int64(4 * time.Second)))
+		}
+		m := msg
+		f.after(d, func() {
+			dst.do(func() { dst.apply(dst.m.Step(f.now, from.vm.VM, &m)) })
+		})
+	}
+}
+
+func (f *fleet) storeDelay() time.Duration {
+	return f.store.slow + time.Duration(2+f.rnd.IntN(110))*time.Millisecond/2
+}
+
+func (f *fleet) read(n *node, p int) {
+	f.store.reads++
+	down := f.store.down != nil && f.store.down(n)
+	lost := f.rnd.Float64() < f.store.loseAck
+	f.after(f.storeDelay(), func() {
+		r, ok := f.store.entries[p]
+		idx := f.store.index[p]
+		d := f.storeDelay()
+		if down || lost {
+			d = 3 * time.Second
+		}
+		n.doAs(d, func() { n.apply(n.m.StoreRead(f.now, p, r, idx, ok, !down && !lost)) })
+	})
+}
+
+func (f *fleet) swap(n *node, s Swap) {
+	f.store.writes++
+	down := f.store.down != nil && f.store.down(n)
+	lost := f.rnd.Float64() < f.store.loseAck
+	d := f.storeDelay()
+	if lost && f.rnd.IntN(2) == 0 {
+		d += time.Duration(f.rnd.IntN(6000)) * time.Millisecond // takes effect after the caller gave up
+	}
+	res := SwapConflict
+	f.after(d, func() {
+		if down {
+			return
+		}
+		p := s.Record.Partition
+		if f.store.index[p] == s.Index {
+			res = SwapDone
+			f.store.index[p]++
+			f.store.entries[p] = s.Record
+		}
+	})
+	if down || lost {
+		n.doAs(3*time.Second, func() { n.apply(n.m.StoreSwapped(f.now, s.Record, SwapUnknown)) })
+		return
+	}
+	n.doAs(d+f.storeDelay(), func() { n.apply(n.m.StoreSwapped(f.now, s.Record, res)) })
+}
+
+// spreadDirectory tells every VM about the fleet, with the delays of membership.
+func (f *fleet) spreadDirectory() {
+	for _, n := range f.nodes {
+		if !n.up {
+			continue
+		}
+		dir := Directory{Complete: f.now.Sub(simStart) > time.Second}
+		for _, o := range f.nodes {
+			v, age := o.vm, f.now.Sub(o.since)
+			silent := !o.up || f.now.Before(o.paused) || (f.net.cut != nil && f.net.cut(o, n))
+			switch {
+			case !o.up && age > 6*time.Second:
+				v.State = VMGone
+			case silent && age > 3*time.Second:
+				v.State = VMSuspected
+			case o.up && o.leaving:
+				v.State = VMLeaving
+			}
+			if o.up && age < time.Second && o.vm.Incarnation > 1 {
+				v.Incarnation-- // the new incarnation is not known yet
+			}
+			dir.VMs = append(dir.VMs, v)
+		}
+		n.do(func() { n.apply(n.m.SetDirectory(f.now, dir)) })
+	}
+}
+
+// request is a local request with its place in the history.
+type request struct {
+	key     Key
+	id      int
+	op      int
+	granted func()
+	release int
+}
+
+type opKind uint8
+
+const (
+	opClaim opKind = iota
+	opRelease
+	opDone
+)
+
+type opIn struct {
+	kind opKind
+	key  Key
+	id   int
+}
+
+type opOut uint8
+
+const (
+	outUnknown opOut = iota
+	outGranted
+	outInProgress
+	outDone
+	outRefused
+)
+
+// history holds the operations for the linearizability check and, apart from
+// it, the runs of each key.
+type history struct {
+	ops  []porcupine.Operation
+	runs map[Key]int
+	outs map[opOut]int
+	// reasons counts the refusals.
+	reasons map[verdict.Reason]int
+	ids     int
+	// unavailable is the time of the last refusal because no owner answered.
+	unavailable time.Time
+}
+
+// keyState is the model's state of a key: 0 free, -1 done, otherwise the request
+// that holds it.
+var model = porcupine.Model{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[Key][]porcupine.Operation)
+		for _, o := range ops {
+			k := o.Input.(opIn).key
+			byKey[k] = append(byKey[k], o)
+		}
+		out := make([][]porcupine.Operation, 0, len(byKey))
+		for _, o := range byKey {
+			out = append(out, o)
+		}
+		return out
+	},
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		s, in := state.(int), input.(opIn)
+		switch in.kind {
+		case opRelease:
+			return s == in.id, 0
+		case opDone:
+			return s == in.id, -1
+		}
+		switch output.(opOut) {
+		case outGranted:
+			return s == 0, in.id
+		case outDone:
+			return s == -1, s
+		default:
+			return true, s
+		}
+	},
+	Equal: func(a, b any) bool { return a.(int) == b.(int) },
+}
+
+func (f *fleet) begin(in opIn) int {
+	f.hist.ops = append(f.hist.ops, porcupine.Operation{
+		Input: in, Output: outUnknown, Call: f.now.UnixNano(), Return: 1 << 62,
+	})
+	return len(f.hist.ops) - 1
+}
+
+func (f *fleet) finish(op int, out opOut) {
+	o := &f.hist.ops[op]
+	if o.Return != 1<<62 {
+		f.failed = append(f.failed, fmt.Sprintf("request %v is answered twice", o.Input))
+	}
+	o.Output, o.Return = out, f.now.UnixNano()
+}
+
+// claim starts a local request; granted is called if it is granted.
+func (f *fleet) claim(n *node, key Key, granted func(*node, uint64)) {
+	f.hist.ids++
+	q := &request{key: key, id: f.hist.ids, release: -1}
+	q.op = f.begin(opIn{opClaim, key, q.id})
+	seq, eff := n.m.Claim(f.now, key, 1)
+	q.granted = func() { granted(n, seq) }
+	n.reqs[seq] = q
+	n.apply(eff)
+}
+
+func (f *fleet) answered(n *node, a Answer) {
+	q := n.reqs[a.Seq]
+	out := outRefused
+	switch {
+	case a.Err == nil:
+		out = outGranted
+	case a.Err.Reason == verdict.ReasonKeyInProgress:
+		out = outInProgress
+	case a.Err.Reason == verdict.ReasonKeyDone:
+		out = outDone
+	case a.Err.Reason == verdict.ReasonKeyUnavailable:
+		f.hist.unavailable = f.now
+	}
+	if f.hist.outs == nil {
+		f.hist.outs, f.hist.runs = make(map[opOut]int), make(map[Key]int)
+		f.hist.reasons = make(map[verdict.Reason]int)
+	}
+	f.hist.outs[out]++
+	if a.Err != nil {
+		f.hist.reasons[a.Err.Reason]++
+	}
+	f.finish(q.op, out)
+	if out == outGranted {
+		q.granted()
+	}
+}
+
+func (f *fleet) settled(n *node, seq uint64) {
+	if q := n.reqs[seq]; q != nil && q.release >= 0 {
+		f.finish(q.release, outUnknown)
+	}
+}
+
+// work is what a request does with its grant: it runs and completes, runs with
+// unknown outcome, or is released unrun.
+func (f *fleet) work(n *node, seq uint64) {
+	q := n.reqs[seq]
+	switch x := f.rnd.IntN(10); {
+	case x < 3:
+		n.doAs(time.Duration(f.rnd.IntN(20))*time.Millisecond, func() {
+			q.release = f.begin(opIn{opRelease, q.key, q.id})
+			n.apply(n.m.Release(f.now, seq))
+		})
+	case x < 4:
+		f.hist.runs[q.key]++
+		n.doAs(100*time.Millisecond, func() { n.apply(n.m.Forget(f.now, seq)) })
+	default:
+		f.hist.runs[q.key]++
+		n.doAs(time.Duration(20+f.rnd.IntN(300))*time.Millisecond, func() {
+			q.release = f.begin(opIn{opDone, q.key, q.id})
+			n.apply(n.m.Done(f.now, seq, 200))
+		})
+	}
+}
+
+// verify returns what is wrong with the history.
+func (f *fleet) verify() []string {
+	out := f.failed
+	for k, n := range f.hist.runs {
+		if n > 1 {
+			out = append(out, fmt.Sprintf("key %s ran %d times", k, n))
+		}
+	}
+	var ops []porcupine.Operation
+	for _, o := range f.hist.ops {
+		// A claim without an answer was not used, whatever the owner thinks.
+		if o.Input.(opIn).kind != opClaim || o.Output.(opOut) != outUnknown {
+			ops = append(ops, o)
+		}
+	}
+	if res := porcupine.CheckOperationsTimeout(model, ops, time.Minute); res != porcupine.Ok {
+		out = append(out, fmt.Sprintf("history check: %s", res))
+	}
+	return out
+}
