Add a virtual-time model of upstream instances

Cause: the policy benchmarks need a group of instances with slots, queues, slow spells and late load reports, without network or wall-clock time. Change: internal/fakeupstream, which drives any policy through Pick, Done, Tick, Report and Instances, and records latencies, extra requests, last new work and overload.

--- /dev/null
+++ b/internal/fakeupstream/fakeupstream.go
@@ -0,0 +1,659 @@
+// Package fakeupstream is a discrete-event model, in virtual time, of one group
+// of upstream instances and of the entry VMs that send to it. It drives any
+// policy through Policy and records latencies, extra requests and overload. It
+// has no network, node or cluster in it.
+package fakeupstream
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Epoch is the time at which every run starts.
+var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Class is the kind of work of a request.
+type Class uint8
+
+// Classes of work.
+const (
+	Short Class = iota
+	Long
+)
+
+// Request is one request of a caller. A policy must not read the fields below
+// Deadline.
+type Request struct {
+	ID         uint64
+	Entry      int // the entry VM that received it
+	Class      Class
+	Idempotent bool
+	Arrival    time.Time // at the entry VM
+	Deadline   time.Time // zero means none
+
+	Work    time.Duration // service time on a healthy instance
+	Crashes bool          // crashes the instance that starts it
+	Resend  int           // for the use of the test
+
+	starts int
+	ended  bool
+	held   bool
+	live   []*attempt
+}
+
+// Start tells the driver to send a request to an instance. More than one start of a request is a hedge or a retry
+// and counts as an extra request.
+type Start struct {
+	Request  *Request
+	Instance int
+}
+
+// Values of Start.Instance that send nothing.
+const (
+	Refuse = -1 // ends the request
+	Hold   = -2 // keeps a request whose attempt failed, to start it later
+)
+
+// Result is how an attempt ended.
+type Result uint8
+
+// Results of an attempt. Refused and ConnectFailed did not run; Lost may have.
+const (
+	OK Result = iota
+	Refused
+	ConnectFailed
+	Lost
+	Cancelled // overtaken by another attempt, or the deadline passed
+)
+
+// InstanceState is what the entry VMs are told about an instance.
+type InstanceState struct {
+	Slots, MaxConnections int
+	Draining              bool
+	Started               time.Time // for the cold-start ramp
+}
+
+// Load is a load report of an instance.
+type Load struct {
+	At              time.Time // when it was measured
+	Running, Queued int
+	Service         time.Duration // mean of the last second, zero if none
+}
+
+// Policy decides for one entry VM. Every method returns the work to start now; a
+// request that Pick doesn't start is held by the policy until a later call.
+type Policy interface {
+	Pick(now time.Time, r *Request) []Start
+	Done(now time.Time, instance int, r *Request, res Result) []Start
+	Tick(now time.Time) []Start
+	Report(now time.Time, instance int, l Load)
+	Instances(now time.Time, s []InstanceState)
+}
+
+// Config describes a run. Zero values mean the defaults given.
+type Config struct {
+	Seed         uint64
+	Entries      int           // entry VMs, default 12
+	Instances    int           // required
+	Slots        int           // per instance, required
+	Connections  int           // per instance, default 400
+	Mean         time.Duration // mean service time of short work, default 20 ms
+	LongPercent  float64       // part of the requests that is long
+	LongFactor   float64       // mean of long over short work, default 30
+	ShortOnly    bool          // drops the long requests and keeps the short ones
+	ReadPercent  float64       // part that is idempotent, default 80; negative means none
+	Load         float64       // offered work over all slots, both classes
+	Timeout      time.Duration // deadline after arrival, zero means none
+	ClientOneWay time.Duration // caller to entry VM
+	OneWay       time.Duration // between the two data centres of the region
+	ReportEvery  time.Duration // default 1 s
+	ReportDelay  time.Duration // default 5 s
+	NoticeDelay  time.Duration // until entry VMs learn a change of state, default 1 s
+	TickEvery    time.Duration // default 1 ms
+	SlowPercent  float64       // instances in a slow spell at any time
+	SlowFactor   float64       // default 10
+	SlowFor      time.Duration // length of a spell, default 2 s
+	ColdFactor   float64       // service time right after a start, default 3
+	ColdFor      time.Duration // default 10 s
+	RestartAfter time.Duration // down time after a crash, default 5 s
+	Warmup       time.Duration // not recorded, default 5 s
+	Length       time.Duration // recorded, default 20 s
+}
+
+func (c *Config) defaults() {
+	set(&c.Entries, 12)
+	set(&c.Connections, 400)
+	set(&c.Mean, 20*time.Millisecond)
+	set(&c.LongFactor, 30)
+	set(&c.ReadPercent, 80)
+	set(&c.ReportEvery, time.Second)
+	set(&c.ReportDelay, 5*time.Second)
+	set(&c.NoticeDelay, time.Second)
+	set(&c.TickEvery, time.Millisecond)
+	set(&c.SlowFactor, 10)
+	set(&c.SlowFor, 2*time.Second)
+	set(&c.ColdFactor, 3)
+	set(&c.ColdFor, 10*time.Second)
+	set(&c.RestartAfter, 5*time.Second)
+	set(&c.Warmup, 5*time.Second)
+	set(&c.Length, 20*time.Second)
+}
+
+func set[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// Deployment returns the sizes and latencies of a deployment's service, or false.
+// The service time of 200 ms is that of keyed requests in docs/design.md, 2.5.
+func Deployment(name, service string) (Config, bool) {
+	c := Config{ClientOneWay: time.Millisecond, OneWay: time.Millisecond}
+	if name == "abtropf" {
+		c.ClientOneWay, c.OneWay = 3*time.Millisecond, 500*time.Microsecond
+	}
+	switch name + "/" + service {
+	case "rolregister/proefbank":
+		c.Instances, c.Slots = 32, 9
+	case "rolregister/rolinname":
+		c.Instances, c.Slots, c.Mean = 12, 3, 200*time.Millisecond
+	case "abtropf/kundenportal":
+		c.Instances, c.Slots = 28, 9
+	case "abtropf/werkstatt-dienst":
+		c.Instances, c.Slots, c.Mean = 12, 4, 200*time.Millisecond
+	default:
+		return Config{}, false
+	}
+	return c, true
+}
+
+// Stats is what a run recorded. Requests that arrived in the warm-up count only
+// in LastNew.
+type Stats struct {
+	Latency         [2][]time.Duration // as the caller sees it, by class, sorted
+	Requests        int
+	Extra           int // hedges and retries
+	Refused, Failed int // requests that ended without an answer
+	Missed          int // requests cancelled at their deadline
+	CutOff          int // running requests ended by a stop of their instance
+	Crashes         int
+	LastNew         []time.Time // per instance, when the last new work was sent
+	LastDone        []time.Time // per instance, when the last work finished
+	// OverloadSlotSeconds is the time that requests waited in the queues of
+	// instances, summed over all of them.
+	OverloadSlotSeconds float64
+}
+
+// Percentile returns the latency below which the fraction p of a class lies.
+func (s *Stats) Percentile(c Class, p float64) time.Duration {
+	l := s.Latency[c]
+	if len(l) == 0 {
+		return 0
+	}
+	return l[min(len(l)-1, int(p*float64(len(l))))]
+}
+
+// ExtraPercent returns extra requests as a percentage of requests.
+func (s *Stats) ExtraPercent() float64 {
+	return 100 * float64(s.Extra) / float64(max(1, s.Requests))
+}
+
+type instance struct {
+	state          InstanceState
+	rate           float64 // factor on service times, 1 when healthy
+	slowUntil      time.Time
+	refuseUntil    time.Time
+	down           bool
+	running, queue []*attempt
+	servedSum      time.Duration // running time of what finished since the last report
+	served         int
+}
+
+type attempt struct {
+	r        *Request
+	instance int
+	left     time.Duration // work left at rate 1
+	since    time.Time     // when left was computed
+	received time.Time     // start of the wait in the queue, then of the run
+	gen      int           // invalidates scheduled completions
+	over     bool
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if c := e[i].at.Compare(e[j].at); c != 0 {
+		return c < 0
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return x
+}
+
+// Group is one run.
+type Group struct {
+	Stats Stats
+	// OnEnd is called when a request ends, with the time at the entry VM. It may
+	// Submit further requests.
+	OnEnd func(now time.Time, r *Request, res Result)
+	// OnStart is called for every attempt that is sent.
+	OnStart func(now time.Time, r *Request, instance int)
+
+	cfg       Config
+	now       time.Time
+	seq, ids  uint64
+	events    events
+	instances []instance
+	policies  []Policy
+	arrivals  *rand.Rand
+	spells    *rand.Rand
+}
+
+// New returns a run over policies built by newPolicy, one for each entry VM.
+func New(cfg Config, newPolicy func(entry int) Policy) *Group {
+	cfg.defaults()
+	g := &Group{
+		cfg: cfg, now: Epoch,
+		arrivals:  rand.New(rand.NewPCG(cfg.Seed, 1)),
+		spells:    rand.New(rand.NewPCG(cfg.Seed, 2)),
+		instances: make([]instance, cfg.Instances),
+	}
+	g.Stats.LastNew = make([]time.Time, cfg.Instances)
+	g.Stats.LastDone = make([]time.Time, cfg.Instances)
+	for i := range g.instances {
+		g.instances[i].rate = 1
+		g.instances[i].state = InstanceState{Slots: cfg.Slots, MaxConnections: cfg.Connections}
+	}
+	for e := range cfg.Entries {
+		g.policies = append(g.policies, newPolicy(e))
+		g.policies[e].Instances(g.now, g.states())
+	}
+	return g
+}
+
+// Now returns the virtual time.
+func (g *Group) Now() time.Time { return g.now }
+
+// At schedules fn at a time after Epoch.
+func (g *Group) At(after time.Duration, fn func()) { g.schedule(Epoch.Add(after), fn) }
+
+func (g *Group) schedule(at time.Time, fn func()) {
+	g.seq++
+	heap.Push(&g.events, event{at, g.seq, fn})
+}
+
+// Run runs to the end of the recorded time, and up to a minute further until
+// all requests have ended.
+func (g *Group) Run() *Stats {
+	end := Epoch.Add(g.cfg.Warmup + g.cfg.Length)
+	if g.cfg.Load > 0 {
+		g.nextArrival(end)
+	}
+	g.every(g.cfg.TickEvery, end.Add(time.Minute), func() {
+		for e, p := range g.policies {
+			g.start(e, p.Tick(g.now))
+		}
+	})
+	g.every(g.cfg.ReportEvery, end, g.report)
+	if g.cfg.SlowPercent > 0 {
+		g.spell()
+		g.every(g.cfg.SlowFor, end, g.spell)
+	}
+	for len(g.events) > 0 {
+		ev := heap.Pop(&g.events).(event)
+		if g.now = ev.at; g.now.After(end.Add(time.Minute)) {
+			break
+		}
+		ev.fn()
+	}
+	for c := range g.Stats.Latency {
+		slices.Sort(g.Stats.Latency[c])
+	}
+	return &g.Stats
+}
+
+func (g *Group) every(d time.Duration, end time.Time, fn func()) {
+	if at := g.now.Add(d); at.Before(end) {
+		g.schedule(at, func() { fn(); g.every(d, end, fn) })
+	}
+}
+
+// nextArrival draws every property of a request, whether or not it is used, so
+// that all policies see the same requests.
+func (g *Group) nextArrival(end time.Time) {
+	c := &g.cfg
+	meanWork := float64(c.Mean) * (1 + c.LongPercent/100*(c.LongFactor-1))
+	gap := time.Duration(g.arrivals.ExpFloat64() * meanWork / (c.Load * float64(c.Instances*c.Slots)))
+	at := g.now.Add(gap)
+	entry, class := g.arrivals.IntN(c.Entries), Short
+	work := g.arrivals.ExpFloat64() * float64(c.Mean)
+	if g.arrivals.Float64()*100 < c.LongPercent {
+		class, work = Long, work*c.LongFactor
+	}
+	read := g.arrivals.Float64()*100 < c.ReadPercent
+	if at.After(end) {
+		return
+	}
+	g.schedule(at, func() {
+		if class == Short || !c.ShortOnly {
+			g.Submit(&Request{Entry: entry, Class: class, Idempotent: read, Work: time.Duration(work)})
+		}
+		g.nextArrival(end)
+	})
+}
+
+// Submit hands a request to its entry VM now. It sets ID, Arrival and, unless it
+// is set, Deadline.
+func (g *Group) Submit(r *Request) {
+	g.ids++
+	r.ID, r.Arrival = g.ids, g.now
+	if g.cfg.Timeout > 0 && r.Deadline.IsZero() {
+		r.Deadline = g.now.Add(g.cfg.Timeout)
+	}
+	if !r.Deadline.IsZero() {
+		g.schedule(r.Deadline, func() { g.end(r, Cancelled) })
+	}
+	if g.recorded(r) {
+		g.Stats.Requests++
+	}
+	g.start(r.Entry, g.policies[r.Entry].Pick(g.now, r))
+}
+
+func (g *Group) recorded(r *Request) bool { return !r.Arrival.Before(Epoch.Add(g.cfg.Warmup)) }
+
+func (g *Group) start(entry int, starts []Start) {
+	// The slice may belong to the policy, which a refusal can call again.
+	for _, s := range slices.Clone(starts) {
+		r := s.Request
+		switch {
+		case s.Instance == Hold:
+			r.held = true
+			continue
+		case s.Instance < 0:
+			g.end(r, Refused)
+			continue
+		case r.ended:
+			g.start(entry, g.policies[entry].Done(g.now, s.Instance, r, Cancelled))
+			continue
+		}
+		r.held = false
+		r.starts++
+		if r.starts > 1 && g.recorded(r) {
+			g.Stats.Extra++
+		}
+		a := &attempt{r: r, instance: s.Instance, left: r.Work}
+		r.live = append(r.live, a)
+		g.Stats.LastNew[s.Instance] = g.now
+		if g.OnStart != nil {
+			g.OnStart(g.now, r, s.Instance)
+		}
+		g.schedule(g.now.Add(g.oneWay(entry, s.Instance)), func() { g.receive(a) })
+	}
+}
+
+// oneWay is the latency between an entry VM and an instance. Both alternate
+// between the two data centres of the region.
+func (g *Group) oneWay(entry, i int) time.Duration {
+	if entry%2 == i%2 {
+		return 100 * time.Microsecond
+	}
+	return g.cfg.OneWay
+}
+
+func (g *Group) receive(a *attempt) {
+	in := &g.instances[a.instance]
+	switch {
+	case a.over:
+	case in.down:
+		g.reply(a, ConnectFailed)
+	case g.now.Before(in.refuseUntil):
+		g.reply(a, Refused)
+	case len(in.running)+len(in.queue) >= in.state.MaxConnections:
+		g.reply(a, ConnectFailed)
+	case len(in.running) < in.state.Slots:
+		g.run(a)
+	default:
+		a.received = g.now
+		in.queue = append(in.queue, a)
+	}
+}
+
+func (g *Group) run(a *attempt) {
+	in := &g.instances[a.instance]
+	if a.r.Crashes {
+		in.running = append(in.running, a)
+		g.Crash(a.instance)
+		return
+	}
+	if age := g.now.Sub(in.state.Started); !in.state.Started.IsZero() && age < g.cfg.ColdFor {
+		warm := float64(age) / float64(g.cfg.ColdFor)
+		a.left = time.Duration(float64(a.left) * (g.cfg.ColdFactor - (g.cfg.ColdFactor-1)*warm))
+	}
+	a.since, a.received = g.now, g.now
+	in.running = append(in.running, a)
+	g.complete(a)
+}
+
+func (g *Group) complete(a *attempt) {
+	a.gen++
+	gen, in := a.gen, &g.instances[a.instance]
+	g.schedule(g.now.Add(time.Duration(float64(a.left)*in.rate)), func() {
+		if a.over || a.gen != gen {
+			return
+		}
+		g.leave(a)
+		in.servedSum += g.now.Sub(a.received)
+		in.served++
+		g.Stats.LastDone[a.instance] = g.now
+		g.reply(a, OK)
+	})
+}
+
+// leave frees what an attempt holds on its instance.
+func (g *Group) leave(a *attempt) {
+	a.over = true
+	in := &g.instances[a.instance]
+	if i := slices.Index(in.queue, a); i >= 0 {
+		g.waited(a)
+		in.queue = slices.Delete(in.queue, i, i+1)
+	}
+	if i := slices.Index(in.running, a); i >= 0 {
+		in.running = slices.Delete(in.running, i, i+1)
+	}
+	for !in.down && len(in.queue) > 0 && len(in.running) < in.state.Slots {
+		next := in.queue[0]
+		in.queue = in.queue[1:]
+		g.waited(next)
+		g.run(next)
+	}
+}
+
+func (g *Group) waited(a *attempt) {
+	if g.recorded(a.r) {
+		g.Stats.OverloadSlotSeconds += g.now.Sub(a.received).Seconds()
+	}
+}
+
+// reply carries the end of an attempt back to its entry VM.
+func (g *Group) reply(a *attempt, res Result) {
+	a.over = true
+	g.schedule(g.now.Add(g.oneWay(a.r.Entry, a.instance)), func() {
+		r := a.r
+		i := slices.Index(r.live, a)
+		if i < 0 {
+			return // cancelled meanwhile
+		}
+		r.live = slices.Delete(r.live, i, i+1)
+		if res == OK {
+			g.end(r, OK)
+		}
+		g.start(r.Entry, g.policies[r.Entry].Done(g.now, a.instance, r, res))
+		// A policy that neither started nor held another attempt has given up.
+		if res != OK && len(r.live) == 0 && !r.held {
+			g.end(r, res)
+		}
+	})
+}
+
+// end ends a request and cancels the attempts that are left.
+func (g *Group) end(r *Request, res Result) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if g.recorded(r) {
+		switch res {
+		case OK:
+			l := g.now.Sub(r.Arrival) + 2*g.cfg.ClientOneWay
+			g.Stats.Latency[r.Class] = append(g.Stats.Latency[r.Class], l)
+		case Refused:
+			g.Stats.Refused++
+		case Cancelled:
+			g.Stats.Missed++
+		default:
+			g.Stats.Failed++
+		}
+	}
+	live := r.live
+	r.live = nil
+	for _, a := range live {
+		g.schedule(g.now.Add(g.oneWay(r.Entry, a.instance)), func() {
+			if !a.over {
+				g.leave(a)
+			}
+		})
+		g.start(r.Entry, g.policies[r.Entry].Done(g.now, a.instance, r, Cancelled))
+	}
+	if g.OnEnd != nil {
+		g.OnEnd(g.now, r, res)
+	}
+}
+
+func (g *Group) report() {
+	at := g.now
+	for i := range g.instances {
+		in := &g.instances[i]
+		l := Load{At: at, Running: len(in.running), Queued: len(in.queue)}
+		if in.served > 0 {
+			l.Service = in.servedSum / time.Duration(in.served)
+		}
+		in.served, in.servedSum = 0, 0
+		g.schedule(at.Add(g.cfg.ReportDelay), func() {
+			for _, p := range g.policies {
+				p.Report(g.now, i, l)
+			}
+		})
+	}
+}
+
+// spell moves the slow spells to another draw of instances.
+func (g *Group) spell() {
+	n := int(float64(len(g.instances))*g.cfg.SlowPercent/100 + 0.5)
+	for _, i := range g.spells.Perm(len(g.instances))[:n] {
+		g.Slow(i, g.cfg.SlowFactor, g.cfg.SlowFor)
+	}
+}
+
+// Slow multiplies the service times of an instance, running work included.
+func (g *Group) Slow(i int, factor float64, d time.Duration) {
+	in := &g.instances[i]
+	in.slowUntil = g.now.Add(d)
+	g.setRate(in, factor)
+	g.schedule(in.slowUntil, func() {
+		if !g.now.Before(in.slowUntil) {
+			g.setRate(in, 1)
+		}
+	})
+}
+
+func (g *Group) setRate(in *instance, rate float64) {
+	old := in.rate
+	in.rate = rate
+	for _, a := range in.running {
+		a.left = max(0, a.left-time.Duration(float64(g.now.Sub(a.since))/old))
+		a.since = g.now
+		g.complete(a)
+	}
+}
+
+// RefuseFor makes an instance refuse all new work, unrun.
+func (g *Group) RefuseFor(i int, d time.Duration) { g.instances[i].refuseUntil = g.now.Add(d) }
+
+// Drain tells the entry VMs that an instance takes no new work. Work in flight
+// finishes.
+func (g *Group) Drain(i int) {
+	g.instances[i].state.Draining = true
+	g.notify()
+}
+
+// CancelDrain returns a drained instance, with cold caches.
+func (g *Group) CancelDrain(i int) {
+	g.instances[i].state.Draining = false
+	g.instances[i].state.Started = g.now
+	g.notify()
+}
+
+// Stop ends an instance. Work on it is lost and counts as cut off.
+func (g *Group) Stop(i int) {
+	in := &g.instances[i]
+	in.down = true
+	g.Stats.CutOff += len(in.running) + len(in.queue)
+	work := slices.Concat(in.running, in.queue)
+	in.running, in.queue = nil, nil
+	for _, a := range work {
+		g.reply(a, Lost)
+	}
+}
+
+// Restart starts a stopped instance, cold.
+func (g *Group) Restart(i int) {
+	g.instances[i].down = false
+	g.instances[i].state.Started = g.now
+	g.notify()
+}
+
+// Crash stops an instance and restarts it after Config.RestartAfter.
+func (g *Group) Crash(i int) {
+	g.Stats.Crashes++
+	g.Stop(i)
+	g.schedule(g.now.Add(g.cfg.RestartAfter), func() { g.Restart(i) })
+}
+
+// InFlight returns the running and queued requests of an instance.
+func (g *Group) InFlight(i int) (running, queued int) {
+	return len(g.instances[i].running), len(g.instances[i].queue)
+}
+
+func (g *Group) states() []InstanceState {
+	s := make([]InstanceState, len(g.instances))
+	for i := range g.instances {
+		s[i] = g.instances[i].state
+	}
+	return s
+}
+
+func (g *Group) notify() {
+	s := g.states()
+	g.schedule(g.now.Add(g.cfg.NoticeDelay), func() {
+		for _, p := range g.policies {
+			p.Instances(g.now, s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fakeupstream/fakeupstream_test.go
@@ -0,0 +1,79 @@
+package fakeupstream
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+type randomPolicy struct {
+	r *rand.Rand
+	n int
+	c *int
+}
+
+func (p *randomPolicy) Pick(_ time.Time, r *Request) []Start {
+	*p.c++
+	return []Start{{r, p.r.IntN(p.n)}}
+}
+
+func (p *randomPolicy) Done(time.Time, int, *Request, Result) []Start {
+	*p.c--
+	return nil
+}
+func (*randomPolicy) Tick(time.Time) []Start               { return nil }
+func (*randomPolicy) Report(time.Time, int, Load)          {}
+func (*randomPolicy) Instances(time.Time, []InstanceState) {}
+
+// TestConservation guards against requests that the model loses or answers twice.
+func TestConservation(t *testing.T) {
+	cfg, ok := Deployment("rolregister", "proefbank")
+	if !ok {
+		t.Fatal("no such deployment")
+	}
+	cfg.Load, cfg.SlowPercent, cfg.LongPercent, cfg.Length = 0.7, 10, 5, 2*time.Second
+	cfg.Timeout, cfg.Seed = 3*time.Second, 1
+	open := 0
+	g := New(cfg, func(e int) Policy {
+		return &randomPolicy{r: rand.New(rand.NewPCG(1, uint64(e))), n: cfg.Instances, c: &open}
+	})
+	g.At(2*time.Second, func() { g.Crash(3) })
+	g.At(3*time.Second, func() { g.RefuseFor(4, time.Second) })
+	s := g.Run()
+	ended := len(s.Latency[Short]) + len(s.Latency[Long]) + s.Refused + s.Failed + s.Missed
+	if open != 0 || ended != s.Requests || s.Refused == 0 && s.Failed == 0 {
+		t.Fatalf("%d attempts open; %d of %d requests ended", open, ended, s.Requests)
+	}
+	again := New(cfg, func(e int) Policy {
+		return &randomPolicy{r: rand.New(rand.NewPCG(1, uint64(e))), n: cfg.Instances, c: &open}
+	})
+	again.At(2*time.Second, func() { again.Crash(3) })
+	again.At(3*time.Second, func() { again.RefuseFor(4, time.Second) })
+	if r := again.Run(); r.Percentile(Short, 0.99) != s.Percentile(Short, 0.99) || r.Requests != s.Requests {
+		t.Fatal("the same seed gave another run")
+	}
+}
+
+// TestLoad guards against a wrong arrival rate: the mean running work must match
+// the offered load.
+func TestLoad(t *testing.T) {
+	cfg, _ := Deployment("abtropf", "kundenportal")
+	cfg.Load, cfg.LongPercent, cfg.Length, cfg.Seed = 0.5, 5, 20*time.Second, 2
+	open, sum, n := 0, 0, 0
+	g := New(cfg, func(e int) Policy {
+		return &randomPolicy{r: rand.New(rand.NewPCG(1, uint64(e))), n: cfg.Instances, c: &open}
+	})
+	for at := 5 * time.Second; at < 25*time.Second; at += 50 * time.Millisecond {
+		g.At(at, func() {
+			for i := range cfg.Instances {
+				running, _ := g.InFlight(i)
+				sum += running
+				n += cfg.Slots
+			}
+		})
+	}
+	g.Run()
+	if load := float64(sum) / float64(n); load < 0.46 || load > 0.54 {
+		t.Fatalf("running load %.3f, want 0.5", load)
+	}
+}
