Add retry budgets and admission by deadline

Cause: retries must stay at 10 % of requests for each service and caller. Change: package budget with token buckets that have a floor for low rates, a bounded table of callers, deadline arithmetic and admission by median service time.

--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,136 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/invariant"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestRatio guards against retries beyond 10 % of the requests when everything
+// fails, by service and by caller.
+func TestRatio(t *testing.T) {
+	for _, perSecond := range []int{1, 10, 1000} {
+		r := NewRetry(Config{})
+		retries, requests := 0, 60*perSecond
+		for i := range requests {
+			now := start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+			r.Request(now, "press", fmt.Sprint(i%3))
+			for range 3 {
+				if r.Allow(now, "press", fmt.Sprint(i%3), verdict.NotRun) == nil {
+					retries++
+				}
+			}
+		}
+		// Each of the 6 intervals of 10 s may add the floor of one retry.
+		if most := requests/10 + 7; retries > most || retries < requests/10-3 {
+			t.Errorf("%d/s: %d retries of %d requests", perSecond, retries, requests)
+		}
+	}
+}
+
+// TestFloor guards against a service with few requests that can never retry.
+func TestFloor(t *testing.T) {
+	r := NewRetry(Config{})
+	for i := range 5 {
+		now := start.Add(time.Duration(i) * 15 * time.Second)
+		r.Request(now, "press", "c")
+		if err := r.Allow(now, "press", "c", verdict.NotRun); err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+		err := r.Allow(now, "press", "c", verdict.NotRun)
+		if err == nil || err.Verdict != verdict.NotRun || err.Reason != verdict.ReasonRetryBudget || err.RetryAfter <= 0 {
+			t.Errorf("request %d: second retry gives %v", i, err)
+		}
+	}
+}
+
+// TestOneCaller guards against a caller that uses up the budget of the others.
+func TestOneCaller(t *testing.T) {
+	r := NewRetry(Config{Callers: 10})
+	for i := range 1000 {
+		r.Request(start, "press", "good")
+		r.Request(start, "press", "bad")
+		if i >= 100 {
+			_ = r.Allow(start, "press", "bad", verdict.NotRun)
+		}
+	}
+	if err := r.Allow(start, "press", "good", verdict.NotRun); err != nil {
+		t.Error(err)
+	}
+	for i := range 100 {
+		r.Request(start, "press", fmt.Sprint(i))
+	}
+	if r.Callers() != 10 {
+		t.Errorf("%d callers are remembered", r.Callers())
+	}
+}
+
+// TestRetryWithinTrips guards against a check that never fails.
+func TestRetryWithinTrips(t *testing.T) {
+	hits := 0
+	defer invariant.OnViolation(func(v invariant.Violation) {
+		if v.Name == invariant.RetryWithin {
+			hits++
+		}
+	})()
+	r := NewRetry(Config{})
+	for range 20 {
+		r.Request(start, "press", "c")
+	}
+	r.SetRatio(0.05)
+	left := 0
+	for r.Allow(start, "press", "c", verdict.NotRun) == nil {
+		left++
+	}
+	if hits != 0 || left != 3 {
+		t.Fatal("the check fails within the budget")
+	}
+	r.services["press"].tokens, r.callers["c"].tokens = 1, 1 // a policy that gives tokens away
+	_ = r.Allow(start, "press", "c", verdict.NotRun)
+	if hits == 0 {
+		t.Error("the check holds beyond the budget")
+	}
+}
+
+// TestDeadline guards against requests that are passed on without enough time,
+// and against refusing those that have it.
+func TestDeadline(t *testing.T) {
+	if d := Shrink(start.Add(time.Second), start, 3*time.Second, 55*time.Millisecond, 40*time.Millisecond); d != 1850*time.Millisecond {
+		t.Errorf("timeout %v", d)
+	}
+	if d := Shrink(start.Add(3*time.Second), start, 3*time.Second, 0, 0); d != 0 {
+		t.Errorf("timeout %v after the deadline", d)
+	}
+	var s ServiceTime
+	if err := s.Admit(time.Millisecond, 0); err != nil {
+		t.Errorf("refused before anything was observed: %v", err)
+	}
+	for i := range 10000 {
+		s.Observe(time.Duration(i%100+1) * time.Millisecond)
+	}
+	if q := s.Quantile(0.5); q < 50*time.Millisecond || q > 60*time.Millisecond {
+		t.Errorf("median %v", q)
+	}
+	for _, c := range []struct {
+		remaining, wait time.Duration
+		reason          verdict.Reason
+	}{
+		{0, 0, verdict.ReasonDeadline},
+		{100 * time.Millisecond, 20 * time.Millisecond, ""},
+		{100 * time.Millisecond, 60 * time.Millisecond, verdict.ReasonDeadlineAhead},
+	} {
+		err := s.Admit(c.remaining, c.wait)
+		if (err == nil) != (c.reason == "") || err != nil && (err.Reason != c.reason || err.Verdict != verdict.NotRun) {
+			t.Errorf("remaining %v, wait %v: %v", c.remaining, c.wait, err)
+		}
+	}
+	s.Observe(time.Hour)
+	if q := s.Quantile(1); q != time.Hour {
+		t.Errorf("longest %v", q)
+	}
+}
