--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,128 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/invariant"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/rules"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func testTracker(drains ...rules.Drain) (*Tracker, *register.Register) {
+	reg := &register.Register{
+		Regions: []register.Region{{Name: "r", DataCentres: []register.DataCentre{{Name: "dc1"}, {Name: "dc2"}}}},
+		Services: []register.Service{{Name: "press", Instances: []register.Instance{
+			{ID: "i1", DataCentre: "dc1"}, {ID: "i2", DataCentre: "dc2"},
+		}}},
+	}
+	t := New(Config{})
+	t.Set(start, reg, &rules.Rules{Drains: drains})
+	return t, reg
+}
+
+// TestScopes guards against a drain that misses some of its targets, hits
+// others, or starts or ends at the wrong time.
+func TestScopes(t *testing.T) {
+	for _, c := range []struct {
+		kind           rules.TargetKind
+		target         string
+		i1, i2, vm, dc float64
+	}{
+		{rules.TargetInstance, "i1", 0, 1, 1, 1},
+		{rules.TargetDataCentre, "dc1", 0, 1, 0, 0},
+		{rules.TargetRegion, "r", 0, 0, 0, 0},
+		{rules.TargetVM, "vm", 1, 1, 0, 1},
+	} {
+		d := rules.Drain{ID: "d", Kind: c.kind, Target: c.target, Start: at(time.Minute), End: at(time.Hour)}
+		tr, _ := testTracker(d)
+		for _, now := range []time.Time{start, at(2 * time.Hour)} {
+			if tr.Instance(now, "i1") != 1 || tr.VM(now, "vm", "dc1") != 1 {
+				t.Errorf("%s: drained at %v", c.kind, now)
+			}
+		}
+		now := at(time.Minute)
+		if tr.Instance(now, "i1") != c.i1 || tr.Instance(now, "i2") != c.i2 ||
+			tr.VM(now, "vm", "dc1") != c.vm || tr.DataCentre(now, "dc1") != c.dc {
+			t.Errorf("%s: wrong targets", c.kind)
+		}
+	}
+	if tr, _ := testTracker(); tr.Instance(start, "unknown") != 0 {
+		t.Error("an unknown instance gets work")
+	}
+}
+
+// TestReturn guards against targets that get all of their work back at once
+// after the end or the cancellation of a drain, or before the last one ended.
+func TestReturn(t *testing.T) {
+	d := rules.Drain{ID: "d", Kind: rules.TargetInstance, Target: "i1", End: at(time.Hour)}
+	tr, reg := testTracker(d)
+	cancelled, _ := testTracker(d)
+	cancelled.Set(at(time.Hour), reg, &rules.Rules{})
+	for _, tr := range []*Tracker{tr, cancelled} {
+		for after, want := range map[time.Duration]float64{0: 0.1, 30 * time.Second: 0.5, 60 * time.Second: 1} {
+			if got := tr.Instance(at(time.Hour+after), "i1"); got != want {
+				t.Errorf("%v after the end: %g, want %g", after, got, want)
+			}
+		}
+	}
+	both, reg := testTracker(d, rules.Drain{ID: "e", Kind: rules.TargetInstance, Target: "i1"})
+	both.Set(at(time.Minute), reg, &rules.Rules{Drains: []rules.Drain{d}})
+	if both.Instance(at(time.Minute), "i1") != 0 {
+		t.Error("cancelling one of two drains returned the target")
+	}
+	planned, reg := testTracker(rules.Drain{ID: "d", Kind: rules.TargetInstance, Target: "i1", Start: at(time.Hour)})
+	planned.Set(at(time.Minute), reg, &rules.Rules{})
+	if planned.Instance(at(time.Minute), "i1") != 1 {
+		t.Error("a drain that never started causes a ramp")
+	}
+}
+
+// TestProgress guards against a drain that is reported as done with work in
+// flight, or that hangs unnoticed.
+func TestProgress(t *testing.T) {
+	tr, _ := testTracker(rules.Drain{ID: "d", Kind: rules.TargetDataCentre, Target: "dc1"})
+	if p := tr.Progress(start); len(p) != 1 || p[0].Known {
+		t.Fatalf("%+v", p)
+	}
+	for _, c := range []struct {
+		at      time.Duration
+		count   int
+		stuck   bool
+		drained bool
+	}{
+		{0, 5, false, false},
+		{30 * time.Second, 4, false, false},
+		{80 * time.Second, 4, false, false},
+		{90 * time.Second, 6, true, false},
+		{100 * time.Second, 0, false, true},
+	} {
+		tr.Observe(at(c.at), "d", c.count)
+		p := tr.Progress(at(c.at))[0]
+		if p.InFlight != c.count || p.Stuck != c.stuck || p.Drained.IsZero() == c.drained {
+			t.Errorf("at %v: %+v", c.at, p)
+		}
+	}
+	if got := tr.Covered("d"); len(got) != 1 || got[0] != "i1" {
+		t.Errorf("covered %v", got)
+	}
+}
+
+// TestNoNewAfterDrainTrips guards against a check that never fails, or that
+// fails before this VM could know of the drain.
+func TestNoNewAfterDrainTrips(t *testing.T) {
+	hits := 0
+	defer invariant.OnViolation(func(invariant.Violation) { hits++ })()
+	tr, _ := testTracker(rules.Drain{ID: "d", Kind: rules.TargetDataCentre, Target: "dc1", Start: start})
+	if !tr.Started(at(2*time.Second), start, "i1") || !tr.Started(at(time.Minute), start, "i2") ||
+		!tr.Started(at(time.Minute), at(59*time.Second), "i1") || hits != 0 {
+		t.Error("the check fails on allowed work")
+	}
+	if tr.Started(at(3*time.Second), start, "i1") || hits != 1 {
+		t.Error("the check holds on new work at a drained instance")
+	}
+}
