Add the guard against requests that crash upstreams

Cause: a crashing request that is resent must cost at most two instances. Change: package crashguard with mergeable notes, announced trials of suspects and a report.

--- /dev/null
+++ b/crashguard/crashguard_test.go
@@ -0,0 +1,296 @@
+package crashguard
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/invariant"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func request(name string) Request {
+	return Request{Fingerprint: OfKey("press", name), Service: "press", Text: "POST /print " + name}
+}
+
+// die runs a request, through a trial where one is needed, until its instance dies.
+func die(t *testing.T, g *Guard, now time.Time, r Request, instance string) time.Time {
+	t.Helper()
+	d := g.Begin(now, r, instance)
+	if d.Action == Wait {
+		g.Outbox(0)
+		now = d.Until
+		d = g.Begin(now, r, instance)
+	}
+	if d.Action != Start {
+		t.Fatalf("%s on %s: %+v", r.Text, instance, d)
+	}
+	g.End(now, d.Ticket, Died)
+	return now
+}
+
+// TestBlocked guards against a third instance lost to the same request, and
+// against a refusal that never ends.
+func TestBlocked(t *testing.T) {
+	g := New(Config{VM: "vm1"})
+	r := request("bad")
+	now := die(t, g, start, r, "i1")
+	if d := g.Begin(now, r, "i1"); d.Action != Other {
+		t.Errorf("a suspect on the same instance: %+v", d)
+	}
+	now = die(t, g, now, r, "i2")
+	d := g.Begin(now, r, "i3")
+	if d.Action != Refuse || d.Err.Verdict != verdict.NotRun || d.Err.RetryAfter != 10*time.Minute {
+		t.Errorf("after two deaths: %+v", d)
+	}
+	if rows := g.Report(now); len(rows) != 1 || !rows[0].Blocked || len(rows[0].Deaths) != 2 || rows[0].Text == "" {
+		t.Errorf("report %+v", rows)
+	}
+	if d := g.Begin(now.Add(10*time.Minute), r, "i3"); d.Action != Start {
+		t.Errorf("after the expiry: %+v", d)
+	}
+}
+
+// TestWaitsForBroadcast guards against a retry that starts before the other VMs
+// can know of it.
+func TestWaitsForBroadcast(t *testing.T) {
+	g := New(Config{VM: "vm1"})
+	r := request("bad")
+	die(t, g, start, r, "i1")
+	for _, now := range []time.Time{at(time.Second), at(2 * time.Second)} {
+		if d := g.Begin(now, r, "i2"); d.Action != Wait {
+			t.Fatalf("before the broadcast: %+v", d)
+		}
+	}
+	if n := g.Outbox(1); len(n) != 1 || len(n[0].Deaths) != 1 || len(n[0].Trials) != 1 {
+		t.Fatalf("outbox %+v", n)
+	}
+	if d := g.Begin(at(2*time.Second), r, "i3"); d.Action != Refuse {
+		t.Errorf("a second trial on the same VM: %+v", d)
+	}
+	if d := g.Begin(at(2*time.Second), r, "i2"); d.Action != Start {
+		t.Errorf("after the broadcast: %+v", d)
+	}
+}
+
+// TestInnocents guards against blocking requests that were only in flight on an
+// instance that another one crashed.
+func TestInnocents(t *testing.T) {
+	g := New(Config{VM: "vm1"})
+	names := []string{"good1", "bad", "good2"}
+	var tickets []Ticket
+	for _, n := range names {
+		tickets = append(tickets, g.Begin(start, request(n), "i1").Ticket)
+	}
+	for _, ticket := range tickets {
+		g.End(start, ticket, Died)
+	}
+	for i, n := range names {
+		if d := g.Begin(start, request(n), "i2"); i > 0 && d.Action != Other {
+			t.Errorf("%s beside another suspect: %+v", n, d)
+		}
+		g.Begin(start, request(n), fmt.Sprintf("i%d", i+2))
+	}
+	g.Outbox(0)
+	for i, n := range names {
+		d := g.Begin(at(time.Second), request(n), fmt.Sprintf("i%d", i+2))
+		if d.Action != Start {
+			t.Fatalf("%s: %+v", n, d)
+		}
+		g.End(at(2*time.Second), d.Ticket, map[bool]Outcome{true: Died, false: Success}[n == "bad"])
+	}
+	for _, n := range names {
+		if refused := g.Begin(at(3*time.Second), request(n), "i9").Action == Refuse; refused != (n == "bad") {
+			t.Errorf("%s refused: %v", n, refused)
+		}
+	}
+}
+
+// TestMerge guards against notes whose meaning depends on their order or on how
+// often they arrive.
+func TestMerge(t *testing.T) {
+	f := OfRequest("press", "GET", "/a", "", -1, nil)
+	notes := []Note{
+		{Fingerprint: f, Service: "press", Deaths: []Death{{"i1", "vm1", at(0)}}},
+		{Fingerprint: f, Service: "press", Deaths: []Death{{"i1", "vm2", at(time.Second)}}, Trials: []Trial{{"vm1", "i2", at(1), false, false}}},
+		{Fingerprint: f, Service: "press", Trials: []Trial{{"vm1", "i2", at(1), false, true}}},
+		{Fingerprint: f, Service: "press", Generation: 1},
+		{Fingerprint: f, Service: "press", Generation: 1, Deaths: []Death{{"i3", "vm1", at(2 * time.Second)}}},
+	}
+	var want []Note
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 100 {
+		g := New(Config{VM: "vm9"})
+		for _, i := range append(rng.Perm(len(notes)), rng.Perm(len(notes))...) {
+			g.Merge(at(time.Minute), []Note{notes[i]})
+		}
+		got := g.All(at(time.Minute))
+		if want == nil {
+			want = got
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("%+v\n%+v", got, want)
+		}
+	}
+	if len(want) != 1 || len(want[0].Deaths) != 1 || want[0].Generation != 1 {
+		t.Errorf("%+v", want)
+	}
+}
+
+// TestBound guards against a table that grows without limit or forgets blocked
+// requests first.
+func TestBound(t *testing.T) {
+	g := New(Config{VM: "vm1", MaxNotes: 10})
+	now := die(t, g, start, request("bad"), "i1")
+	now = die(t, g, now, request("bad"), "i2")
+	for i := range 100 {
+		die(t, g, now, request(fmt.Sprint(i)), "i1")
+	}
+	if len(g.notes) != 10 || g.Begin(now, request("bad"), "i3").Action != Refuse {
+		t.Errorf("%d notes", len(g.notes))
+	}
+}
+
+// TestCrashedAtMostTwoTrips guards against a check that never fails.
+func TestCrashedAtMostTwoTrips(t *testing.T) {
+	hits := 0
+	defer invariant.OnViolation(func(invariant.Violation) { hits++ })()
+	g := New(Config{VM: "vm1"})
+	r := request("bad")
+	now := die(t, g, start, r, "i1")
+	die(t, g, now, r, "i2")
+	if hits != 0 {
+		t.Error("the check fails after two deaths")
+	}
+	d := g.start(now, r, "i3", g.notes[r.Fingerprint], false) // a policy that ignores the notes
+	if g.End(now, d.Ticket, Died); hits != 1 {
+		t.Error("the check holds after three deaths")
+	}
+}
+
+func env(name string, def uint64) uint64 {
+	if v, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return v
+	}
+	return def
+}
+
+type letter struct {
+	to   int
+	at   time.Time
+	note Note
+}
+
+type send struct {
+	r        Request
+	vm       int
+	instance string
+	d        Decision
+	until    time.Time // of the wait, then of the run
+}
+
+// TestRandomResends guards against a crashing request that costs more than two
+// instances while its caller resends it through many VMs, whose notes are
+// delayed, repeated and reordered. The first send is alone and is answered when
+// End allows it; after that, resends overlap.
+func TestRandomResends(t *testing.T) {
+	first, rounds := env("CURRANTFERRY_SEED", 1), env("CURRANTFERRY_ROUNDS", 50)
+	for seed := first; seed < first+rounds; seed++ {
+		context := fmt.Sprintf("seed %d: CURRANTFERRY_SEED=%d go test ./crashguard -run TestRandomResends", seed, seed)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		const vms = 6
+		guards := make([]*Guard, vms)
+		for i := range guards {
+			guards[i] = New(Config{VM: fmt.Sprint("vm", i)})
+		}
+		var mail []letter
+		var open []*send
+		lost := make(map[string]map[string]bool)
+		answered := make(map[string]time.Time) // of the last death
+		served := 0
+		for now := start; now.Before(at(20 * time.Second)); now = now.Add(5 * time.Millisecond) {
+			if rng.IntN(5) == 0 {
+				name := fmt.Sprint(map[bool]string{true: "bad", false: "good"}[rng.IntN(4) == 0], rng.IntN(3))
+				busy := now.Before(answered[name])
+				for _, s := range open {
+					busy = busy || s.r.Text == request(name).Text && len(lost[name]) == 0
+				}
+				if !busy {
+					open = append(open, &send{r: request(name), vm: rng.IntN(vms), instance: fmt.Sprint("i", rng.IntN(12)), until: now})
+				}
+			}
+			kept := open[:0]
+			for _, s := range open {
+				g, name := guards[s.vm], s.r.Text[len("POST /print "):]
+				switch {
+				case now.Before(s.until):
+				case s.d.Action == Start && s.d.Ticket > 0:
+					o := Success
+					if name[0] == 'b' {
+						o = Died
+						if lost[name] == nil {
+							lost[name] = make(map[string]bool)
+						}
+						lost[name][s.instance] = true
+					} else {
+						served++
+					}
+					if end := g.End(now, s.d.Ticket, o); o == Died {
+						answered[name] = end
+					}
+					continue
+				default:
+					s.d = g.Begin(now, s.r, s.instance)
+					switch s.d.Action {
+					case Start:
+						s.until = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+					case Wait:
+						s.until = s.d.Until
+					case Other:
+						s.instance = fmt.Sprint("i", rng.IntN(12))
+					case Refuse:
+						continue
+					}
+				}
+				kept = append(kept, s)
+			}
+			open = kept
+			for i, g := range guards {
+				for _, n := range g.Outbox(0) {
+					for to := range vms {
+						for range 1 + rng.IntN(2) {
+							if to != i {
+								mail = append(mail, letter{to, now.Add(time.Duration(rng.IntN(80)) * time.Millisecond), n})
+							}
+						}
+					}
+				}
+			}
+			rest := mail[:0]
+			for _, l := range mail {
+				if now.Before(l.at) {
+					rest = append(rest, l)
+				} else {
+					guards[l.to].Merge(now, []Note{l.note})
+				}
+			}
+			mail = rest
+		}
+		for name, instances := range lost {
+			if len(instances) > 2 {
+				t.Fatalf("%s cost %d instances\n%s", name, len(instances), context)
+			}
+		}
+		if len(lost) == 0 || served < 50 {
+			t.Fatalf("%d crashing requests, %d served\n%s", len(lost), served, context)
+		}
+	}
+}
