Shorten the model of upstream instances

Change: constants in place of options that nothing sets, overload counted from the waits of requests; Policy and the methods of Group are unchanged.

--- a/internal/fakeupstream/fakeupstream.go
+++ b/internal/fakeupstream/fakeupstream.go
@@ -5,6 +5,7 @@
 package fakeupstream
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
 	"slices"
@@ -14,6 +15,15 @@
 // Epoch is the time at which every run starts.
 var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+const (
+	tickEvery    = time.Millisecond
+	reportEvery  = time.Second
+	coldFactor   = 3 // on service times right after a start, falling to 1 over coldFor
+	coldFor      = 10 * time.Second
+	restartAfter = 5 * time.Second
+	sameCentre   = 100 * time.Microsecond // one way within a data centre
+)
+
 // Class is the kind of work of a request.
 type Class uint8
 
@@ -37,14 +47,13 @@
 	Crashes bool          // crashes the instance that starts it
 	Resend  int           // for the use of the test
 
-	starts int
-	ended  bool
-	held   bool
-	live   []*attempt
+	starts      int
+	ended, held bool
+	live        []*attempt
 }
 
-// Start tells the driver to send a request to an instance. More than one start of a request is a hedge or a retry
-// and counts as an extra request.
+// Start tells the driver to send a request to an instance. More than one start
+// of a request is a hedge or a retry and counts as an extra request.
 type Start struct {
 	Request  *Request
 	Instance int
@@ -72,7 +81,7 @@
 type InstanceState struct {
 	Slots, MaxConnections int
 	Draining              bool
-	Started               time.Time // for the cold-start ramp
+	Started               time.Time // for the cold-start ramp, zero when warm
 }
 
 // Load is a load report of an instance.
@@ -82,7 +91,7 @@
 	Service         time.Duration // mean of the last second, zero if none
 }
 
-// Policy decides for one entry VM. Every method returns the work to start now; a
+// Policy decides for one entry VM. The slices are the work to start now; a
 // request that Pick doesn't start is held by the policy until a later call.
 type Policy interface {
 	Pick(now time.Time, r *Request) []Start
@@ -92,99 +101,70 @@
 	Instances(now time.Time, s []InstanceState)
 }
 
-// Config describes a run. Zero values mean the defaults given.
+// Config describes a run. Service times are exponentially distributed and belong
+// to the request: a second attempt takes as long as the first.
 type Config struct {
-	Seed         uint64
-	Entries      int           // entry VMs, default 12
-	Instances    int           // required
-	Slots        int           // per instance, required
-	Connections  int           // per instance, default 400
-	Mean         time.Duration // mean service time of short work, default 20 ms
-	LongPercent  float64       // part of the requests that is long
-	LongFactor   float64       // mean of long over short work, default 30
-	ShortOnly    bool          // drops the long requests and keeps the short ones
-	ReadPercent  float64       // part that is idempotent, default 80; negative means none
-	Load         float64       // offered work over all slots, both classes
-	Timeout      time.Duration // deadline after arrival, zero means none
-	ClientOneWay time.Duration // caller to entry VM
-	OneWay       time.Duration // between the two data centres of the region
-	ReportEvery  time.Duration // default 1 s
-	ReportDelay  time.Duration // default 5 s
-	NoticeDelay  time.Duration // until entry VMs learn a change of state, default 1 s
-	TickEvery    time.Duration // default 1 ms
-	SlowPercent  float64       // instances in a slow spell at any time
-	SlowFactor   float64       // default 10
-	SlowFor      time.Duration // length of a spell, default 2 s
-	ColdFactor   float64       // service time right after a start, default 3
-	ColdFor      time.Duration // default 10 s
-	RestartAfter time.Duration // down time after a crash, default 5 s
-	Warmup       time.Duration // not recorded, default 5 s
-	Length       time.Duration // recorded, default 20 s
-}
-
-func (c *Config) defaults() {
-	set(&c.Entries, 12)
-	set(&c.Connections, 400)
-	set(&c.Mean, 20*time.Millisecond)
-	set(&c.LongFactor, 30)
-	set(&c.ReadPercent, 80)
-	set(&c.ReportEvery, time.Second)
-	set(&c.ReportDelay, 5*time.Second)
-	set(&c.NoticeDelay, time.Second)
-	set(&c.TickEvery, time.Millisecond)
-	set(&c.SlowFactor, 10)
-	set(&c.SlowFor, 2*time.Second)
-	set(&c.ColdFactor, 3)
-	set(&c.ColdFor, 10*time.Second)
-	set(&c.RestartAfter, 5*time.Second)
-	set(&c.Warmup, 5*time.Second)
-	set(&c.Length, 20*time.Second)
-}
-
-func set[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
+	Seed                 uint64
+	Entries              int           // entry VMs, default 12
+	Instances, Slots     int           // instances, and slots of each, required
+	Connections          int           // per instance, default 400
+	Mean                 time.Duration // mean service time of short work, default 20 ms
+	LongPercent          float64       // part of the requests that is long
+	LongFactor           float64       // mean of long over short work, default 30
+	ShortOnly            bool          // drops the long requests and keeps the short ones
+	ReadPercent          float64       // part that is idempotent, default 80; negative means none
+	Load                 float64       // offered work over all slots, both classes
+	Timeout              time.Duration // deadline after arrival, zero means none
+	ClientOneWay, OneWay time.Duration // caller to entry VM; between the data centres
+	ReportDelay          time.Duration // default 5 s
+	NoticeDelay          time.Duration // until entry VMs learn a change of state, default 1 s
+	SlowPercent          float64       // instances in a slow spell at any time
+	SlowFactor           float64       // default 10
+	SlowFor              time.Duration // length of a spell, default 2 s
+	Warmup, Length       time.Duration // not recorded, default 5 s; recorded, default 20 s
+}
+
+func (c Config) withDefaults() Config {
+	c.Entries = cmp.Or(c.Entries, 12)
+	c.Connections = cmp.Or(c.Connections, 400)
+	c.Mean = cmp.Or(c.Mean, 20*time.Millisecond)
+	c.LongFactor = cmp.Or(c.LongFactor, 30)
+	c.ReadPercent = cmp.Or(c.ReadPercent, 80)
+	c.ReportDelay = cmp.Or(c.ReportDelay, 5*time.Second)
+	c.NoticeDelay = cmp.Or(c.NoticeDelay, time.Second)
+	c.SlowFactor = cmp.Or(c.SlowFactor, 10)
+	c.SlowFor = cmp.Or(c.SlowFor, 2*time.Second)
+	c.Warmup = cmp.Or(c.Warmup, 5*time.Second)
+	c.Length = cmp.Or(c.Length, 20*time.Second)
+	return c
 }
 
 // Deployment returns the sizes and latencies of a deployment's service, or false.
 // The service time of 200 ms is that of keyed requests in docs/design.md, 2.5.
 func Deployment(name, service string) (Config, bool) {
-	c := Config{ClientOneWay: time.Millisecond, OneWay: time.Millisecond}
+	const ms = time.Millisecond
+	c, ok := map[string]Config{
+		"rolregister/proefbank":    {Instances: 32, Slots: 9},
+		"rolregister/rolinname":    {Instances: 12, Slots: 3, Mean: 200 * ms},
+		"abtropf/kundenportal":     {Instances: 28, Slots: 9},
+		"abtropf/werkstatt-dienst": {Instances: 12, Slots: 4, Mean: 200 * ms},
+	}[name+"/"+service]
+	c.ClientOneWay, c.OneWay = ms, ms
 	if name == "abtropf" {
-		c.ClientOneWay, c.OneWay = 3*time.Millisecond, 500*time.Microsecond
-	}
-	switch name + "/" + service {
-	case "rolregister/proefbank":
-		c.Instances, c.Slots = 32, 9
-	case "rolregister/rolinname":
-		c.Instances, c.Slots, c.Mean = 12, 3, 200*time.Millisecond
-	case "abtropf/kundenportal":
-		c.Instances, c.Slots = 28, 9
-	case "abtropf/werkstatt-dienst":
-		c.Instances, c.Slots, c.Mean = 12, 4, 200*time.Millisecond
-	default:
-		return Config{}, false
+		c.ClientOneWay, c.OneWay = 3*ms, ms/2
 	}
-	return c, true
+	return c, ok
 }
 
 // Stats is what a run recorded. Requests that arrived in the warm-up count only
-// in LastNew.
+// in Crashes, CutOff, LastNew and LastDone.
 type Stats struct {
-	Latency         [2][]time.Duration // as the caller sees it, by class, sorted
-	Requests        int
-	Extra           int // hedges and retries
-	Refused, Failed int // requests that ended without an answer
-	Missed          int // requests cancelled at their deadline
-	CutOff          int // running requests ended by a stop of their instance
-	Crashes         int
-	LastNew         []time.Time // per instance, when the last new work was sent
-	LastDone        []time.Time // per instance, when the last work finished
-	// OverloadSlotSeconds is the time that requests waited in the queues of
-	// instances, summed over all of them.
-	OverloadSlotSeconds float64
+	Latency                 [2][]time.Duration // as the caller sees it, by class, sorted
+	Requests, Extra         int                // extra are hedges and retries
+	Refused, Failed, Missed int                // ended without an answer; missed the deadline
+	Crashes, CutOff         int                // cut off by a stop of the instance
+	LastNew, LastDone       []time.Time        // per instance, last work sent and finished
+	OverloadSlotSeconds     float64            // sum of the waits in the queues of instances
 }
 
 // Percentile returns the latency below which the fraction p of a class lies.
@@ -197,28 +177,25 @@
 }
 
 // ExtraPercent returns extra requests as a percentage of requests.
-func (s *Stats) ExtraPercent() float64 {
-	return 100 * float64(s.Extra) / float64(max(1, s.Requests))
-}
+func (s *Stats) ExtraPercent() float64 { return 100 * float64(s.Extra) / float64(max(1, s.Requests)) }
 
 type instance struct {
-	state          InstanceState
-	rate           float64 // factor on service times, 1 when healthy
-	slowUntil      time.Time
-	refuseUntil    time.Time
-	down           bool
-	running, queue []*attempt
-	servedSum      time.Duration // running time of what finished since the last report
-	served         int
+	state                  InstanceState
+	rate                   float64 // factor on service times, 1 when healthy
+	slowUntil, refuseUntil time.Time
+	down                   bool
+	running, queue         []*attempt
+	busy                   time.Duration // running time of what finished since the last report
+	served                 int
 }
 
 type attempt struct {
 	r        *Request
 	instance int
-	left     time.Duration // work left at rate 1
-	since    time.Time     // when left was computed
-	received time.Time     // start of the wait in the queue, then of the run
-	gen      int           // invalidates scheduled completions
+	left     time.Duration // work left at rate 1, as of since
+	since    time.Time
+	began    time.Time // of the wait in the queue, then of the run
+	gen      int       // invalidates scheduled completions
 	over     bool
 }
 
@@ -232,54 +209,45 @@
 
 func (e events) Len() int { return len(e) }
 func (e events) Less(i, j int) bool {
-	if c := e[i].at.Compare(e[j].at); c != 0 {
-		return c < 0
-	}
-	return e[i].seq < e[j].seq
+	return cmp.Or(e[i].at.Compare(e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
 }
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
 func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*e = old[:len(old)-1]
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
 	return x
 }
 
 // Group is one run.
 type Group struct {
 	Stats Stats
-	// OnEnd is called when a request ends, with the time at the entry VM. It may
-	// Submit further requests.
+	// OnEnd, if set, is called when a request ends, with the time at the entry VM.
+	// It may Submit further requests.
 	OnEnd func(now time.Time, r *Request, res Result)
-	// OnStart is called for every attempt that is sent.
+	// OnStart, if set, is called for every attempt that is sent.
 	OnStart func(now time.Time, r *Request, instance int)
 
-	cfg       Config
-	now       time.Time
-	seq, ids  uint64
-	events    events
-	instances []instance
-	policies  []Policy
-	arrivals  *rand.Rand
-	spells    *rand.Rand
+	cfg              Config
+	now              time.Time
+	seq, ids         uint64
+	events           events
+	instances        []instance
+	policies         []Policy
+	arrivals, spells *rand.Rand
 }
 
 // New returns a run over policies built by newPolicy, one for each entry VM.
 func New(cfg Config, newPolicy func(entry int) Policy) *Group {
-	cfg.defaults()
+	cfg = cfg.withDefaults()
 	g := &Group{
-		cfg: cfg, now: Epoch,
-		arrivals:  rand.New(rand.NewPCG(cfg.Seed, 1)),
-		spells:    rand.New(rand.NewPCG(cfg.Seed, 2)),
-		instances: make([]instance, cfg.Instances),
+		cfg: cfg, now: Epoch, instances: make([]instance, cfg.Instances),
+		arrivals: rand.New(rand.NewPCG(cfg.Seed, 1)), spells: rand.New(rand.NewPCG(cfg.Seed, 2)),
 	}
-	g.Stats.LastNew = make([]time.Time, cfg.Instances)
-	g.Stats.LastDone = make([]time.Time, cfg.Instances)
+	g.Stats.LastNew, g.Stats.LastDone = make([]time.Time, cfg.Instances), make([]time.Time, cfg.Instances)
 	for i := range g.instances {
-		g.instances[i].rate = 1
-		g.instances[i].state = InstanceState{Slots: cfg.Slots, MaxConnections: cfg.Connections}
+		g.instances[i] = instance{rate: 1, state: InstanceState{Slots: cfg.Slots, MaxConnections: cfg.Connections}}
 	}
 	for e := range cfg.Entries {
 		g.policies = append(g.policies, newPolicy(e))
@@ -303,29 +271,27 @@
 // all requests have ended.
 func (g *Group) Run() *Stats {
 	end := Epoch.Add(g.cfg.Warmup + g.cfg.Length)
+	last := end.Add(time.Minute)
 	if g.cfg.Load > 0 {
 		g.nextArrival(end)
 	}
-	g.every(g.cfg.TickEvery, end.Add(time.Minute), func() {
+	g.every(tickEvery, last, func() {
 		for e, p := range g.policies {
 			g.start(e, p.Tick(g.now))
 		}
 	})
-	g.every(g.cfg.ReportEvery, end, g.report)
+	g.every(reportEvery, end, g.report)
 	if g.cfg.SlowPercent > 0 {
 		g.spell()
 		g.every(g.cfg.SlowFor, end, g.spell)
 	}
-	for len(g.events) > 0 {
+	for len(g.events) > 0 && !g.events[0].at.After(last) {
 		ev := heap.Pop(&g.events).(event)
-		if g.now = ev.at; g.now.After(end.Add(time.Minute)) {
-			break
-		}
+		g.now = ev.at
 		ev.fn()
 	}
-	for c := range g.Stats.Latency {
-		slices.Sort(g.Stats.Latency[c])
-	}
+	slices.Sort(g.Stats.Latency[Short])
+	slices.Sort(g.Stats.Latency[Long])
 	return &g.Stats
 }
 
@@ -340,20 +306,20 @@
 func (g *Group) nextArrival(end time.Time) {
 	c := &g.cfg
 	meanWork := float64(c.Mean) * (1 + c.LongPercent/100*(c.LongFactor-1))
-	gap := time.Duration(g.arrivals.ExpFloat64() * meanWork / (c.Load * float64(c.Instances*c.Slots)))
-	at := g.now.Add(gap)
-	entry, class := g.arrivals.IntN(c.Entries), Short
+	gap := g.arrivals.ExpFloat64() * meanWork / (c.Load * float64(c.Instances*c.Slots))
+	at := g.now.Add(time.Duration(gap))
+	r := &Request{Entry: g.arrivals.IntN(c.Entries)}
 	work := g.arrivals.ExpFloat64() * float64(c.Mean)
 	if g.arrivals.Float64()*100 < c.LongPercent {
-		class, work = Long, work*c.LongFactor
+		r.Class, work = Long, work*c.LongFactor
 	}
-	read := g.arrivals.Float64()*100 < c.ReadPercent
+	r.Idempotent, r.Work = g.arrivals.Float64()*100 < c.ReadPercent, time.Duration(work)
 	if at.After(end) {
 		return
 	}
 	g.schedule(at, func() {
-		if class == Short || !c.ShortOnly {
-			g.Submit(&Request{Entry: entry, Class: class, Idempotent: read, Work: time.Duration(work)})
+		if r.Class == Short || !c.ShortOnly {
+			g.Submit(r)
 		}
 		g.nextArrival(end)
 	})
@@ -379,7 +345,7 @@
 func (g *Group) recorded(r *Request) bool { return !r.Arrival.Before(Epoch.Add(g.cfg.Warmup)) }
 
 func (g *Group) start(entry int, starts []Start) {
-	// The slice may belong to the policy, which a refusal can call again.
+	// The slice may belong to the policy, which Done and OnEnd call again.
 	for _, s := range slices.Clone(starts) {
 		r := s.Request
 		switch {
@@ -394,8 +360,7 @@
 			continue
 		}
 		r.held = false
-		r.starts++
-		if r.starts > 1 && g.recorded(r) {
+		if r.starts++; r.starts > 1 && g.recorded(r) {
 			g.Stats.Extra++
 		}
 		a := &attempt{r: r, instance: s.Instance, left: r.Work}
@@ -404,15 +369,15 @@
 		if g.OnStart != nil {
 			g.OnStart(g.now, r, s.Instance)
 		}
-		g.schedule(g.now.Add(g.oneWay(entry, s.Instance)), func() { g.receive(a) })
+		g.schedule(g.now.Add(g.oneWay(a)), func() { g.receive(a) })
 	}
 }
 
 // oneWay is the latency between an entry VM and an instance. Both alternate
 // between the two data centres of the region.
-func (g *Group) oneWay(entry, i int) time.Duration {
-	if entry%2 == i%2 {
-		return 100 * time.Microsecond
+func (g *Group) oneWay(a *attempt) time.Duration {
+	if a.r.Entry%2 == a.instance%2 {
+		return sameCentre
 	}
 	return g.cfg.OneWay
 }
@@ -421,33 +386,29 @@
 	in := &g.instances[a.instance]
 	switch {
 	case a.over:
-	case in.down:
+	case in.down, len(in.running)+len(in.queue) >= in.state.MaxConnections:
 		g.reply(a, ConnectFailed)
 	case g.now.Before(in.refuseUntil):
 		g.reply(a, Refused)
-	case len(in.running)+len(in.queue) >= in.state.MaxConnections:
-		g.reply(a, ConnectFailed)
 	case len(in.running) < in.state.Slots:
 		g.run(a)
 	default:
-		a.received = g.now
+		a.began = g.now
 		in.queue = append(in.queue, a)
 	}
 }
 
 func (g *Group) run(a *attempt) {
 	in := &g.instances[a.instance]
+	in.running = append(in.running, a)
 	if a.r.Crashes {
-		in.running = append(in.running, a)
 		g.Crash(a.instance)
 		return
 	}
-	if age := g.now.Sub(in.state.Started); !in.state.Started.IsZero() && age < g.cfg.ColdFor {
-		warm := float64(age) / float64(g.cfg.ColdFor)
-		a.left = time.Duration(float64(a.left) * (g.cfg.ColdFactor - (g.cfg.ColdFactor-1)*warm))
+	if age := g.now.Sub(in.state.Started); !in.state.Started.IsZero() && age < coldFor {
+		a.left = time.Duration(float64(a.left) * (coldFactor - (coldFactor-1)*float64(age)/float64(coldFor)))
 	}
-	a.since, a.received = g.now, g.now
-	in.running = append(in.running, a)
+	a.since, a.began = g.now, g.now
 	g.complete(a)
 }
 
@@ -458,10 +419,10 @@
 		if a.over || a.gen != gen {
 			return
 		}
-		g.leave(a)
-		in.servedSum += g.now.Sub(a.received)
+		in.busy += g.now.Sub(a.began)
 		in.served++
 		g.Stats.LastDone[a.instance] = g.now
+		g.leave(a)
 		g.reply(a, OK)
 	})
 }
@@ -487,14 +448,15 @@
 
 func (g *Group) waited(a *attempt) {
 	if g.recorded(a.r) {
-		g.Stats.OverloadSlotSeconds += g.now.Sub(a.received).Seconds()
+		g.Stats.OverloadSlotSeconds += g.now.Sub(a.began).Seconds()
 	}
 }
 
-// reply carries the end of an attempt back to its entry VM.
+// reply carries the end of an attempt back to its entry VM. A policy that has
+// neither started nor held another attempt then has given up.
 func (g *Group) reply(a *attempt, res Result) {
 	a.over = true
-	g.schedule(g.now.Add(g.oneWay(a.r.Entry, a.instance)), func() {
+	g.schedule(g.now.Add(g.oneWay(a)), func() {
 		r := a.r
 		i := slices.Index(r.live, a)
 		if i < 0 {
@@ -505,8 +467,7 @@
 			g.end(r, OK)
 		}
 		g.start(r.Entry, g.policies[r.Entry].Done(g.now, a.instance, r, res))
-		// A policy that neither started nor held another attempt has given up.
-		if res != OK && len(r.live) == 0 && !r.held {
+		if len(r.live) == 0 && !r.held {
 			g.end(r, res)
 		}
 	})
@@ -518,23 +479,22 @@
 		return
 	}
 	r.ended = true
-	if g.recorded(r) {
+	if s := &g.Stats; g.recorded(r) {
 		switch res {
 		case OK:
-			l := g.now.Sub(r.Arrival) + 2*g.cfg.ClientOneWay
-			g.Stats.Latency[r.Class] = append(g.Stats.Latency[r.Class], l)
+			s.Latency[r.Class] = append(s.Latency[r.Class], g.now.Sub(r.Arrival)+2*g.cfg.ClientOneWay)
 		case Refused:
-			g.Stats.Refused++
+			s.Refused++
 		case Cancelled:
-			g.Stats.Missed++
+			s.Missed++
 		default:
-			g.Stats.Failed++
+			s.Failed++
 		}
 	}
 	live := r.live
 	r.live = nil
 	for _, a := range live {
-		g.schedule(g.now.Add(g.oneWay(r.Entry, a.instance)), func() {
+		g.schedule(g.now.Add(g.oneWay(a)), func() {
 			if !a.over {
 				g.leave(a)
 			}
@@ -547,15 +507,12 @@
 }
 
 func (g *Group) report() {
-	at := g.now
 	for i := range g.instances {
 		in := &g.instances[i]
-		l := Load{At: at, Running: len(in.running), Queued: len(in.queue)}
-		if in.served > 0 {
-			l.Service = in.servedSum / time.Duration(in.served)
-		}
-		in.served, in.servedSum = 0, 0
-		g.schedule(at.Add(g.cfg.ReportDelay), func() {
+		l := Load{At: g.now, Running: len(in.running), Queued: len(in.queue)}
+		l.Service = in.busy / time.Duration(max(1, in.served))
+		in.busy, in.served = 0, 0
+		g.schedule(g.now.Add(g.cfg.ReportDelay), func() {
 			for _, p := range g.policies {
 				p.Report(g.now, i, l)
 			}
@@ -613,10 +570,9 @@
 // Stop ends an instance. Work on it is lost and counts as cut off.
 func (g *Group) Stop(i int) {
 	in := &g.instances[i]
-	in.down = true
-	g.Stats.CutOff += len(in.running) + len(in.queue)
 	work := slices.Concat(in.running, in.queue)
-	in.running, in.queue = nil, nil
+	in.down, in.running, in.queue = true, nil, nil
+	g.Stats.CutOff += len(work)
 	for _, a := range work {
 		g.reply(a, Lost)
 	}
@@ -629,11 +585,11 @@
 	g.notify()
 }
 
-// Crash stops an instance and restarts it after Config.RestartAfter.
+// Crash stops an instance and restarts it after 5 s.
 func (g *Group) Crash(i int) {
 	g.Stats.Crashes++
 	g.Stop(i)
-	g.schedule(g.now.Add(g.cfg.RestartAfter), func() { g.Restart(i) })
+	g.schedule(g.now.Add(restartAfter), func() { g.Restart(i) })
 }
 
 // InFlight returns the running and queued requests of an instance.
