Add package balance and its policy benchmarks

Cause: an entry VM needs a choice of instance that holds up when 12 VMs that don't see one another share 9 slots, and when instances slow down briefly.

--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,43 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPick measures one decision and its end with 32 instances of 9 slots,
+// of which 70 % of the own slots are in use, as one of 12 entry VMs.
+func BenchmarkPick(b *testing.B) {
+	now := time.Unix(1000, 0)
+	l := New(Config{}, 1)
+	l.SetPeers(12, 3)
+	l.SetInstances(now, testInstances(32, 9))
+	var held []Ticket
+	for range 17 {
+		t, err := l.Pick(now, Request{Class: Short, Idempotent: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		held = append(held, t)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		t, err := l.Pick(now, Request{Class: Short, Idempotent: true})
+		if err != nil || t.Waiting() {
+			b.Fatal("no instance", err)
+		}
+		l.Done(now, held[i%len(held)], Answered)
+		held[i%len(held)] = t
+	}
+}
+
+func testInstances(n, slots int) []Instance {
+	list := make([]Instance, n)
+	for i := range list {
+		list[i] = Instance{ID: fmt.Sprintf("instance-%03d", i), Slots: slots}
+	}
+	return list
+}
--- /dev/null
+++ b/balance/health.go
@@ -0,0 +1,122 @@
+package balance
+
+import "math"
+
+// health is what this VM concludes of an instance from its own requests.
+//
+// The score is a cumulative sum of log-likelihood ratios between service that is
+// spellFactor times slower and normal service, for exponentially distributed
+// times. A completed request counts gain*x - cost, where x is its latency over
+// the mean; one that is still running counts gain*x. One request that takes five
+// times the mean is enough to suspect the instance, as are a few that take twice
+// the mean.
+type health struct {
+	score   float64
+	scoreAt int64
+	suspect bool
+	probing bool
+	probeAt int64 // when a suspected instance is next tried
+	backoff int64
+}
+
+const (
+	spellFactor = 6.0
+	gain        = 1 - 1/spellFactor
+	suspectAt   = 2.5
+	// maxScore bounds how many good probes a recovery takes: two.
+	maxScore = 5.0
+	// The first probe follows soon, as most suspicions are a single long request;
+	// later ones are rarer, as each one costs a request that is likely slow.
+	firstProbe = 150e6
+	lastProbe  = 1000e6
+)
+
+var cost = math.Log(spellFactor)
+
+// evidence returns the score with the oldest request in flight counted in.
+func (b *Balancer) evidence(in *instance, t int64) float64 {
+	score := in.doubt(t)
+	if in.oldest == none {
+		return score
+	}
+	f := &b.flights[in.oldest]
+	return score + gain*float64(t-f.started)/f.expected
+}
+
+// doubtDecay is the time in which the score of an instance that is not suspected
+// falls to zero. Without it, an instance that lost comparisons because of its score would
+// get no work at low load and so never improve its score.
+const doubtDecay = 2e9
+
+func (h *health) doubt(t int64) float64 {
+	if h.suspect || h.score == 0 {
+		return h.score
+	}
+	return h.score * min(1, max(0, 1-float64(t-h.scoreAt)/doubtDecay))
+}
+
+// slow tells whether an instance gets no ordinary work. When half of the
+// instances are suspected, the cause is not a few of them, and avoiding them
+// would only overload the rest.
+func (b *Balancer) slow(in *instance, t int64) bool {
+	if 2*b.suspects > len(b.active) {
+		return false
+	}
+	return in.suspect || b.evidence(in, t) > suspectAt
+}
+
+// learn adds to the score of an instance.
+func (b *Balancer) learn(in *instance, t int64, amount float64) {
+	in.score, in.scoreAt = min(max(0, in.doubt(t)+amount), maxScore), t
+	was := in.suspect
+	in.suspect = in.score > suspectAt
+	switch {
+	case in.suspect && (!was || amount > 0):
+		if !was {
+			in.backoff = firstProbe
+		} else {
+			in.backoff = min(2*in.backoff, lastProbe)
+		}
+		// The jitter keeps entry VMs from probing at the same time.
+		in.probeAt = t + int64(float64(in.backoff)*b.jitter())
+	case in.suspect:
+		in.probeAt = t
+	default:
+		in.probeAt = never
+	}
+	if in.suspect != was {
+		b.countSuspects()
+	}
+	b.nextProbe = min(b.nextProbe, in.probeAt)
+}
+
+func (b *Balancer) countSuspects() {
+	b.suspects = 0
+	for _, i := range b.active {
+		if b.instances[i].suspect {
+			b.suspects++
+		}
+	}
+}
+
+// probe returns a suspected instance that is due for a trial request, or none.
+// Every VM probes an instance with one request at a time.
+func (b *Balancer) probe(t int64) int32 {
+	if t < b.nextProbe {
+		return none
+	}
+	found := int32(none)
+	b.nextProbe = never
+	for _, i := range b.active {
+		in := &b.instances[i]
+		if !in.suspect || in.probing {
+			continue
+		}
+		if found == none && in.probeAt <= t && in.total() < in.limit {
+			found = i
+			continue
+		}
+		b.nextProbe = min(b.nextProbe, in.probeAt)
+	}
+	return found
+}
