Borrow slots for long work later

Cause: in the small services a borrowed long request often queued at an instance ahead of short work. Change: borrowAfterLong 3 instead of 1 mean service times.

--- a/balance/borrow.go
+++ b/balance/borrow.go
@@ -4,7 +4,7 @@
 // work that would otherwise wait at least this many mean service times here.
 const (
 	borrowAfterShort = 0.5
-	borrowAfterLong  = 1.0
+	borrowAfterLong  = 3.0
 )
 
 // The limit on borrowed slots grows while borrowed work is answered in normal
