--- /dev/null
+++ b/cmd/currantferryd/main.go
@@ -0,0 +1,19 @@
+// Command currantferryd is the daemon of an entry VM.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(new(runCommand), "")
+	subcommands.Register(new(checkCommand), "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/standin/commands.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/currantferry/currantferry/standin"
+	storestandin "github.com/currantferry/currantferry/store/standin"
+)
+
+// untilSignal waits for SIGTERM or SIGINT.
+func untilSignal(ctx context.Context) {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-ctx.Done()
+}
+
+func failed(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "standin:", err)
+	return subcommands.ExitFailure
+}
+
+// storeCommand runs the store.
+type storeCommand struct{ listen string }
+
+func (*storeCommand) Name() string     { return "store" }
+func (*storeCommand) Synopsis() string { return "run a stand-in for the platform's store" }
+func (*storeCommand) Usage() string    { return "store -listen IP:PORT\n" }
+func (c *storeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address, port 0 for any")
+}
+
+func (c *storeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	l, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return failed(err)
+	}
+	server := &http.Server{Handler: storestandin.New().Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(l) }()
+	fmt.Printf("store=%s\n", l.Addr())
+	untilSignal(ctx)
+	_ = server.Close()
+	return subcommands.ExitSuccess
+}
+
+// upstreamCommand runs one upstream instance.
+type upstreamCommand struct {
+	options standin.UpstreamOptions
+	control string
+}
+
+func (*upstreamCommand) Name() string     { return "upstream" }
+func (*upstreamCommand) Synopsis() string { return "run a stand-in for one upstream instance" }
+func (*upstreamCommand) Usage() string {
+	return "upstream -id ID -listen IP:PORT [-control IP:PORT]\n  The control address serves /runs?key=KEY and PUT /fault.\n"
+}
+
+func (c *upstreamCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.options.ID, "id", "upstream", "instance ID")
+	f.StringVar(&c.options.Address, "listen", "127.0.0.1:0", "address, port 0 for any")
+	f.IntVar(&c.options.Slots, "slots", 9, "requests that run at once")
+	f.DurationVar(&c.options.WorkTime, "work", 5*time.Millisecond, "service time of a request that states none")
+	f.StringVar(&c.control, "control", "", "address of the control page, empty for none")
+}
+
+func (c *upstreamCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	u, err := standin.StartUpstream(c.options)
+	if err != nil {
+		return failed(err)
+	}
+	defer u.Close()
+	fmt.Printf("upstream=%s\n", u.Address())
+	if c.control != "" {
+		l, err := net.Listen("tcp", c.control)
+		if err != nil {
+			return failed(err)
+		}
+		server := &http.Server{Handler: controlHandler(u), ReadHeaderTimeout: 10 * time.Second}
+		defer server.Close()
+		go func() { _ = server.Serve(l) }()
+		fmt.Printf("control=%s\n", l.Addr())
+	}
+	untilSignal(ctx)
+	return subcommands.ExitSuccess
+}
+
+// fault is what PUT /fault sets.
+type fault struct {
+	Factor float64 `json:"factor"`
+	Shed   bool    `json:"shed"`
+}
+
+// state is what GET /runs answers.
+type state struct {
+	Runs    []string  `json:"runs"`
+	Total   int       `json:"total"`
+	CutOff  int       `json:"cut_off"`
+	Crashes int       `json:"crashes"`
+	LastNew time.Time `json:"last_new"`
+}
+
+func controlHandler(u *standin.Upstream) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewEncoder(w).Encode(state{
+			Runs: u.Ledger().Runs(r.URL.Query().Get("key")), Total: u.Ledger().Total(), CutOff: u.Ledger().CutOff(),
+			Crashes: u.Crashes(), LastNew: u.LastNew(),
+		})
+	})
+	mux.HandleFunc("PUT /fault", func(_ http.ResponseWriter, r *http.Request) {
+		var f fault
+		if json.NewDecoder(r.Body).Decode(&f) == nil {
+			u.SetFactor(max(f.Factor, 0.01))
+			u.SetShed(f.Shed)
+		}
+	})
+	return mux
+}
+
+// vmsCommand sets the list of VMs of a store stand-in.
+type vmsCommand struct{ store, list string }
+
+func (*vmsCommand) Name() string     { return "vms" }
+func (*vmsCommand) Synopsis() string { return "set the list of VMs of a store stand-in" }
+func (*vmsCommand) Usage() string    { return "vms -store IP:PORT -list JSON\n" }
+func (c *vmsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.store, "store", "", "address of the stand-in")
+	f.StringVar(&c.list, "list", "[]", "VMs as a JSON array")
+}
+
+func (c *vmsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+c.store+"/standin/vms", strings.NewReader(c.list))
+	if err != nil {
+		return failed(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return failed(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return failed(fmt.Errorf("the stand-in answered %s", res.Status))
+	}
+	return subcommands.ExitSuccess
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -252,5 +252,8 @@
 func (c *Control) Versions(context.Context) *peerpb.VersionReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &peerpb.VersionReply{Id: c.opts.Self.ID, Config: c.tracker.Version(), Plan: c.cluster.Doc(member.Plan).Version}
+	return &peerpb.VersionReply{
+		Id: c.opts.Self.ID, DataCentre: c.opts.Self.DataCentre, Region: c.opts.Self.Region,
+		Config: c.tracker.Version(), Plan: c.cluster.Doc(member.Plan).Version,
+	}
 }
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,211 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/caller"
+	"github.com/currantferry/currantferry/invariant"
+	"github.com/currantferry/currantferry/report"
+	"github.com/currantferry/currantferry/rules"
+	storestandin "github.com/currantferry/currantferry/store/standin"
+)
+
+// Options of a run.
+type Options struct {
+	// Seed of the traffic.
+	Seed uint64
+	// Duration of the traffic. Zero means 15 s; at least 8 s.
+	Duration time.Duration
+	// Log receives the events of all VMs. Nil means none.
+	Log *slog.Logger
+}
+
+const (
+	defaultDuration = 15 * time.Second
+	minDuration     = 8 * time.Second
+	startTimeout    = 20 * time.Second
+	// inForceLimit is the brief's bound for a configuration.
+	inForceLimit = 8 * time.Second
+	// drainLimit is the bound for new work on a drained instance.
+	drainLimit = 2 * time.Second
+)
+
+// Result is the report of a run and the promises that it broke.
+type Result struct {
+	Report report.Report `json:"report"`
+	Broken []string      `json:"broken"`
+}
+
+// run is one run of the scenario.
+type run struct {
+	fleet   *Fleet
+	traffic *traffic
+	report  report.Report
+	broken  []string
+}
+
+// Run plays the scenario.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if o.Duration == 0 {
+		o.Duration = defaultDuration
+	}
+	if o.Duration < minDuration {
+		return nil, errors.Errorf("demo: duration %s is below %s", o.Duration, minDuration)
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fleet, err := StartFleet(starting, o.Log)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	client := caller.New(caller.Options{Bootstrap: fleet.Callers(), Seed: o.Seed})
+	defer client.Close()
+	t := newTraffic(client, fleet.Ledger, o.Seed)
+	sending, stop := context.WithTimeout(ctx, o.Duration)
+	defer stop()
+	var group conc.WaitGroup
+	group.Go(func() { t.run(sending) })
+	r := &run{fleet: fleet, traffic: t}
+	r.play(sending, o.Duration)
+	group.Wait()
+	r.finish(t)
+	return &Result{Report: r.report, Broken: r.broken}, nil
+}
+
+// play makes the failures, at fractions of the duration.
+func (r *run) play(ctx context.Context, d time.Duration) {
+	steps := []struct {
+		at   float64
+		step func(ctx context.Context)
+	}{
+		{0.15, r.drain},
+		{0.45, r.death},
+		{0.60, r.outage},
+		{0.80, r.recovery},
+	}
+	start := time.Now()
+	for _, s := range steps {
+		select {
+		case <-time.After(time.Until(start.Add(time.Duration(s.at * float64(d))))):
+			s.step(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *run) fail(format string, args ...any) {
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+func (r *run) moved(what, why string) {
+	r.report.Moves = append(r.report.Moves, report.Move{What: what, Why: why})
+}
+
+// drain takes one instance out as planned, and checks that its work ends whole.
+func (r *run) drain(ctx context.Context) {
+	const target = serviceReads + "-rotterdam-a-1"
+	r.fleet.Rules = &rules.Rules{Drains: []rules.Drain{{
+		ID: "drain-1", Kind: rules.TargetInstance, Target: target, Reason: "kernel update", By: "demo",
+	}}}
+	took, err := r.fleet.Publish(ctx, "planned drain of "+target)
+	if err != nil {
+		r.fail("drain not in force: %v", err)
+		return
+	}
+	if took > inForceLimit {
+		r.fail("drain in force after %s", took)
+	}
+	inForce := time.Now()
+	upstream := r.fleet.upstreams[target]
+	for {
+		running, waiting := upstream.Running()
+		if running+waiting == 0 && time.Since(inForce) > drainLimit/2 {
+			break
+		}
+		if ctx.Err() != nil {
+			r.fail("drain of %s did not end", target)
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if late := upstream.LastNew().Sub(inForce); late > drainLimit {
+		r.fail("new work on %s %s after the drain", target, late)
+	}
+	r.moved("all work of "+target+" to its neighbours", fmt.Sprintf("planned drain: kernel update; in force on all VMs in %d ms", took.Milliseconds()))
+}
+
+// death ends an entry VM without notice.
+func (r *run) death(context.Context) {
+	r.traffic.freeze()
+	r.fleet.Kill("vm-2")
+	r.moved("callers of vm-2 to vm-1 and vm-3", "vm-2 died without notice")
+}
+
+// outage takes the store away.
+func (r *run) outage(context.Context) {
+	r.fleet.Store.SetFault(storestandin.Fault{Down: true})
+}
+
+// recovery brings the store back and makes a change.
+func (r *run) recovery(ctx context.Context) {
+	r.fleet.Store.SetFault(storestandin.Fault{})
+	r.fleet.Rules = &rules.Rules{}
+	took, err := r.fleet.Publish(ctx, "drain cancelled after the update")
+	if err != nil {
+		r.fail("change after the outage not in force: %v", err)
+		return
+	}
+	if took > inForceLimit {
+		r.fail("change in force after %s", took)
+	}
+	r.moved("work back to "+serviceReads+"-rotterdam-a-1, by ramp", fmt.Sprintf("drain cancelled after the store came back; in force in %d ms", took.Milliseconds()))
+}
+
+// finish adds the counts and the broken promises.
+func (r *run) finish(t *traffic) {
+	seen, broken := t.result()
+	r.broken = append(r.broken, broken...)
+	for _, v := range invariant.Recent() {
+		r.fail("%s", v)
+	}
+	cut := r.fleet.Ledger.CutOff()
+	r.report.Name = "currantferry demo"
+	r.report.At = time.Now()
+	r.report.Version = r.fleet.version
+	r.report.Answered = seen.answered
+	r.report.Refused = seen.refused
+	r.report.Retried = make(map[string]int64)
+	for _, n := range r.fleet.nodes {
+		for reason, count := range n.Metrics().Retries() {
+			r.report.Retried[string(reason)] += count
+		}
+	}
+	r.report.Facts = []report.Fact{
+		{Name: "run twice", Value: fmt.Sprint(len(t.ledger.RunTwice(seen.orders)))},
+		{Name: "cut off by planned stops", Value: fmt.Sprint(seen.beforeDeath)},
+		{Name: "upstream work cancelled", Value: fmt.Sprint(cut)},
+		{Name: "orders with unknown outcome", Value: fmt.Sprint(seen.unknown)},
+		{Name: "without any answer", Value: fmt.Sprint(seen.unanswered)},
+		{Name: "slowest answer", Value: fmt.Sprintf("%d ms", seen.slowest.Milliseconds())},
+	}
+	for _, e := range seen.errors {
+		r.report.Risks = append(r.report.Risks, report.Risk{What: e})
+	}
+	for _, b := range r.broken {
+		r.report.Risks = append(r.report.Risks, report.Risk{What: "BROKEN: " + b})
+	}
+	if len(r.broken) == 0 {
+		r.report.Risks = append(r.report.Risks, report.Risk{What: "vm-2 is still in the platform's list; one VM fewer serves", Until: "it is replaced"})
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -46,5 +46,12 @@
 	if l == nil || !l.Enabled(context.Background(), e.Level) {
 		return
 	}
-	l.Log(context.Background(), e.Level, e.Message, append([]any{"event", e.ID}, args...)...)
+	line := append([]any{"event", e.ID}, args...)
+	for i, a := range line {
+		// The text handler would print the stack of errors that carry one.
+		if err, ok := a.(error); ok {
+			line[i] = err.Error()
+		}
+	}
+	l.Log(context.Background(), e.Level, e.Message, line...)
 }
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/currantferry/currantferry/crashguard"
+)
+
+// adminHandler serves health, metrics and state.
+func (n *Node) adminHandler() http.Handler {
+	r := httprouter.New()
+	r.GET("/v1/health", n.getHealth)
+	r.GET("/v1/status", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		writeJSON(w, http.StatusOK, n.Status())
+	})
+	r.Handler(http.MethodGet, "/metrics", n.metrics.Handler())
+	return r
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (n *Node) getHealth(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	status := http.StatusOK
+	if !n.control.Ready() || n.isLeaving() {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, map[string]any{"ready": n.control.Ready(), "leaving": n.isLeaving()})
+}
+
+// Status is the state of one VM.
+type Status struct {
+	VM       string           `json:"vm"`
+	Ready    bool             `json:"ready"`
+	Leaving  bool             `json:"leaving"`
+	Version  uint64           `json:"config_version"`
+	Plan     uint64           `json:"plan_version"`
+	Planner  bool             `json:"planner"`
+	Watching bool             `json:"watching"`
+	InFlight int              `json:"in_flight"`
+	Members  []MemberStatus   `json:"members"`
+	Refusals map[string]int64 `json:"refusals"`
+	Retries  map[string]int64 `json:"retries"`
+	// Suspects are requests that broke the connection to an instance.
+	Suspects []crashguard.Row `json:"suspects,omitempty"`
+}
+
+// MemberStatus is one VM as this VM sees it.
+type MemberStatus struct {
+	ID         string `json:"id"`
+	DataCentre string `json:"data_centre"`
+	State      string `json:"state"`
+}
+
+// Status returns the state of this VM.
+func (n *Node) Status() Status {
+	s := Status{
+		VM: n.self.ID, Ready: n.control.Ready(), Leaving: n.isLeaving(), Version: n.control.Version(),
+		Watching: n.control.Watching(), InFlight: n.proxy.InFlight(),
+		Suspects: n.crash.rows(),
+		Refusals: make(map[string]int64), Retries: make(map[string]int64),
+	}
+	n.planner.mu.Lock()
+	if n.planner.current != nil {
+		s.Plan = n.planner.current.Version
+	}
+	s.Planner = n.planner.holding
+	n.planner.mu.Unlock()
+	for _, m := range n.control.Members() {
+		s.Members = append(s.Members, MemberStatus{ID: m.ID, DataCentre: m.DataCentre, State: m.State.String()})
+	}
+	for r, c := range n.metrics.Refusals() {
+		s.Refusals[string(r)] = c
+	}
+	for r, c := range n.metrics.Retries() {
+		s.Retries[string(r)] = c
+	}
+	return s
+}
--- /dev/null
+++ b/node/fleet.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/once"
+	"github.com/currantferry/currantferry/peer/peerpb"
+	"github.com/currantferry/currantferry/plan"
+	"github.com/currantferry/currantferry/steer"
+)
+
+// sectionSet is what other VMs spread about themselves, by VM.
+type sectionSet struct {
+	endpoints map[string]endpoint
+	measures  map[string]timedMeasure
+	down      map[string]down
+}
+
+type timedMeasure struct {
+	measure
+	at time.Time
+}
+
+func (s *sectionSet) init() {
+	if s.endpoints == nil {
+		s.endpoints = make(map[string]endpoint)
+		s.measures = make(map[string]timedMeasure)
+		s.down = make(map[string]down)
+	}
+}
+
+// resolveSeeds asks the seeds of the settings who they are.
+func (n *Node) resolveSeeds() []member.Info {
+	ctx, cancel := context.WithTimeout(n.ctx, time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var infos []member.Info
+	var group conc.WaitGroup
+	for _, a := range n.settings.Peers.Seeds {
+		group.Go(func() {
+			v, err := n.pool.Version(ctx, a.String())
+			if err != nil || v.GetId() == "" {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			infos = append(infos, member.Info{ID: v.GetId(), DataCentre: v.GetDataCentre(), Region: v.GetRegion(), Address: a.String()})
+		})
+	}
+	group.Wait()
+	return infos
+}
+
+// setSection publishes a section of this VM. The version is the time, so that it
+// grows over restarts.
+func (n *Node) setSection(kind uint8, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	n.control.SetSection(kind, uint64(time.Now().UnixNano()), data)
+}
+
+func (n *Node) publishEndpoint() {
+	address, err := netip.ParseAddrPort(advertised(n.settings.Listen.AdvertiseCaller, n.caller.Addr()))
+	if err != nil {
+		return
+	}
+	e := endpoint{Address: address, Load: n.load()}
+	n.mu.Lock()
+	n.sections.init()
+	same := n.sections.endpoints[n.self.ID] == e
+	n.sections.endpoints[n.self.ID] = e
+	n.mu.Unlock()
+	if !same {
+		n.setSection(sectionEndpoint, e)
+	}
+}
+
+// load is the share of the request limit that is in use, in tenths.
+func (n *Node) load() int {
+	return 10 * n.proxy.InFlight() / max(1, n.settings.Request.MaxConcurrent)
+}
+
+func (n *Node) onSection(s member.Section) {
+	if s.Kind >= sectionRecord {
+		if r, err := once.ParseRecord(s.Value); err == nil {
+			n.runner.Observe(r)
+		}
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sections.init()
+	switch s.Kind {
+	case sectionEndpoint:
+		if e, ok := decodeSection[endpoint](s); ok {
+			n.sections.endpoints[s.Owner] = e
+		}
+	case sectionMeasure:
+		if m, ok := decodeSection[measure](s); ok {
+			n.sections.measures[s.Owner] = timedMeasure{m, time.Now()}
+		}
+	case sectionDown:
+		if d, ok := decodeSection[down](s); ok {
+			n.sections.down[s.Owner] = d
+		}
+	}
+}
+
+// onRecord spreads a partition record that took effect here.
+func (n *Node) onRecord(r once.Record) {
+	kind := int(sectionRecord) + r.Partition
+	if kind > 0xff {
+		return
+	}
+	n.control.SetSection(uint8(kind), r.Epoch, r.Marshal())
+}
+
+func (n *Node) onMember(c member.Changed) {
+	event.MemberSeen.Log(n.log, "peer", c.Member.ID, "was", c.Was.String(), "state", c.Member.State.String())
+	n.refresh(time.Now())
+}
+
+// refresh derives everything that depends on membership, drains and time.
+func (n *Node) refresh(now time.Time) {
+	members := n.control.Members()
+	n.runner.SetMembers(n.directory(now, members))
+	n.setPeers(members)
+	n.steer(now, members)
+	n.setInstances(now)
+	n.observeRegions(now, members)
+}
+
+// directory is the view that the at-most-once runner needs.
+func (n *Node) directory(now time.Time, members []member.Member) once.Directory {
+	const settled = 30 * time.Second
+	listed := false
+	d := once.Directory{VMs: make([]once.VM, 0, len(members))}
+	for _, m := range members {
+		listed = listed || m.Listed
+		vm := once.VM{
+			Member:     once.Member{VM: m.ID, Incarnation: m.Incarnation.Boot},
+			DataCentre: m.DataCentre, Region: m.Region, State: once.VMSuspected,
+		}
+		switch {
+		case m.Lost():
+			vm.State = once.VMGone
+		case m.State == member.Serving:
+			vm.State = once.VMServing
+		case m.State == member.Leaving:
+			vm.State = once.VMLeaving
+		}
+		d.VMs = append(d.VMs, vm)
+	}
+	d.Complete = listed && now.Sub(n.started) > settled
+	return d
+}
+
+// setPeers tells every pool how many VMs share its instances.
+func (n *Node) setPeers(members []member.Member) {
+	inRegion := make(map[string][]string)
+	for _, m := range members {
+		if m.State == member.Serving || m.State == member.Leaving || m.ID == n.self.ID {
+			inRegion[m.Region] = append(inRegion[m.Region], m.ID)
+		}
+	}
+	n.selector.mu.Lock()
+	defer n.selector.mu.Unlock()
+	for key, p := range n.selector.pools {
+		ids := inRegion[key.region]
+		slices.Sort(ids)
+		p.setPeers(max(1, len(ids)), slices.Index(ids, n.self.ID))
+	}
+}
+
+// steer rebuilds the snapshot that lookups answer from.
+func (n *Node) steer(now time.Time, members []member.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.snapshot == nil {
+		return
+	}
+	n.sections.init()
+	in := steer.Input{Register: n.snapshot.Register, Blocks: n.blocks, Drains: n.snapshot.Rules.Drains}
+	for _, m := range members {
+		e, ok := n.sections.endpoints[m.ID]
+		if !ok {
+			continue
+		}
+		in.VMs = append(in.VMs, steer.VM{
+			ID: m.ID, Incarnation: m.Incarnation.Boot, DataCentre: m.DataCentre, Region: m.Region,
+			State: steerState(m.State), Address: e.Address, Load: float64(e.Load) / 10,
+		})
+	}
+	snapshot, err := n.steering.Build(now, in)
+	if err != nil {
+		event.SteerFailed.Log(n.log, "error", err)
+		return
+	}
+	n.lookups.Set(snapshot)
+}
+
+func steerState(s member.State) steer.State {
+	switch s {
+	case member.Serving:
+		return steer.Serving
+	case member.Leaving:
+		return steer.Leaving
+	case member.Suspected:
+		return steer.Suspected
+	case member.Gone:
+		return steer.Gone
+	default:
+		return steer.Joining
+	}
+}
+
+// observeRegions tells the gate which regions are lost.
+func (n *Node) observeRegions(now time.Time, members []member.Member) {
+	alive := make(map[string]bool)
+	for _, m := range members {
+		if m.State != member.Gone && m.State != member.Suspected {
+			alive[m.Region] = true
+		}
+	}
+	n.mu.Lock()
+	snapshot := n.snapshot
+	n.mu.Unlock()
+	if snapshot == nil {
+		return
+	}
+	n.selector.mu.Lock()
+	defer n.selector.mu.Unlock()
+	for _, region := range snapshot.Register.RegionNames() {
+		state := plan.RegionUp
+		switch {
+		case !alive[region]:
+			state = plan.RegionUnreachable
+		case n.prober.isRegionDown(region):
+			state = plan.RegionNoUpstreams
+		}
+		n.selector.gate.Observe(now, region, state)
+	}
+}
+
+// broadcast sends crash notes to all VMs without waiting.
+func (n *Node) broadcast(notes []*peerpb.CrashNote) {
+	n.group.Go(func() {
+		ctx, cancel := context.WithTimeout(n.ctx, broadcastTimeout)
+		defer cancel()
+		n.control.BroadcastCrashNotes(ctx, notes)
+	})
+}
+
+func (n *Node) onCrashNotes(notes []*peerpb.CrashNote) { n.crash.merge(notes) }
--- /dev/null
+++ b/node/inventory.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"time"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/steer"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+var (
+	_ proxy.Services    = (*Node)(nil)
+	_ proxy.RetryBudget = (*Node)(nil)
+)
+
+// onSnapshot puts a configuration in force.
+func (n *Node) onSnapshot(s *config.Snapshot) {
+	blocks, err := buildBlocks(s)
+	if err != nil {
+		event.SteerFailed.Log(n.log, "error", err)
+	}
+	now := time.Now()
+	n.mu.Lock()
+	n.snapshot = s
+	n.blocks = blocks
+	n.noticed = now
+	n.services = make(map[string]*register.Service, len(s.Register.Services))
+	for i := range s.Register.Services {
+		service := &s.Register.Services[i]
+		n.services[service.Name] = service
+	}
+	n.drains.Set(now, s.Register, s.Rules)
+	n.mu.Unlock()
+	n.budgetMu.Lock()
+	n.budget.SetRatio(s.Rules.Retry())
+	n.budgetMu.Unlock()
+	n.makePools(s)
+	n.refresh(now)
+}
+
+// buildBlocks builds the table of client blocks from a configuration.
+func buildBlocks(s *config.Snapshot) (*steer.Blocks, error) {
+	builder := steer.NewBlocksBuilder(0, 0)
+	for b := range s.Blocks() {
+		if err := builder.Add(b.Prefix, b.Site); err != nil {
+			return nil, err
+		}
+	}
+	return builder.Build(), nil
+}
+
+func (n *Node) onReady() {
+	n.control.Declare(member.Serving)
+	n.proxy.SetReady(true)
+	n.refresh(time.Now())
+	event.DaemonReady.Log(n.log, "version", n.control.Version(), "after", time.Since(n.started))
+	close(n.ready)
+}
+
+// makePools adds pools for new services and regions and removes old ones.
+func (n *Node) makePools(s *config.Snapshot) {
+	cfg := balance.Config{HedgePercent: 100 * s.Rules.Hedge()}
+	if s.Rules.Hedge() == 0 {
+		cfg.HedgePercent = -1
+	}
+	n.selector.mu.Lock()
+	defer n.selector.mu.Unlock()
+	wanted := make(map[poolKey]bool)
+	for i := range s.Register.Services {
+		for _, region := range s.Register.RegionNames() {
+			key := poolKey{s.Register.Services[i].Name, region}
+			wanted[key] = true
+			if n.selector.pools[key] == nil {
+				n.selector.pools[key] = newPool(cfg, n.boot^uint64(len(n.selector.pools)))
+			}
+		}
+	}
+	for key := range n.selector.pools {
+		if !wanted[key] {
+			delete(n.selector.pools, key)
+		}
+	}
+}
+
+// setInstances gives each pool its instances with the drains and failures of the
+// time.
+func (n *Node) setInstances(now time.Time) {
+	n.mu.Lock()
+	snapshot := n.snapshot
+	if snapshot == nil {
+		n.mu.Unlock()
+		return
+	}
+	type list struct {
+		instances []balance.Instance
+		addresses map[string]string
+	}
+	lists := make(map[poolKey]*list)
+	for i := range snapshot.Register.Services {
+		service := &snapshot.Register.Services[i]
+		for j := range service.Instances {
+			instance := &service.Instances[j]
+			key := poolKey{service.Name, snapshot.Register.RegionOf(instance.DataCentre)}
+			l := lists[key]
+			if l == nil {
+				l = &list{addresses: make(map[string]string)}
+				lists[key] = l
+			}
+			l.instances = append(l.instances, balance.Instance{
+				ID: instance.ID, Slots: instance.Slots, MaxConnections: instance.Connections(),
+				Draining: n.drains.Instance(now, instance.ID) == 0 || n.prober.isDown(instance.ID),
+				Started:  n.prober.startedAt(instance.ID),
+			})
+			l.addresses[instance.ID] = instance.Address
+		}
+	}
+	n.mu.Unlock()
+	n.selector.mu.Lock()
+	pools := make(map[poolKey]*pool, len(n.selector.pools))
+	for key, p := range n.selector.pools {
+		pools[key] = p
+	}
+	n.selector.mu.Unlock()
+	for key, p := range pools {
+		l := lists[key]
+		if l == nil {
+			l = new(list)
+		}
+		p.set(now, l.instances, l.addresses)
+	}
+}
+
+func (n *Node) pollPools(now time.Time) {
+	n.selector.mu.Lock()
+	pools := make([]*pool, 0, len(n.selector.pools))
+	for _, p := range n.selector.pools {
+		pools = append(pools, p)
+	}
+	n.selector.mu.Unlock()
+	for _, p := range pools {
+		p.poll(now)
+	}
+}
+
+// Service implements proxy.Services.
+func (n *Node) Service(name string) *register.Service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.services[name]
+}
+
+// Sent implements proxy.RetryBudget.
+func (n *Node) Sent(service, caller string) {
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Request(time.Now(), service, caller)
+}
+
+// Retry implements proxy.RetryBudget.
+func (n *Node) Retry(service, caller string) bool {
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	return n.budget.Allow(time.Now(), service, caller, verdict.NotRun) == nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,398 @@
+// Package node wires one entry VM: lookup, request path, at-most-once claims,
+// membership, configuration, planning and the admin listener.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc"
+
+	"github.com/currantferry/currantferry/budget"
+	"github.com/currantferry/currantferry/certs"
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/control"
+	"github.com/currantferry/currantferry/crashguard"
+	"github.com/currantferry/currantferry/drain"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/lookup"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/metric"
+	"github.com/currantferry/currantferry/once"
+	"github.com/currantferry/currantferry/once/oncepb"
+	"github.com/currantferry/currantferry/once/oncerpc"
+	"github.com/currantferry/currantferry/peer"
+	"github.com/currantferry/currantferry/plan"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/settings"
+	"github.com/currantferry/currantferry/steer"
+	"github.com/currantferry/currantferry/store"
+)
+
+// Options of a Node.
+type Options struct {
+	Settings *settings.Settings
+	// Store and Lister are the platform's services.
+	Store  store.Store
+	Lister store.VMLister
+	// Log receives events. Nil means none.
+	Log *slog.Logger
+}
+
+// Node is one running entry VM. It is safe for concurrent use.
+type Node struct {
+	settings *settings.Settings
+	log      *slog.Logger
+	store    store.Store
+	metrics  *metric.Set
+	counters *peer.Counters
+
+	control  *control.Control
+	pool     *peer.Pool
+	peers    *peer.Server
+	runner   *oncerpc.Runner
+	proxy    *proxy.Handler
+	lookups  *lookup.Core
+	dns      *lookup.DNSServer
+	selector *selector
+	crash    *crashNotes
+	planner  *planner
+	prober   *prober
+	servers  []*http.Server
+	caller   net.Listener
+	admin    net.Listener
+	tls      tlsKeepers
+
+	boot    uint64
+	self    member.Info
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   conc.WaitGroup
+	ready   chan struct{}
+	once    sync.Once
+
+	mu       sync.Mutex
+	leaving  bool
+	snapshot *config.Snapshot
+	blocks   *steer.Blocks
+	services map[string]*register.Service
+	drains   *drain.Tracker
+	noticed  time.Time
+	steering *steer.Builder
+	sections sectionSet
+	budgetMu sync.Mutex
+	budget   *budget.Retry
+}
+
+// tlsKeepers hold the certificates of the listeners; nil ones mean plain TCP.
+type tlsKeepers struct{ caller, peer, admin *certs.Keeper }
+
+// Start listens and joins the other VMs. The node takes callers once its
+// configuration is confirmed, see Ready.
+func Start(o Options) (*Node, error) {
+	if o.Settings == nil || o.Store == nil || o.Lister == nil {
+		return nil, errors.New("node: settings, store and lister are needed")
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	s := o.Settings
+	n := &Node{
+		settings: s, log: o.Log.With("vm", s.VM.ID), store: o.Store,
+		metrics: metric.New(), started: time.Now(), ready: make(chan struct{}),
+		services: make(map[string]*register.Service),
+		drains:   drain.New(drain.Config{}),
+		budget:   budget.NewRetry(budget.Config{}),
+		steering: steer.New(steer.Config{TTL: s.Lookup.TTL, DataCentre: s.VM.DataCentre}),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.open(o); err != nil {
+		n.Kill()
+		return nil, err
+	}
+	n.run()
+	event.DaemonStarted.Log(n.log, "region", s.VM.Region, "data_centre", s.VM.DataCentre, "caller", n.CallerAddress())
+	return n, nil
+}
+
+// open sets up every part; nothing runs yet.
+func (n *Node) open(o Options) error {
+	if err := n.openTLS(); err != nil {
+		return err
+	}
+	if err := n.openPeers(o); err != nil {
+		return err
+	}
+	n.openRequestPath()
+	if err := n.openLookups(); err != nil {
+		return err
+	}
+	return n.openListeners()
+}
+
+func (n *Node) openTLS() error {
+	t := n.settings.TLS
+	for _, k := range []struct {
+		keeper        **certs.Keeper
+		name          string
+		cert, key, ca string
+	}{
+		{&n.tls.caller, "caller", t.CallerCert, t.CallerKey, ""},
+		{&n.tls.peer, "peer", t.PeerCert, t.PeerKey, t.PeerCA},
+		{&n.tls.admin, "admin", t.AdminCert, t.AdminKey, ""},
+	} {
+		if k.cert == "" {
+			continue
+		}
+		keeper, err := certs.Load(certs.Config{Name: k.name, CertFile: k.cert, KeyFile: k.key, CAFile: k.ca, Scope: n.metrics.Scope(), Log: n.log})
+		if err != nil {
+			return errors.Wrapf(err, "certificate of the %s listener", k.name)
+		}
+		*k.keeper = keeper
+	}
+	return nil
+}
+
+func (n *Node) openPeers(o Options) error {
+	s := n.settings
+	l, err := net.Listen("tcp", s.Listen.Peer.String())
+	if err != nil {
+		return errors.Wrap(err, "peer listener")
+	}
+	n.self = member.Info{
+		ID: s.VM.ID, DataCentre: s.VM.DataCentre, Region: s.VM.Region,
+		Address: advertised(s.Listen.AdvertisePeer, l.Addr()),
+	}
+	n.counters = &peer.Counters{Scope: n.metrics.Scope()}
+	pool := peer.PoolOptions{Log: n.log, Counters: n.counters}
+	server := peer.ServerOptions{Log: n.log, Counters: n.counters}
+	if n.tls.peer != nil {
+		pool.TLS = n.tls.peer.PeerClient
+		server.TLS = n.tls.peer.PeerServer
+	}
+	n.pool = peer.NewPool(pool)
+	n.control, err = control.New(control.Options{
+		Self: n.self, Store: o.Store, Lister: o.Lister, Pool: n.pool, Seed: xxhash.Sum64String(s.VM.ID),
+		Seeds: n.resolveSeeds(), StoreTimeout: s.Store.Timeout, Log: n.log,
+		OnSnapshot: n.onSnapshot, OnReady: n.onReady, OnMember: n.onMember,
+		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk,
+	})
+	if err != nil {
+		l.Close()
+		return err
+	}
+	n.boot = n.control.Self().Incarnation.Boot
+	if n.peers, err = peer.NewServer(l, n.control, server); err != nil {
+		return err
+	}
+	n.runner = oncerpc.New(oncerpc.Options{
+		Config: once.Config{
+			Self: once.Member{VM: s.VM.ID, Incarnation: n.boot}, DataCentre: s.VM.DataCentre, Region: s.VM.Region,
+			Partitions: s.Once.Partitions, MaxClaims: s.Once.MaxClaims, Retention: s.Once.Retention,
+		},
+		Transport: oncerpc.NewDRPC(s.VM.ID, n.conn), Store: o.Store, Logger: n.log,
+		Scope: n.metrics.Scope(), OnRecord: n.onRecord,
+	})
+	return n.peers.Register(oncerpc.NewServer(n.runner), oncepb.DRPCOnceDescription{})
+}
+
+// conn returns a connection to a VM by its ID.
+func (n *Node) conn(vm string) (drpc.Conn, error) {
+	m, ok := n.control.Member(vm)
+	if !ok || m.Address == "" {
+		return nil, errors.Errorf("VM %s is not known", vm)
+	}
+	return n.pool.Conn(m.Address), nil
+}
+
+func (n *Node) openRequestPath() {
+	s := n.settings
+	gate := plan.NewGate(plan.GateConfig{VM: s.VM.ID, Incarnation: n.boot, Region: s.VM.Region})
+	n.crash = &crashNotes{guard: crashguard.New(crashguard.Config{VM: s.VM.ID}), broadcast: n.broadcast}
+	n.selector = newSelector(gate, n.crash)
+	n.planner = &planner{n: n}
+	n.prober = newProber(n)
+	n.proxy = proxy.New(proxy.Options{
+		Services: n, Selector: n.selector, Claimer: &claimer{n.runner}, Budget: n,
+		Metrics: n.metrics, Log: n.log, Zone: s.Lookup.Zone,
+		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: s.Request.MaxBody,
+	})
+}
+
+func (n *Node) openLookups() error {
+	s := n.settings
+	n.lookups = lookup.NewCore(lookup.Config{MaxConcurrent: s.Lookup.MaxConcurrent, Scope: n.metrics.Scope(), Log: n.log})
+	if !s.Listen.DNS.IsValid() {
+		return nil
+	}
+	dns, err := lookup.ListenDNS(lookup.DNSConfig{Core: n.lookups, Listen: s.Listen.DNS, Zone: s.Lookup.Zone, Log: n.log})
+	if err != nil {
+		return errors.Wrap(err, "DNS listener")
+	}
+	n.dns = dns
+	return nil
+}
+
+func (n *Node) openListeners() error {
+	s := n.settings
+	router := httprouter.New()
+	n.lookups.Register(router)
+	// Every other path is a request for a service.
+	router.NotFound = n.proxy
+	router.HandleMethodNotAllowed = false
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	var err error
+	if n.caller, err = n.listen(s.Listen.Caller, n.closeWhenLeaving(router), n.tls.caller, (*certs.Keeper).Caller); err != nil {
+		return errors.Wrap(err, "caller listener")
+	}
+	if !s.Listen.Admin.IsValid() {
+		return nil
+	}
+	if n.admin, err = n.listen(s.Listen.Admin, n.adminHandler(), n.tls.admin, (*certs.Keeper).Admin); err != nil {
+		return errors.Wrap(err, "admin listener")
+	}
+	return nil
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+func (n *Node) listen(a netip.AddrPort, h http.Handler, keeper *certs.Keeper, tlsConfig func(*certs.Keeper) *tls.Config) (net.Listener, error) {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return nil, err
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, Protocols: protocols,
+		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	n.servers = append(n.servers, server)
+	if keeper != nil {
+		server.TLSConfig = tlsConfig(keeper)
+		n.group.Go(func() { _ = server.ServeTLS(l, "", "") })
+	} else {
+		n.group.Go(func() { _ = server.Serve(l) })
+	}
+	return l, nil
+}
+
+// closeWhenLeaving asks callers to leave their connections while the VM drains,
+// so that none sends on a connection that is about to be closed.
+func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.isLeaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) isLeaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+func (n *Node) run() {
+	n.peers.Serve()
+	n.publishEndpoint()
+	n.control.Start()
+	n.group.Go(func() { _ = n.runner.Run(n.ctx) })
+	for _, loop := range []struct {
+		every time.Duration
+		step  func(now time.Time)
+	}{
+		{5 * time.Millisecond, n.pollPools},
+		{200 * time.Millisecond, n.refresh},
+		{time.Second, n.everySecond},
+		{planInterval, n.planner.step},
+		{probeInterval, n.prober.step},
+	} {
+		n.group.Go(func() { n.loop(loop.every, loop.step) })
+	}
+	for _, k := range []*certs.Keeper{n.tls.caller, n.tls.peer, n.tls.admin} {
+		if k != nil {
+			n.group.Go(func() { k.Run(n.ctx) })
+		}
+	}
+}
+
+func (n *Node) loop(every time.Duration, step func(now time.Time)) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			step(now)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready is closed once the node takes callers.
+func (n *Node) Ready() <-chan struct{} { return n.ready }
+
+// CallerAddress is where the caller listener is.
+func (n *Node) CallerAddress() string { return addressOf(n.caller) }
+
+// AdminAddress is where the admin listener is, or empty.
+func (n *Node) AdminAddress() string { return addressOf(n.admin) }
+
+// PeerAddress is where other VMs reach this one.
+func (n *Node) PeerAddress() string { return n.self.Address }
+
+// DNSAddress is where DNS queries are answered, or empty.
+func (n *Node) DNSAddress() string {
+	if n.dns == nil {
+		return ""
+	}
+	return n.dns.Addr().String()
+}
+
+func addressOf(l net.Listener) string {
+	if l == nil {
+		return ""
+	}
+	return l.Addr().String()
+}
+
+// advertised is the address from the settings with the port that was opened.
+func advertised(a netip.AddrPort, opened net.Addr) string {
+	tcp, ok := opened.(*net.TCPAddr)
+	if !ok || (a.IsValid() && a.Port() != 0) {
+		return a.String()
+	}
+	if a.IsValid() {
+		return netip.AddrPortFrom(a.Addr(), tcp.AddrPort().Port()).String()
+	}
+	return tcp.AddrPort().String()
+}
+
+// Control gives access to membership and configuration.
+func (n *Node) Control() *control.Control { return n.control }
+
+// Metrics gives access to the counters.
+func (n *Node) Metrics() *metric.Set { return n.metrics }
+
+// Traffic returns the bytes that came from and went to other VMs.
+func (n *Node) Traffic() (in, out int64) { return n.counters.Bytes() }
--- /dev/null
+++ b/node/planner.go
@@ -0,0 +1,377 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/plan"
+	"github.com/currantferry/currantferry/store"
+)
+
+const (
+	planInterval = 2 * time.Second
+	// planRefresh is the longest time between two plans whose measurements
+	// differ but which shift nothing.
+	planRefresh = time.Minute
+	planKey     = "plan/current"
+	planLock    = "plan/lease"
+	maxMoves    = 64
+)
+
+// planner holds the plan in force and, on the VM that has the lease, makes the
+// next one.
+type planner struct {
+	n *Node
+
+	mu      sync.Mutex
+	current *plan.Plan
+	data    []byte
+	hash    config.Hash
+	moves   []timedMove
+	holding bool
+
+	// The fields below belong to the loop that calls step.
+	lease     store.LeaseID
+	renewed   time.Time
+	signature string
+	published time.Time
+}
+
+type timedMove struct {
+	at time.Time
+	plan.Move
+}
+
+// step publishes this VM's measurements and plans if this VM's turn has come.
+func (p *planner) step(now time.Time) {
+	p.publishMeasure(now)
+	if !p.n.control.Ready() || p.n.isLeaving() || !p.n.control.First("plan") {
+		p.drop()
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.n.ctx, p.n.settings.Store.Timeout)
+	defer cancel()
+	if err := p.hold(ctx, now); err != nil {
+		event.PlanFailed.Log(p.n.log, "step", "lease", "error", err)
+		return
+	}
+	if err := p.plan(ctx, now); err != nil {
+		event.PlanFailed.Log(p.n.log, "step", "publish", "error", err)
+	}
+}
+
+// drop gives the lease back when another VM comes first.
+func (p *planner) drop() {
+	if p.lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.n.ctx, p.n.settings.Store.Timeout)
+	defer cancel()
+	_ = p.n.store.RevokeLease(ctx, p.lease)
+	p.setLease("")
+}
+
+func (p *planner) setLease(id store.LeaseID) {
+	p.lease = id
+	p.mu.Lock()
+	p.holding = id != ""
+	p.mu.Unlock()
+}
+
+// hold takes or renews the planner's lease.
+func (p *planner) hold(ctx context.Context, now time.Time) error {
+	ttl := p.n.settings.Store.LeaseTTL
+	if p.lease != "" {
+		if now.Sub(p.renewed) < ttl/3 {
+			return nil
+		}
+		err := p.n.store.RenewLease(ctx, p.lease)
+		if errors.Is(err, store.ErrLeaseLost) {
+			p.setLease("")
+		}
+		if err == nil {
+			p.renewed = now
+		}
+		return err
+	}
+	id, err := p.n.store.GrantLease(ctx, "planner "+p.n.self.ID, ttl)
+	if err != nil {
+		return err
+	}
+	if err := p.n.store.Lock(ctx, planLock, []byte(p.n.self.ID), id); err != nil {
+		_ = p.n.store.RevokeLease(ctx, id)
+		if errors.Is(err, store.ErrConflict) {
+			return errors.New("another VM holds the planner's lease")
+		}
+		return err
+	}
+	p.setLease(id)
+	p.renewed = now
+	p.signature = ""
+	event.PlannerLease.Log(p.n.log)
+	return nil
+}
+
+// plan computes the next plan and publishes it if it differs.
+func (p *planner) plan(ctx context.Context, now time.Time) error {
+	entry, err := p.n.store.Get(ctx, planKey)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	if len(entry.Value) > 0 {
+		if err := p.adopt(entry.Value); err != nil {
+			return err
+		}
+	}
+	in := p.input(now)
+	if in == nil {
+		return nil
+	}
+	next, moves, err := plan.Compute(*in)
+	if err != nil {
+		return err
+	}
+	signature := p.sign(in)
+	if len(moves) == 0 && signature == p.signature && now.Sub(p.published) < planRefresh {
+		return nil
+	}
+	data, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	w := store.Write{Key: planKey, Value: data, Index: entry.Index, LockKey: planLock, Lease: p.lease}
+	if err := p.write(ctx, w, next.ChangeID); err != nil {
+		return err
+	}
+	p.signature, p.published = signature, now
+	p.note(now, moves)
+	event.PlanMade.Log(p.n.log, "version", next.Version, "moves", len(moves))
+	return p.adopt(data)
+}
+
+// write publishes a plan. After a lost reply it reads back whether the plan with
+// its change ID took effect.
+func (p *planner) write(ctx context.Context, w store.Write, changeID string) error {
+	err := p.n.store.CompareAndSwap(ctx, w)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, store.ErrConflict) {
+		p.setLease("")
+		return err
+	}
+	entry, readErr := p.n.store.Get(ctx, w.Key)
+	if readErr != nil {
+		return err
+	}
+	var found plan.Plan
+	if json.Unmarshal(entry.Value, &found) == nil && found.ChangeID == changeID {
+		return nil
+	}
+	return err
+}
+
+// sign tells whether two inputs differ in more than their measurements.
+func (p *planner) sign(in *plan.Input) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d", p.n.control.Version())
+	for _, vm := range in.VMs {
+		fmt.Fprintf(&b, " %s/%d", vm.ID, vm.Incarnation)
+	}
+	for _, c := range in.Capacity {
+		fmt.Fprintf(&b, " %s/%s=%g", c.Service, c.Region, c.Slots)
+	}
+	// A share moves on only after its holder has confirmed, so a plan with
+	// pending moves of shares is made anew.
+	if in.Previous != nil {
+		for i := range in.Previous.VMs {
+			if in.Previous.VMs[i].Held != nil {
+				fmt.Fprintf(&b, " held %s %d", in.Previous.VMs[i].ID, confirmedOf(in, in.Previous.VMs[i].ID))
+			}
+		}
+	}
+	return b.String()
+}
+
+func confirmedOf(in *plan.Input, id string) uint64 {
+	for _, vm := range in.VMs {
+		if vm.ID == id {
+			return vm.Confirmed
+		}
+	}
+	return 0
+}
+
+// input collects what the planner knows.
+func (p *planner) input(now time.Time) *plan.Input {
+	members := p.n.control.Members()
+	p.mu.Lock()
+	previous := p.current
+	p.mu.Unlock()
+	p.n.mu.Lock()
+	defer p.n.mu.Unlock()
+	if p.n.snapshot == nil {
+		return nil
+	}
+	in := &plan.Input{
+		Now: now, ChangeID: rand.Text(), Register: p.n.snapshot.Register, Rules: p.n.snapshot.Rules,
+		Drains: p.n.drains, Previous: previous,
+	}
+	demand := make(map[[2]string]*plan.Demand)
+	for _, m := range members {
+		if m.Lost() {
+			in.Gone = append(in.Gone, plan.Ref{ID: m.ID, Incarnation: m.Incarnation.Boot})
+			continue
+		}
+		if m.State != member.Serving && m.State != member.Leaving {
+			continue
+		}
+		measured := p.n.sections.measures[m.ID]
+		in.VMs = append(in.VMs, plan.VM{
+			ID: m.ID, Incarnation: m.Incarnation.Boot, DataCentre: m.DataCentre, Region: m.Region, Confirmed: measured.Confirmed,
+		})
+		for name, s := range measured.Services {
+			key := [2]string{name, m.Region}
+			d := demand[key]
+			if d == nil {
+				d = &plan.Demand{Service: name, Origin: m.Region, At: measured.at}
+				demand[key] = d
+			}
+			d.Slots += s.Slots
+			d.RequestBytes += s.Request
+			d.AnswerBytes += s.Answer
+			if measured.at.Before(d.At) {
+				d.At = measured.at
+			}
+		}
+	}
+	for _, d := range demand {
+		in.Demand = append(in.Demand, *d)
+	}
+	slices.SortFunc(in.Demand, func(a, b plan.Demand) int {
+		return strings.Compare(a.Service+" "+a.Origin, b.Service+" "+b.Origin)
+	})
+	in.Capacity = p.capacity(now, in)
+	return in
+}
+
+// capacity sums the slots of instances that are up.
+func (p *planner) capacity(now time.Time, in *plan.Input) []plan.Capacity {
+	var out []plan.Capacity
+	for i := range in.Register.Services {
+		s := &in.Register.Services[i]
+		for _, region := range in.Register.RegionNames() {
+			c := plan.Capacity{Service: s.Name, Region: region, At: now}
+			for j := range s.Instances {
+				if in.Register.RegionOf(s.Instances[j].DataCentre) == region && !p.n.prober.isDown(s.Instances[j].ID) {
+					c.Slots += float64(s.Instances[j].Slots)
+				}
+			}
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// adopt puts a plan in force here unless a newer one is.
+func (p *planner) adopt(data []byte) error {
+	next := new(plan.Plan)
+	if err := json.Unmarshal(data, next); err != nil {
+		return errors.Wrap(err, "plan")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.current != nil && next.Version <= p.current.Version {
+		return nil
+	}
+	p.n.selector.mu.Lock()
+	err := p.n.selector.gate.SetPlan(time.Now(), next)
+	p.n.selector.mu.Unlock()
+	if err != nil {
+		event.PlanRejected.Log(p.n.log, "version", next.Version, "error", err)
+		return err
+	}
+	p.current, p.data, p.hash = next, data, config.HashOf(data)
+	p.n.control.SetPlan(next.Version, p.hash)
+	event.PlanAdopted.Log(p.n.log, "version", next.Version)
+	return nil
+}
+
+func (p *planner) note(now time.Time, moves []plan.Move) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range moves {
+		event.PlanMove.Log(p.n.log, "service", m.Service, "origin", m.Origin, "from", m.From, "to", m.To, "percent", m.Percent, "why", m.Text)
+		p.moves = append(p.moves, timedMove{now, m})
+	}
+	if extra := len(p.moves) - maxMoves; extra > 0 {
+		p.moves = slices.Delete(p.moves, 0, extra)
+	}
+}
+
+// publishMeasure spreads what this VM knows for the planner.
+func (p *planner) publishMeasure(now time.Time) {
+	p.n.selector.mu.Lock()
+	confirmed := p.n.selector.gate.Confirmed()
+	p.n.selector.mu.Unlock()
+	m := measure{Confirmed: confirmed, Services: p.n.selector.measures(now)}
+	for name, s := range m.Services {
+		// Rounding keeps an unchanged load from being spread again.
+		m.Services[name] = serviceMeasure{Slots: round(s.Slots), Request: round(s.Request), Answer: round(s.Answer)}
+	}
+	p.n.mu.Lock()
+	p.n.sections.init()
+	p.n.sections.measures[p.n.self.ID] = timedMeasure{m, now}
+	p.n.mu.Unlock()
+	p.n.setSection(sectionMeasure, m)
+}
+
+// round keeps two significant binary digits.
+func round(v float64) float64 {
+	step := 1.0 / 16
+	for v > 8*step {
+		step *= 2
+	}
+	return float64(int(v/step+0.5)) * step
+}
+
+func (n *Node) planChunk(hash [32]byte) ([]byte, bool) {
+	n.planner.mu.Lock()
+	defer n.planner.mu.Unlock()
+	if n.planner.data == nil || n.planner.hash != config.Hash(hash) {
+		return nil, false
+	}
+	return n.planner.data, true
+}
+
+// onPlan fetches a newer plan from the peer that announced it.
+func (n *Node) onPlan(d member.DocNews) {
+	n.group.Go(func() {
+		ctx, cancel := context.WithTimeout(n.ctx, 2*time.Second)
+		defer cancel()
+		data, err := n.control.FetchChunk(ctx, d.Peer, d.Hash)
+		if err != nil || config.HashOf(data) != config.Hash(d.Hash) {
+			return
+		}
+		_ = n.planner.adopt(data)
+	})
+}
+
+// everySecond does the slow housekeeping.
+func (n *Node) everySecond(now time.Time) {
+	n.selector.mu.Lock()
+	n.selector.gate.Tick(now)
+	n.selector.mu.Unlock()
+	n.publishEndpoint()
+}
--- /dev/null
+++ b/node/prober.go
@@ -0,0 +1,228 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/register"
+)
+
+const (
+	probeInterval = time.Second
+	probeTimeout  = 800 * time.Millisecond
+	// probersPerInstance VMs of the instance's region probe it, so that the
+	// probes of an instance do not grow with the number of VMs.
+	probersPerInstance = 2
+	// failuresUntilDown probes in a row make an instance count as down.
+	failuresUntilDown = 2
+	maxLoadReport     = 4 << 10
+)
+
+// prober asks a few instances for their load and shares which are down.
+type prober struct {
+	n      *Node
+	client *http.Client
+
+	mu       sync.Mutex
+	failures map[string]int
+	// down is the view of all VMs, by instance; started is when it came back.
+	down    map[string]bool
+	started map[string]time.Time
+	regions map[string]bool
+}
+
+func newProber(n *Node) *prober {
+	return &prober{
+		n: n, client: &http.Client{Timeout: probeTimeout},
+		failures: make(map[string]int), down: make(map[string]bool),
+		started: make(map[string]time.Time), regions: make(map[string]bool),
+	}
+}
+
+func (p *prober) isDown(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down[instance]
+}
+
+// startedAt returns when an instance came back after it was down.
+func (p *prober) startedAt(instance string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started[instance]
+}
+
+func (p *prober) isRegionDown(region string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.regions[region]
+}
+
+// step probes the instances that are this VM's part.
+func (p *prober) step(now time.Time) {
+	p.n.mu.Lock()
+	snapshot := p.n.snapshot
+	p.n.mu.Unlock()
+	if snapshot == nil {
+		return
+	}
+	probers := p.probers(snapshot.Register)
+	var group conc.WaitGroup
+	for i := range snapshot.Register.Services {
+		service := &snapshot.Register.Services[i]
+		for j := range service.Instances {
+			instance := &service.Instances[j]
+			if slices.Contains(probers[instance.ID], p.n.self.ID) {
+				group.Go(func() { p.probe(service.Name, snapshot.Register.RegionOf(instance.DataCentre), instance) })
+			}
+		}
+	}
+	group.Wait()
+	p.share()
+	p.combine(now, snapshot.Register, probers)
+}
+
+// probers returns, for each instance, the VMs of its region with the highest
+// rendezvous hash. A region without VMs is probed by those of other regions.
+func (p *prober) probers(r *register.Register) map[string][]string {
+	byRegion := make(map[string][]string)
+	var all []string
+	for _, m := range p.n.control.Members() {
+		if m.State == member.Serving || m.ID == p.n.self.ID {
+			byRegion[m.Region] = append(byRegion[m.Region], m.ID)
+			all = append(all, m.ID)
+		}
+	}
+	out := make(map[string][]string)
+	for i := range r.Services {
+		for j := range r.Services[i].Instances {
+			instance := &r.Services[i].Instances[j]
+			ids := byRegion[r.RegionOf(instance.DataCentre)]
+			if len(ids) == 0 {
+				ids = all
+			}
+			out[instance.ID] = rank(ids, instance.ID, probersPerInstance)
+		}
+	}
+	return out
+}
+
+// rank returns the n IDs with the highest rendezvous hash for key.
+func rank(ids []string, key string, n int) []string {
+	ranked := slices.Clone(ids)
+	slices.SortFunc(ranked, func(a, b string) int {
+		ha, hb := xxhash.Sum64String(key+"/"+a), xxhash.Sum64String(key+"/"+b)
+		switch {
+		case ha > hb:
+			return -1
+		case ha < hb:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+// loadReport is the body of an instance's load endpoint.
+type loadReport struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+func (p *prober) probe(service, region string, instance *register.Instance) {
+	at := time.Now()
+	report, err := p.fetch(instance.Address)
+	p.mu.Lock()
+	if err != nil {
+		p.failures[instance.ID]++
+	} else {
+		p.failures[instance.ID] = 0
+	}
+	p.mu.Unlock()
+	if pool := p.n.selector.pool(service, region); err == nil && pool != nil {
+		pool.report(instance.ID, balance.LoadReport{At: at, Running: report.Running, Queued: report.Waiting})
+	}
+}
+
+func (p *prober) fetch(address string) (loadReport, error) {
+	var report loadReport
+	ctx, cancel := context.WithTimeout(p.n.ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return report, err
+	}
+	res, err := p.client.Do(req)
+	if err != nil {
+		return report, err
+	}
+	defer res.Body.Close()
+	return report, json.NewDecoder(io.LimitReader(res.Body, maxLoadReport)).Decode(&report)
+}
+
+// share publishes the instances that this VM finds down.
+func (p *prober) share() {
+	p.mu.Lock()
+	var d down
+	for id, failures := range p.failures {
+		if failures >= failuresUntilDown {
+			d.Instances = append(d.Instances, id)
+		}
+	}
+	p.mu.Unlock()
+	slices.Sort(d.Instances)
+	p.n.mu.Lock()
+	p.n.sections.init()
+	same := slices.Equal(p.n.sections.down[p.n.self.ID].Instances, d.Instances)
+	p.n.sections.down[p.n.self.ID] = d
+	p.n.mu.Unlock()
+	if !same {
+		p.n.setSection(sectionDown, d)
+	}
+}
+
+// combine derives the view of all VMs: an instance is down when all of its
+// probers say so.
+func (p *prober) combine(now time.Time, r *register.Register, probers map[string][]string) {
+	p.n.mu.Lock()
+	reports := make(map[string]int)
+	for vm, d := range p.n.sections.down {
+		for _, id := range d.Instances {
+			if slices.Contains(probers[id], vm) {
+				reports[id]++
+			}
+		}
+	}
+	p.n.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.regions)
+	up := make(map[string]bool)
+	for i := range r.Services {
+		for j := range r.Services[i].Instances {
+			instance := &r.Services[i].Instances[j]
+			isDown := len(probers[instance.ID]) > 0 && reports[instance.ID] >= len(probers[instance.ID])
+			if p.down[instance.ID] && !isDown {
+				p.started[instance.ID] = now
+			}
+			p.down[instance.ID] = isDown
+			if !isDown {
+				up[r.RegionOf(instance.DataCentre)] = true
+			}
+		}
+	}
+	for _, region := range r.RegionNames() {
+		p.regions[region] = !up[region]
+	}
+}
--- /dev/null
+++ b/node/sections.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/currantferry/currantferry/member"
+)
+
+// Kinds of sections that VMs spread about themselves.
+const (
+	sectionEndpoint uint8 = 1
+	sectionMeasure  uint8 = 2
+	sectionDown     uint8 = 3
+	// sectionRecord and the numbers above it carry partition records.
+	sectionRecord uint8 = 16
+)
+
+// endpoint says where callers reach a VM and how loaded it is.
+type endpoint struct {
+	Address netip.AddrPort `json:"a"`
+	// Load is in tenths of the VM's capacity, so that it seldom changes.
+	Load int `json:"l"`
+}
+
+// measure is what a VM knows for the planner.
+type measure struct {
+	// Confirmed is the newest plan version that the VM obeys.
+	Confirmed uint64 `json:"c"`
+	// Services is the work that callers bring to the VM.
+	Services map[string]serviceMeasure `json:"s,omitempty"`
+}
+
+// serviceMeasure is mean slots in use and bytes/s.
+type serviceMeasure struct {
+	Slots   float64 `json:"n"`
+	Request float64 `json:"q"`
+	Answer  float64 `json:"r"`
+}
+
+// down lists the instances that the VM probes and cannot reach.
+type down struct {
+	Instances []string `json:"i,omitempty"`
+}
+
+// decodeSection reads a section of another VM. Faulty ones count as absent.
+func decodeSection[T any](s member.Section) (T, bool) {
+	var v T
+	err := json.Unmarshal(s.Value, &v)
+	return v, err == nil
+}
--- /dev/null
+++ b/node/selector.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/crashguard"
+	"github.com/currantferry/currantferry/plan"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+var _ proxy.Selector = (*selector)(nil)
+
+// selector chooses a region by the plan, an instance by the balancer of that
+// region, and asks the crash guard before each attempt.
+type selector struct {
+	mu    sync.Mutex
+	gate  *plan.Gate
+	pools map[poolKey]*pool
+	work  map[string]*workMeter
+
+	crash *crashNotes
+}
+
+type poolKey struct{ service, region string }
+
+// maxOther bounds how often an instance is chosen anew because the crash guard
+// or an earlier attempt excludes it.
+const maxOther = 8
+
+func newSelector(gate *plan.Gate, crash *crashNotes) *selector {
+	return &selector{gate: gate, crash: crash, pools: make(map[poolKey]*pool), work: make(map[string]*workMeter)}
+}
+
+func (s *selector) pool(service, region string) *pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pools[poolKey{service, region}]
+}
+
+// Select implements proxy.Selector.
+func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
+	now := time.Now()
+	s.mu.Lock()
+	grant, refused := s.gate.Admit(now, plan.Request{Service: q.Service.Name, Bytes: max(0, q.Bytes)})
+	s.mu.Unlock()
+	if refused != nil {
+		return nil, refused
+	}
+	var err error
+	for {
+		var chosen *selection
+		chosen, err = s.selectIn(ctx, q, grant.Region())
+		if err == nil {
+			chosen.grant = grant
+			s.began(now, q)
+			return chosen, nil
+		}
+		if !isRegional(err) || !s.next(&grant) {
+			break
+		}
+	}
+	s.release(&grant, 0)
+	return nil, err
+}
+
+// isRegional tells whether another region may do what one refused.
+func isRegional(err error) bool {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Reason {
+	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonDeadlineAhead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *selector) next(g *plan.Grant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Next(time.Now(), g)
+}
+
+func (s *selector) release(g *plan.Grant, answerBytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Release(time.Now(), g, answerBytes)
+}
+
+func (s *selector) selectIn(ctx context.Context, q *proxy.Query, region string) (*selection, error) {
+	p := s.pool(q.Service.Name, region)
+	if p == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, time.Second)
+	}
+	r := balance.Request{
+		Class:      classOf(q.Route.Class),
+		Route:      xxhash.Sum64String(q.Method + " " + q.Service.Name + q.Route.Prefix),
+		Length:     q.Bytes,
+		Idempotent: q.Idempotent,
+		Deadline:   q.Deadline,
+	}
+	for try := 0; ; try++ {
+		ticket, err := p.pick(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		if slices.Contains(q.Exclude, ticket.Instance) && try < maxOther {
+			p.done(ticket, balance.Cancelled)
+			continue
+		}
+		trial, verdictErr := s.crash.begin(ctx, q, ticket.Instance)
+		if verdictErr == nil {
+			return &selection{s: s, q: *q, pool: p, region: region, ticket: ticket, trial: trial}, nil
+		}
+		p.done(ticket, balance.Cancelled)
+		if !errors.Is(verdictErr, errOtherInstance) || try >= maxOther {
+			return nil, refusalOf(verdictErr)
+		}
+	}
+}
+
+func refusalOf(err error) error {
+	if errors.Is(err, errOtherInstance) {
+		return verdict.New(verdict.NotRun, verdict.ReasonCrashGuard, crashguard.DefaultSettle)
+	}
+	return err
+}
+
+func classOf(name string) balance.Class {
+	switch name {
+	case "short":
+		return balance.Short
+	case "long":
+		return balance.Long
+	default:
+		return balance.Unknown
+	}
+}
+
+// selection is one attempt's place at an instance.
+type selection struct {
+	s      *selector
+	q      proxy.Query
+	pool   *pool
+	region string
+	ticket balance.Ticket
+	trial  crashguard.Ticket
+	grant  plan.Grant
+	// isHedge attempts share the grant of the first.
+	isHedge bool
+}
+
+// Instance implements proxy.Selection.
+func (c *selection) Instance() proxy.Instance {
+	return proxy.Instance{ID: c.ticket.Instance, Address: c.pool.address(c.ticket.Instance)}
+}
+
+// HedgeAfter implements proxy.Selection.
+func (c *selection) HedgeAfter() (time.Duration, bool) { return c.pool.hedgeAfter(c.ticket) }
+
+// Hedge implements proxy.Selection.
+func (c *selection) Hedge() (proxy.Selection, bool) {
+	ticket, ok := c.pool.hedge(c.ticket)
+	if !ok {
+		return nil, false
+	}
+	trial, err := c.s.crash.begin(context.Background(), &c.q, ticket.Instance)
+	if err != nil {
+		c.pool.done(ticket, balance.Cancelled)
+		return nil, false
+	}
+	return &selection{s: c.s, q: c.q, pool: c.pool, region: c.region, ticket: ticket, trial: trial, isHedge: true}, true
+}
+
+// Done implements proxy.Selection.
+func (c *selection) Done(o proxy.Outcome) {
+	c.pool.done(c.ticket, outcomeOf(o))
+	c.s.crash.end(c.trial, o)
+	if !c.isHedge {
+		c.s.release(&c.grant, o.AnswerBytes)
+	}
+	c.s.ended(c, o)
+}
+
+// workMeter adds up a service's work for the planner.
+type workMeter struct {
+	slotTime time.Duration
+	request  int64
+	answer   int64
+	since    time.Time
+}
+
+func (s *selector) began(now time.Time, q *proxy.Query) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.meter(now, q.Service.Name)
+	w.request += max(0, q.Bytes)
+}
+
+func (s *selector) ended(c *selection, o proxy.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.meter(time.Now(), c.q.Service.Name)
+	w.slotTime += o.Latency
+	w.answer += o.AnswerBytes
+}
+
+// meter returns the meter of a service. The caller holds the lock.
+func (s *selector) meter(now time.Time, service string) *workMeter {
+	w := s.work[service]
+	if w == nil {
+		w = &workMeter{since: now}
+		s.work[service] = w
+	}
+	return w
+}
+
+// measures returns the work since the last call.
+func (s *selector) measures(now time.Time) map[string]serviceMeasure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]serviceMeasure, len(s.work))
+	for name, w := range s.work {
+		seconds := now.Sub(w.since).Seconds()
+		if seconds <= 0 {
+			continue
+		}
+		out[name] = serviceMeasure{
+			Slots:   w.slotTime.Seconds() / seconds,
+			Request: float64(w.request) / seconds,
+			Answer:  float64(w.answer) / seconds,
+		}
+	}
+	clear(s.work)
+	return out
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/member"
+)
+
+// closeTimeout bounds the farewell after the last request has ended.
+const closeTimeout = 2 * time.Second
+
+// Stop ends the node gracefully: lookups stop to name it, it serves on until the
+// cached answers have lapsed, hands over its at-most-once partitions, and ends
+// when no request is in flight or ctx has ended. It returns the number of
+// requests that were cut off.
+func (n *Node) Stop(ctx context.Context) int {
+	event.StopRequested.Log(n.log, "in_flight", n.proxy.InFlight())
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.control.Declare(member.Leaving)
+	n.refresh(time.Now())
+	var handover conc.WaitGroup
+	handover.Go(func() { _ = n.runner.Leave(ctx) })
+	grace := time.NewTimer(n.settings.Node.LookupGrace)
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+		grace.Stop()
+	}
+	left := n.proxy.Stop(ctx)
+	handover.Wait()
+	if left > 0 {
+		event.StopTimedOut.Log(n.log, "in_flight", left)
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	for _, s := range n.servers {
+		_ = s.Shutdown(end)
+	}
+	n.control.Leave(end)
+	n.Kill()
+	event.StopFinished.Log(n.log, "cut_off", left)
+	return left
+}
+
+// Kill ends the node at once, as the death of its process would.
+func (n *Node) Kill() {
+	n.once.Do(func() {
+		n.cancel()
+		for _, s := range n.servers {
+			_ = s.Close()
+		}
+		if n.dns != nil {
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = n.dns.Shutdown(ended)
+		}
+		if n.peers != nil {
+			_ = n.peers.Close()
+		}
+		if n.control != nil {
+			n.control.Close()
+		}
+		if n.pool != nil {
+			_ = n.pool.Close()
+		}
+		n.group.Wait()
+		_ = n.metrics.Close()
+	})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -325,8 +325,11 @@
 	return v.s.handler.Versions(ctx), nil
 }
 
-// maxNotes bounds the crash notes of one message.
-const maxNotes = 64
+// Bounds of the crash notes of one message.
+const (
+	maxNotes     = 64
+	maxNoteBytes = 16 << 10
+)
 
 func (v service) CrashNote(ctx context.Context, p *peerpb.CrashNoteRequest) (*peerpb.CrashNoteReply, error) {
 	if err := v.allowExchange(ctx, "crash-note", p); err != nil {
@@ -336,7 +339,7 @@
 		return nil, errors.Errorf("peer: %d crash notes in a message, at most %d", len(p.Notes), maxNotes)
 	}
 	for _, n := range p.Notes {
-		if len(n.GetService()) > maxTextBytes || len(n.GetFingerprint()) > maxTextBytes || len(n.GetInstances()) > maxNotes {
+		if len(n.GetNote()) > maxNoteBytes {
 			return nil, errors.New("peer: crash note outside its limits")
 		}
 	}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -21,14 +21,16 @@
 	defer res.Body.Close()
 	if !hasEnd(res) {
 		a.err = verdict.Wrap(errors.New("answer without length or chunks"), verdict.MayHaveRun, verdict.ReasonTruncated)
-		return x.failed(a)
+		a.fail()
+		return a.err
 	}
 	var kept []byte
 	if res.ContentLength >= 0 && res.ContentLength <= smallBody {
 		held, err := io.ReadAll(res.Body)
 		if err != nil {
 			a.err = x.truncated(a, err)
-			return x.failed(a)
+			a.fail()
+			return a.err
 		}
 		kept = held
 	}
@@ -36,13 +38,15 @@
 	n, err := x.copyBody(a, &kept)
 	if err != nil {
 		a.err = x.truncated(a, err)
-		failure := x.failed(a)
-		x.h.options.Metrics.Refused(failure.Reason)
+		a.fail()
+		if x.claim != nil {
+			x.claim.Forget()
+		}
+		x.h.options.Metrics.Refused(a.err.Reason)
 		event.AnswerAborted.Log(x.h.options.Log, "service", x.query.Service.Name, "bytes", n, "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	a.finish(Outcome{Verdict: verdict.Ran, AnswerBytes: n})
-	x.h.options.Guard.Answered(x.fingerprint, a.selection.Instance().ID)
 	if x.claim != nil {
 		x.claim.Done(&Answer{Status: res.StatusCode, Header: res.Header, Body: kept})
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -73,6 +73,7 @@
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 	}
 	x.fingerprint = x.sum()
+	x.query.Fingerprint = x.fingerprint
 	return x, nil
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -47,10 +47,10 @@
 	Deadline time.Time
 	// Exclude names instances that were tried already.
 	Exclude []string
-	// IsHedge marks a second attempt while the first still runs.
-	IsHedge bool
 	// IsRetry marks an attempt after a failed one.
 	IsRetry bool
+	// Fingerprint identifies the request and its resends.
+	Fingerprint [32]byte
 }
 
 // Instance is the target of an attempt.
@@ -76,6 +76,10 @@
 // Selection is an instance that was chosen, with the place that it takes up.
 type Selection interface {
 	Instance() Instance
+	// HedgeAfter returns how long to wait before a read is hedged.
+	HedgeAfter() (time.Duration, bool)
+	// Hedge selects another instance for the same request, or returns false.
+	Hedge() (Selection, bool)
 	// Done frees the place. It is called exactly once.
 	Done(o Outcome)
 }
@@ -84,8 +88,6 @@
 // with a *verdict.Error that says not run.
 type Selector interface {
 	Select(ctx context.Context, q *Query) (Selection, error)
-	// HedgeAfter returns how long to wait before a read is hedged.
-	HedgeAfter(q *Query) (time.Duration, bool)
 }
 
 // Claim is the right to run a request with an idempotency key.
@@ -94,6 +96,8 @@
 	Kept() *Answer
 	// Release says that the request was proven not to have run.
 	Release()
+	// Forget says that the request may have run, and nobody will know.
+	Forget()
 	// Done says that the request was answered. A nil body was not kept.
 	Done(a *Answer)
 }
@@ -111,17 +115,6 @@
 	Body []byte
 }
 
-// Guard stops requests that crash upstreams.
-type Guard interface {
-	// Admit refuses a request that crashed too many instances.
-	Admit(fingerprint [32]byte) error
-	// Crashed notes that the connection to instance ended while the request
-	// ran there, and tells whether another attempt may be made.
-	Crashed(fingerprint [32]byte, instance string) bool
-	// Answered notes that the request was answered by instance.
-	Answered(fingerprint [32]byte, instance string)
-}
-
 // RetryBudget limits attempts after the first.
 type RetryBudget interface {
 	// Sent counts a first attempt.
@@ -140,7 +133,6 @@
 	Services Services
 	Selector Selector
 	Claimer  Claimer
-	Guard    Guard
 	Budget   RetryBudget
 	Metrics  *metric.Set
 	Log      *slog.Logger
--- /dev/null
+++ b/scripts/local.sh
@@ -0,0 +1,121 @@
+#!/usr/bin/env bash
+# Starts the whole system on loopback as separate processes (store stand-in,
+# upstream stand-ins, three entry VMs), prints their addresses, and on Ctrl-C
+# stops exactly what it started.
+#
+#   scripts/local.sh              run until Ctrl-C
+#   scripts/local.sh --for 20     run for 20 seconds
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+seconds=0
+if [ "${1:-}" = --for ]; then
+	seconds=${2:?--for needs a number of seconds}
+fi
+
+work=$(mktemp -d)
+pids=()
+cleanup() {
+	trap - EXIT INT TERM
+	for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+		kill "${pids[$i]}" 2>/dev/null || true
+	done
+	for pid in "${pids[@]}"; do
+		wait "$pid" 2>/dev/null || true
+	done
+	rm -rf "$work"
+}
+trap cleanup EXIT
+trap 'exit 0' INT TERM
+
+go build -o "$work" ./cmd/...
+
+# start NAME COMMAND... runs a process and waits for its first line of output,
+# which has the addresses that it opened.
+start() {
+	local name=$1
+	shift
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	pids+=($!)
+	for _ in $(seq 100); do
+		[ -s "$work/$name.out" ] && break
+		sleep 0.05
+	done
+	if ! [ -s "$work/$name.out" ]; then
+		echo "$name did not start:" >&2
+		cat "$work/$name.log" >&2
+		exit 1
+	fi
+	printf '%-22s pid %-7s %s\n' "$name" "${pids[-1]}" "$(head -n 1 "$work/$name.out")"
+}
+
+address() { sed -n "1s/.*$2=\([^ ]*\).*/\1/p" "$work/$1.out"; }
+
+start store "$work/standin" store
+store=$(address store store)
+
+instances=""
+for dc in rotterdam-a amsterdam-b groningen-a; do
+	for i in 1 2; do
+		id=proefbank-$dc-$i
+		start "$id" "$work/standin" upstream -id "$id"
+		[ -n "$instances" ] && instances+=,
+		instances+="{\"id\":\"$id\",\"address\":\"$(address "$id" upstream)\",\"data_centre\":\"$dc\",\"slots\":9}"
+	done
+done
+
+cat >"$work/register.json" <<JSON
+{
+  "name": "local",
+  "regions": [
+    {"name": "randstad", "data_centres": [{"name": "rotterdam-a"}, {"name": "amsterdam-b"}]},
+    {"name": "noord", "data_centres": [{"name": "groningen-a"}]}
+  ],
+  "links": [{"a": "randstad", "b": "noord", "bits_per_second": 4000000000, "one_way_ms": 55}],
+  "services": [{"name": "proefbank", "timeout_ms": 5000, "instances": [$instances]}]
+}
+JSON
+"$work/currantferry" register import -store "$store" -file "$work/register.json" -by local -why "first import"
+
+vms=""
+n=0
+for place in randstad/rotterdam-a randstad/amsterdam-b noord/groningen-a; do
+	n=$((n + 1))
+	port=$((20100 + n * 10))
+	cat >"$work/vm-$n.ini" <<INI
+[vm]
+id = vm-$n
+region = ${place%/*}
+data_centre = ${place#*/}
+
+[listen]
+caller = 127.0.0.1:$port
+peer = 127.0.0.1:$((port + 1))
+admin = 127.0.0.1:$((port + 2))
+dns = 127.0.0.1:$((port + 3))
+
+[store]
+addresses = $store
+
+[peers]
+seeds = 127.0.0.1:20111, 127.0.0.1:20121, 127.0.0.1:20131
+
+[lookup]
+zone = local.internal
+INI
+	start "vm-$n" "$work/currantferryd" run -config "$work/vm-$n.ini"
+	[ -n "$vms" ] && vms+=,
+	vms+="{\"ID\":\"vm-$n\",\"DataCentre\":\"${place#*/}\",\"Region\":\"${place%/*}\",\"PeerAddress\":\"127.0.0.1:$((port + 1))\"}"
+done
+"$work/standin" vms -store "$store" -list "[$vms]"
+
+echo
+echo "lookup:  curl 'http://127.0.0.1:20110/v1/lookup?service=proefbank'"
+echo "request: curl -H 'Host: proefbank' http://127.0.0.1:20110/any/path"
+echo "state:   curl http://127.0.0.1:20112/v1/status"
+if [ "$seconds" -gt 0 ]; then
+	sleep "$seconds"
+else
+	echo "Ctrl-C stops everything."
+	while :; do sleep 3600 & wait $!; done
+fi
