Test the daemons end to end under kills, freezes, cuts and outages

Cause: the promises were checked only inside packages and the demo. Change: package e2e starts three daemons as processes behind TCP relays, with store and upstream stand-ins in the test, and checks what callers and upstreams recorded after SIGKILL, SIGSTOP past the lease, cut links, a store outage, SIGTERM, a drain under load, resent orders and a crashing request.

--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,420 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/caller"
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/node"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/rules"
+	"github.com/currantferry/currantferry/standin"
+	"github.com/currantferry/currantferry/store"
+	"github.com/currantferry/currantferry/store/kvhttp"
+	storestandin "github.com/currantferry/currantferry/store/standin"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "currantferry-e2e")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		binaries = dir
+		if out, err := exec.Command("go", "build", "-o", dir, "../cmd/currantferryd", "../cmd/standin").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// relay is a TCP relay in front of one address that can be cut.
+type relay struct {
+	target string
+	l      net.Listener
+	mu     sync.Mutex
+	cut    bool
+	conns  map[net.Conn]bool
+}
+
+func newRelay(t *testing.T) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{l: l, conns: make(map[net.Conn]bool)}
+	t.Cleanup(func() { l.Close(); r.setCut(true) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(c)
+		}
+	}()
+	return r
+}
+
+func (r *relay) address() string { return r.l.Addr().String() }
+
+func (r *relay) add(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut || r.target == "" {
+		c.Close()
+		return false
+	}
+	r.conns[c] = true
+	return true
+}
+
+func (r *relay) serve(in net.Conn) {
+	defer in.Close()
+	if !r.add(in) {
+		return
+	}
+	out, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	if !r.add(out) {
+		return
+	}
+	done := make(chan struct{}, 2)
+	pass := func(dst, src net.Conn) { _, _ = io.Copy(dst, src); done <- struct{}{} }
+	go pass(out, in)
+	go pass(in, out)
+	<-done
+	r.mu.Lock()
+	delete(r.conns, in)
+	delete(r.conns, out)
+	r.mu.Unlock()
+}
+
+// setCut drops all connections and refuses new ones, or lets them pass again.
+func (r *relay) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	if cut {
+		for c := range r.conns {
+			c.Close()
+		}
+	}
+}
+
+// process is a started program.
+type process struct {
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	line string
+	done chan struct{}
+}
+
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), log: new(bytes.Buffer), done: make(chan struct{})}
+	p.cmd.Stderr = p.log
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.kill() })
+	lines := make(chan string, 1)
+	go func() {
+		s := bufio.NewScanner(out)
+		s.Scan()
+		lines <- s.Text()
+		_, _ = io.Copy(io.Discard, out)
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	select {
+	case p.line = <-lines:
+	case <-time.After(10 * time.Second):
+	}
+	if p.line == "" {
+		t.Fatalf("%s %v did not start:\n%s", name, args, p.log)
+	}
+	return p
+}
+
+func (p *process) address(name string) string {
+	m := regexp.MustCompile(name + `=(\S+)`).FindStringSubmatch(p.line)
+	if m == nil {
+		return ""
+	}
+	return m[1]
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// place is a data centre with its region.
+type place struct{ region, dataCentre string }
+
+var places = []place{{"randstad", "rotterdam-a"}, {"randstad", "amsterdam-b"}, {"noord", "groningen-a"}}
+
+// vm is one entry VM with the relays before its peer listener and to the store.
+type vm struct {
+	*process
+	id    string
+	place place
+	peer  *relay
+	store *relay
+	file  string
+}
+
+// cluster is a store, upstreams and entry VMs. The upstreams run in the test's
+// process, so that it sees what they recorded.
+type cluster struct {
+	t         *testing.T
+	store     *storestandin.Server
+	storeAddr string
+	client    *kvhttp.Client
+	ledger    *standin.Ledger
+	upstreams map[string]*standin.Upstream
+	vms       []*vm
+	register  *register.Register
+	version   uint64
+}
+
+const (
+	service = "proefbank"
+	perDC   = 2
+)
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: storestandin.New(), ledger: standin.NewLedger(), upstreams: make(map[string]*standin.Upstream)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: c.store.Handler()}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { server.Close() })
+	c.storeAddr = l.Addr().String()
+	if c.client, err = kvhttp.New(kvhttp.Options{Addresses: []string{c.storeAddr}}); err != nil {
+		t.Fatal(err)
+	}
+	c.startUpstreams()
+	c.publish(rules.Rules{})
+	for i, p := range places {
+		c.vms = append(c.vms, c.newVM(fmt.Sprintf("vm-%d", i+1), p))
+	}
+	c.list()
+	for _, v := range c.vms {
+		c.startVM(v)
+	}
+	c.waitReady()
+	return c
+}
+
+func (c *cluster) startUpstreams() {
+	r := &register.Register{
+		Name: "e2e",
+		Regions: []register.Region{
+			{Name: "randstad", DataCentres: []register.DataCentre{{Name: "rotterdam-a"}, {Name: "amsterdam-b"}}},
+			{Name: "noord", DataCentres: []register.DataCentre{{Name: "groningen-a"}}},
+		},
+		Links:    []register.Link{{A: "randstad", B: "noord", BitsPerSecond: 4e9, OneWayMillis: 1}},
+		Services: []register.Service{{Name: service, TimeoutMillis: 5000}},
+	}
+	for _, p := range places {
+		for i := range perDC {
+			id := fmt.Sprintf("%s-%s-%d", service, p.dataCentre, i+1)
+			u, err := standin.StartUpstream(standin.UpstreamOptions{ID: id, Slots: 9, Ledger: c.ledger, CrashTime: 300 * time.Millisecond})
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			c.t.Cleanup(func() { u.Close() })
+			c.upstreams[id] = u
+			r.Services[0].Instances = append(r.Services[0].Instances, register.Instance{ID: id, Address: u.Address(), DataCentre: p.dataCentre, Slots: 9})
+		}
+	}
+	c.register = r
+}
+
+func (c *cluster) publish(r rules.Rules) {
+	c.t.Helper()
+	publisher := configstore.New(c.client, configstore.Options{})
+	meta := config.Meta{ChangeID: fmt.Sprintf("change-%d", time.Now().UnixNano()), By: "test", At: time.Now(), Why: "test"}
+	result, err := publisher.Publish(context.Background(), c.version, config.Content{Register: c.register, Rules: &r}, meta)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.version = result.Version
+}
+
+// newVM writes the settings of a VM; it listens on ports that the system gives.
+func (c *cluster) newVM(id string, p place) *vm {
+	v := &vm{id: id, place: p, peer: newRelay(c.t), store: newRelay(c.t), file: filepath.Join(c.t.TempDir(), id+".ini")}
+	v.store.target = c.storeAddr
+	v.peer.target = freeAddress(c.t)
+	var seeds []string
+	for _, other := range c.vms {
+		seeds = append(seeds, other.peer.address())
+	}
+	ini := fmt.Sprintf("[vm]\nid = %s\nregion = %s\ndata_centre = %s\n[listen]\ncaller = %s\npeer = %s\nadvertise_peer = %s\nadmin = %s\n"+
+		"[store]\naddresses = %s\ntimeout = 1s\nlease_ttl = 5s\n[peers]\nseeds = %s\n[lookup]\nttl = 1s\n[node]\nlookup_grace = 1500ms\nstop_timeout = 20s\n[log]\nlevel = debug\n",
+		id, p.region, p.dataCentre, freeAddress(c.t), v.peer.target, v.peer.address(), freeAddress(c.t), v.store.address(), strings.Join(seeds, ", "))
+	if err := os.WriteFile(v.file, []byte(ini), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return v
+}
+
+// nextPort is below the range of ports that the system gives to connections, so
+// that tests side by side do not take one another's.
+var nextPort atomic.Int32
+
+const firstPort = 21000
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func (c *cluster) startVM(v *vm) {
+	c.t.Helper()
+	v.process = start(c.t, "currantferryd", "run", "-config", v.file)
+}
+
+// list sets the platform's list of VMs.
+func (c *cluster) list() {
+	var vms []store.VM
+	for _, v := range c.vms {
+		vms = append(vms, store.VM{ID: v.id, DataCentre: v.place.dataCentre, Region: v.place.region, PeerAddress: v.peer.address()})
+	}
+	c.store.SetVMs(vms)
+}
+
+func (c *cluster) status(v *vm) (node.Status, error) {
+	var s node.Status
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + v.address("admin") + "/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer res.Body.Close()
+	return s, json.NewDecoder(res.Body).Decode(&s)
+}
+
+// waitReady waits until every VM is ready and sees all others serving.
+func (c *cluster) waitReady() {
+	c.t.Helper()
+	for _, v := range c.vms {
+		c.eventually(10*time.Second, v.id+" sees all VMs serving", func() bool {
+			s, err := c.status(v)
+			serving := 0
+			for _, m := range s.Members {
+				if m.State == "serving" {
+					serving++
+				}
+			}
+			return err == nil && s.Ready && serving == len(c.vms) && s.Plan > 0
+		})
+	}
+}
+
+func (c *cluster) eventually(limit time.Duration, what string, ok func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(limit); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			for _, v := range c.vms {
+				s, err := c.status(v)
+				c.t.Logf("%s: %+v %v", v.id, s, err)
+			}
+			c.t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
+
+// caller returns a client that knows the VMs of the start.
+func (c *cluster) caller() *caller.Client {
+	var bootstrap []string
+	for _, v := range c.vms {
+		bootstrap = append(bootstrap, v.address("caller"))
+	}
+	client := caller.New(caller.Options{Bootstrap: bootstrap, Seed: 1})
+	c.t.Cleanup(client.Close)
+	return client
+}
+
+// direct sends one request to one VM, without the caller library.
+func direct(ctx context.Context, v *vm, method, key string, header map[string]string, body string) (*http.Response, []byte, error) {
+	path := "/order"
+	if header[standin.HeaderCrash] != "" {
+		path = "/crash"
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.address("caller")+path, strings.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Host = service
+	req.GetBody = nil
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return res, data, err
+}
+
+func stateOf(members []node.MemberStatus, id string) string {
+	for _, m := range members {
+		if m.ID == id {
+			return m.State
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/e2e/load_test.go
@@ -0,0 +1,112 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/caller"
+	"github.com/currantferry/currantferry/standin"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// load sends reads and orders and checks every answer.
+type load struct {
+	c      *cluster
+	client *caller.Client
+	stop   chan struct{}
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	answered int
+	keys     []string
+	notRun   []string
+	failures []string
+	unknown  int
+	refused  map[verdict.Reason]int
+}
+
+const (
+	loadEvery = 10 * time.Millisecond
+	sizeOf    = 3000
+)
+
+func (c *cluster) startLoad() *load {
+	l := &load{c: c, client: c.caller(), stop: make(chan struct{}), refused: make(map[verdict.Reason]int)}
+	l.group.Go(func() {
+		ticker := time.NewTicker(loadEvery)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ticker.C:
+				l.group.Go(func() { l.one(i) })
+			case <-l.stop:
+				return
+			}
+		}
+	})
+	return l
+}
+
+// one sends a read, or every third time an order.
+func (l *load) one(i int) {
+	r := caller.Request{Service: service, Method: http.MethodGet, Path: "/proof", Idempotent: true, Header: http.Header{}}
+	id := fmt.Sprintf("read-%d", i)
+	if i%3 == 0 {
+		id = fmt.Sprintf("order-%d", i)
+		r = caller.Request{Service: service, Method: http.MethodPost, Path: "/order", Key: id, Body: []byte("order " + id), Header: http.Header{}}
+	}
+	r.Header.Set(standin.HeaderRequestID, id)
+	r.Header.Set(standin.HeaderAnswerBytes, strconv.Itoa(sizeOf))
+	a, err := l.client.Do(context.Background(), r)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Key != "" {
+		l.keys = append(l.keys, id)
+	}
+	if err != nil {
+		l.failures = append(l.failures, fmt.Sprintf("%s: %v", id, err))
+		return
+	}
+	if v, reason, refused := a.Refusal(); refused {
+		l.refused[reason]++
+		if v == verdict.NotRun {
+			l.notRun = append(l.notRun, id)
+		} else {
+			l.unknown++
+		}
+		return
+	}
+	if a.Status != http.StatusOK || !bytes.Equal(a.Body, standin.AnswerBody(id, sizeOf)) {
+		l.failures = append(l.failures, fmt.Sprintf("%s: status %d, %d bytes", id, a.Status, len(a.Body)))
+		return
+	}
+	l.answered++
+}
+
+// finish ends the load and checks the promises that hold under every failure.
+func (l *load) finish(t *testing.T) {
+	t.Helper()
+	close(l.stop)
+	l.group.Wait()
+	t.Logf("answered %d, refused %v, unknown %d", l.answered, l.refused, l.unknown)
+	for _, f := range l.failures {
+		t.Errorf("no whole answer: %s", f)
+	}
+	if twice := l.c.ledger.RunTwice(l.keys); len(twice) > 0 {
+		t.Errorf("orders ran twice: %v", twice)
+	}
+	for _, id := range l.notRun {
+		if runs := l.c.ledger.Runs(id); len(runs) > 0 && id[0] == 'o' {
+			t.Errorf("%s was refused as not run, and ran on %v", id, runs)
+		}
+	}
+	if l.answered < 100 {
+		t.Errorf("only %d requests were answered", l.answered)
+	}
+}
