Declare the kinds of sections that VMs spread

Cause: a VM dropped every section of others on arrival, because the node named no kinds to the membership; lookups then knew only the VM itself. Ruled out: the spreading itself, whose tests pass with kinds declared. Change: endpoints, failed instances and partition records are lasting kinds, which VMs that join later receive too; measurements are not.

--- a/node/node.go
+++ b/node/node.go
@@ -186,6 +186,7 @@
 	n.control, err = control.New(control.Options{
 		Self: n.self, Store: o.Store, Lister: o.Lister, Pool: n.pool, Seed: xxhash.Sum64String(s.VM.ID),
 		Seeds: n.resolveSeeds(), StoreTimeout: s.Store.Timeout, Log: n.log,
+		Member:     member.Options{Sections: sectionKinds(s.Once.Partitions)},
 		OnSnapshot: n.onSnapshot, OnReady: n.onReady, OnMember: n.onMember,
 		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk,
 	})
--- a/node/sections.go
+++ b/node/sections.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
 
 	"github.com/currantferry/currantferry/member"
@@ -16,6 +17,22 @@
 	sectionRecord uint8 = 16
 )
 
+// sectionKinds tells how far each kind is spread. Lasting ones reach VMs that
+// join later.
+func sectionKinds(partitions int) map[uint8]member.SectionKind {
+	kinds := map[uint8]member.SectionKind{
+		sectionEndpoint: {Lasting: true},
+		sectionMeasure:  {},
+		sectionDown:     {Lasting: true},
+	}
+	for p := range partitions {
+		if kind := int(sectionRecord) + p; kind <= math.MaxUint8 {
+			kinds[uint8(kind)] = member.SectionKind{Lasting: true}
+		}
+	}
+	return kinds
+}
+
 // endpoint says where callers reach a VM and how loaded it is.
 type endpoint struct {
 	Address netip.AddrPort `json:"a"`
