Log refusals with the cause when an end-to-end test fails

Cause: TestGracefulStop failed 3 of 3 times next to other load (1 order of some 400 refused "key-in-progress"), and the test did not show why. Change: the daemons' refusals and view changes are printed after a refusal.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -129,17 +129,35 @@
 	}
 }
 
+// syncBuffer is a buffer that is read while a process writes to it.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
 // process is a started program.
 type process struct {
 	cmd  *exec.Cmd
-	log  *bytes.Buffer
+	log  *syncBuffer
 	line string
 	done chan struct{}
 }
 
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), log: new(bytes.Buffer), done: make(chan struct{})}
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), log: new(syncBuffer), done: make(chan struct{})}
 	p.cmd.Stderr = p.log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -178,6 +196,8 @@
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+func (p *process) logText() string { return p.log.String() }
+
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	<-p.done
--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -95,6 +96,11 @@
 	close(l.stop)
 	l.group.Wait()
 	t.Logf("answered %d, refused %v, unknown %d", l.answered, l.refused, l.unknown)
+	for _, v := range l.c.vms {
+		if s, err := l.c.status(v); err == nil {
+			t.Logf("%s: refusals %v, retries %v", v.id, s.Refusals, s.Retries)
+		}
+	}
 	for _, f := range l.failures {
 		t.Errorf("no whole answer: %s", f)
 	}
@@ -106,7 +112,22 @@
 			t.Errorf("%s was refused as not run, and ran on %v", id, runs)
 		}
 	}
+	if len(l.refused) > 0 {
+		l.logRefusals(t)
+	}
 	if l.answered < 100 {
 		t.Errorf("only %d requests were answered", l.answered)
 	}
 }
+
+// logRefusals prints what the VMs logged about refusals and view changes.
+func (l *load) logRefusals(t *testing.T) {
+	t.Helper()
+	for _, v := range l.c.vms {
+		for line := range strings.Lines(v.logText()) {
+			if strings.Contains(line, "event=16") || strings.Contains(line, "event=17") || strings.Contains(line, "event=150") {
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
