Shorten view changes after a silent member

Cause: the next view first named the silent member again, because the directory reports it only seconds later; a waiting claim went on asking the dead owner. Reads of a store that is down came every 0.5 s per partition and proposer. Change: members that caused a change are kept out of the next view for 10 s; repetitions of a claim go to all members; the first witness does not wait for the silent owner's rank; retries and reads back off to 4 s and 16 s.

--- a/once/change.go
+++ b/once/change.go
@@ -56,23 +56,43 @@
 const (
 	// window bounds the pieces of a copy in flight to or from one VM.
 	window = 8
-	// changeBackoff is the pause after a failed proposal.
+	// changeBackoff is the pause after a failed proposal. It doubles up to
+	// maxBackoff, to spare a store that is down or has just come back.
 	changeBackoff = 500 * time.Millisecond
+	maxBackoff    = 4 * time.Second
 )
 
 func (m *Machine) startChange(p *partition, reason Reason, owner string) {
 	p.change = &change{step: stepReading, reason: reason, owner: owner, source: -1, progress: m.now}
 	m.note(NoteChangeStarted, p, p.rec.Epoch, reason, "")
+	m.avoidSilent(p, reason)
 	if !p.reading {
 		p.reading = true
 		m.eff.Reads = append(m.eff.Reads, p.n)
 	}
 }
 
+// avoidSilent keeps the members that caused the change out of the next view.
+// The directory reports them only seconds later.
+func (m *Machine) avoidSilent(p *partition, reason Reason) {
+	until := m.now.Add(avoidFor)
+	switch reason {
+	case ReasonOwnerSilent:
+		m.dir.avoid[p.rec.Owner.VM] = until
+	case ReasonWitnessSilent:
+		for i := range p.peers {
+			if m.now.Sub(p.peers[i].acked) >= m.cfg.Silence {
+				m.dir.avoid[p.rec.Witnesses[i].VM] = until
+			}
+		}
+	}
+}
+
 func (m *Machine) failChange(p *partition, text string) {
 	m.note(NoteChangeFailed, p, p.rec.Epoch, p.change.reason, text)
 	p.change = nil
-	p.nextChange = m.now.Add(changeBackoff)
+	p.backoff = min(max(2*p.backoff, changeBackoff), maxBackoff)
+	p.nextChange = m.now.Add(p.backoff)
 }
 
 // endChangeOn ends the proposal that a newer record decided.
@@ -375,7 +395,8 @@
 			}
 		}
 	case stepReadingBack:
-		if m.now.Sub(ch.progress) >= changeBackoff {
+		if m.now.Sub(ch.progress) >= max(p.backoff, changeBackoff) {
+			p.backoff = min(max(2*p.backoff, changeBackoff), maxBackoff)
 			ch.progress = m.now
 			m.readBack(p)
 		}
--- a/once/local.go
+++ b/once/local.go
@@ -41,11 +41,13 @@
 	// notOwnerDelay is the pause before a claim is repeated to an owner that
 	// cannot answer yet, as during a view change.
 	notOwnerDelay = 50 * time.Millisecond
-	// readInterval bounds the store reads for a partition whose owner does not
-	// answer.
-	readInterval = time.Second
-	// readAfterTries is the number of messages after which a request asks the
-	// store: two to each member, which learn of a new record first.
+	// readInterval is the pause between the store reads for a partition whose
+	// owner does not answer. It doubles up to maxReadInterval, because every VM
+	// with a waiting request reads.
+	readInterval    = time.Second
+	maxReadInterval = 16 * time.Second
+	// readAfterTries is the number of attempts after which a request asks the
+	// store. The members learn of a new record first.
 	readAfterTries = 6
 )
 
@@ -199,8 +201,8 @@
 	m.sendLocal(l)
 }
 
-// sendLocal sends the message of the request's phase. After a silent owner it
-// tries the witnesses, which know of a newer record first.
+// sendLocal sends the message of the request's phase to the owner. Repetitions
+// go to the witnesses as well, which learn of a newer record first.
 func (m *Machine) sendLocal(l *local) {
 	p := m.parts[l.part]
 	wait := m.cfg.ResendInterval
@@ -214,10 +216,6 @@
 	if p.rec.Epoch == 0 {
 		return
 	}
-	to := p.rec.Owner.VM
-	if i := l.tries % (1 + len(p.rec.Witnesses)); i > 0 {
-		to = p.rec.Witnesses[i-1].VM
-	}
 	l.tries++
 	msg := Message{Partition: p.n, Epoch: p.rec.Epoch, View: p.rec.View, Claim: m.ownClaim(l.key, l.seq)}
 	switch l.phase {
@@ -230,15 +228,22 @@
 	default:
 		return
 	}
-	m.send(to, msg)
+	m.send(p.rec.Owner.VM, msg)
+	if l.tries > 1 {
+		for _, w := range p.rec.Witnesses {
+			m.send(w.VM, msg)
+		}
+	}
 }
 
-// readRecord asks for the record in the store, at most once per readInterval.
+// readRecord asks for the record in the store, at intervals that grow until
+// there is a newer one.
 func (m *Machine) readRecord(p *partition) {
 	if p.reading || m.now.Before(p.nextRead) {
 		return
 	}
-	p.reading, p.nextRead = true, m.now.Add(readInterval)
+	p.readWait = min(max(2*p.readWait, readInterval), maxReadInterval)
+	p.reading, p.nextRead = true, m.now.Add(p.readWait)
 	m.eff.Reads = append(m.eff.Reads, p.n)
 }
 
@@ -278,8 +283,8 @@
 	}
 }
 
-// retrySoon repeats a request soon, to the next member. A newer record in the
-// reply has already been observed and has woken the request.
+// retrySoon repeats a request soon. A newer record in the reply has already been
+// observed and has woken the request.
 func (m *Machine) retrySoon(l *local) {
 	if at := m.now.Add(notOwnerDelay); l.nextSend.After(at) {
 		l.nextSend = at
--- a/once/machine.go
+++ b/once/machine.go
@@ -55,6 +55,9 @@
 	nextChange time.Time
 	reading    bool
 	nextRead   time.Time
+	// backoff and readWait grow while the store or the members do not answer.
+	backoff  time.Duration
+	readWait time.Duration
 }
 
 // staged is the copy of the claims for a proposed view.
@@ -273,6 +276,7 @@
 	p.staged = keep
 	p.heard, p.lastPing = m.now, time.Time{}
 	p.need, p.needSince = "", time.Time{}
+	p.backoff, p.readWait = 0, 0
 	p.peers = make([]peer, len(p.rec.Witnesses))
 	for i := range p.peers {
 		p.peers[i].acked = m.now
--- a/once/tick.go
+++ b/once/tick.go
@@ -74,6 +74,10 @@
 	case p.role == RoleOwner && m.ownerTrouble(p) != "":
 		return m.ownerTrouble(p), 0
 	case p.role == RoleWitness && m.now.Sub(p.heard) >= m.cfg.Silence:
+		// The owner will not act, so it does not count in the rank.
+		if m.available(p.rec.Owner) {
+			delay -= rankDelay
+		}
 		return ReasonOwnerSilent, delay
 	}
 	leaving := false
