Add benchmarks of a claim and of the periodic work

Cause: the cost of a claim was unmeasured. Change: BenchmarkClaim (claim and completion over entry VM, owner and two witnesses) and BenchmarkTick.

--- /dev/null
+++ b/once/bench_test.go
@@ -0,0 +1,107 @@
+package once
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// trio is an entry VM, an owner and two witnesses that exchange messages at once.
+type trio struct {
+	by   map[string]*Machine
+	now  time.Time
+	sent int
+	work []Send
+	from []string
+	last Answer
+}
+
+func newTrio(claims int) *trio {
+	r := Record{Epoch: 1, View: "v", Owner: Member{"owner", 1}, Witnesses: []Member{{"w1", 1}, {"w2", 1}}}
+	tr := &trio{by: make(map[string]*Machine), now: simStart}
+	for _, id := range []string{"entry", "owner", "w1", "w2"} {
+		m := New(tr.now, Config{Self: Member{id, 1}, Partitions: 1, MaxClaims: claims})
+		if id != "entry" {
+			m.stage(m.parts[0], 1, "v").got.add(0, 1)
+		}
+		tr.by[id] = m
+		m.Observe(tr.now, r) // the first pings are left out
+	}
+	return tr
+}
+
+func (tr *trio) apply(from string, e Effects) {
+	for i := range e.Sends {
+		tr.work, tr.from = append(tr.work, e.Sends[i]), append(tr.from, from)
+	}
+	if len(e.Answers) > 0 {
+		tr.last = e.Answers[0]
+	}
+	for len(tr.work) > 0 {
+		s, f := tr.work[0], tr.from[0]
+		tr.work, tr.from = tr.work[1:], tr.from[1:]
+		tr.sent++
+		e := tr.by[s.To].Step(tr.now, f, &s.Message)
+		for i := range e.Sends {
+			tr.work, tr.from = append(tr.work, e.Sends[i]), append(tr.from, s.To)
+		}
+		if len(e.Answers) > 0 {
+			tr.last = e.Answers[0]
+		}
+	}
+	tr.work, tr.from = tr.work[:0], tr.from[:0]
+}
+
+// BenchmarkClaim measures a claim and its completion on all four machines.
+func BenchmarkClaim(b *testing.B) {
+	for _, held := range []int{0, 65_536, 1_000_000} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
+			tr := newTrio(1 << 30)
+			key := func(i int) Key {
+				var k Key
+				x := uint64(i+1) * 0x9e3779b97f4a7c15
+				binary.LittleEndian.PutUint64(k[8:], x^x>>31)
+				binary.BigEndian.PutUint64(k[:8], uint64(i))
+				return k
+			}
+			run := func(i int) {
+				seq, e := tr.by["entry"].Claim(tr.now, key(i), 1)
+				tr.apply("entry", e)
+				if tr.last.Seq != seq || tr.last.Err != nil {
+					b.Fatalf("claim %d: %+v", i, tr.last)
+				}
+				tr.apply("entry", tr.by["entry"].Done(tr.now, seq, 200))
+				if i%1024 == 0 {
+					for _, id := range []string{"entry", "owner"} {
+						tr.by[id].Tick(tr.now) // compacts the queues
+					}
+				}
+			}
+			for i := 0; i < held; i++ {
+				run(i)
+			}
+			tr.sent = 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				run(held + i)
+			}
+			b.ReportMetric(float64(tr.sent)/float64(b.N), "messages/claim")
+			claims, bytes := tr.by["w1"].Usage()
+			b.ReportMetric(float64(bytes)/float64(claims), "bytes/held")
+		})
+	}
+}
+
+// BenchmarkTick measures the periodic work of a VM that owns one or two of 16
+// partitions, in a fleet of 12.
+func BenchmarkTick(b *testing.B) {
+	f := settledFleet(b, Config{Partitions: 16})
+	m, now := f.nodes[0].m, f.now
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; i < b.N; i++ {
+		m.Tick(now)
+	}
+}
