Reject malformed pieces of a copy

Cause: a copy announced with zero pieces counted as complete, and a piece that was not stored was acknowledged. A VM that starts first took all partitions without witnesses. Change: the number of pieces is checked and only stored pieces are acknowledged; the first assignment waits 10 s longer while the directory is not complete. Tests for both kinds of message and for a witness without room.

--- a/once/machine.go
+++ b/once/machine.go
@@ -78,8 +78,13 @@
 	count int
 }
 
+// maxPieces bounds the number that a peer may announce. It covers 134 million
+// claims in pieces of the default size.
+const maxPieces = 1 << 16
+
+// add records a piece and tells whether it is new.
 func (s *pieceSet) add(i, of int) bool {
-	if s.have == nil {
+	if s.have == nil && of >= 1 && of <= maxPieces {
 		s.have = make([]bool, of)
 	}
 	if i < 0 || i >= len(s.have) || of != len(s.have) || s.have[i] {
@@ -90,6 +95,10 @@
 	return true
 }
 
+func (s *pieceSet) has(i, of int) bool {
+	return of == len(s.have) && i >= 0 && i < of && s.have[i]
+}
+
 func (s *pieceSet) complete() bool { return s.have != nil && s.count == len(s.have) }
 
 // New returns a machine that knows no records.
--- a/once/protocol_test.go
+++ b/once/protocol_test.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// Guards against a malformed piece that is acknowledged or completes a copy.
+func TestMalformedPieces(t *testing.T) {
+	self := testRecord.Witnesses[0]
+	for _, p := range [][2]int{{0, 0}, {2, 2}, {-1, 2}, {0, maxPieces + 1}} {
+		m := newMember(self)
+		if e := m.Step(simStart, "p", piece(self, p[0], p[1])); len(e.Sends) != 0 {
+			t.Errorf("piece %d of %d is acknowledged", p[0], p[1])
+		}
+		if m.Observe(simStart, testRecord); m.parts[0].active {
+			t.Errorf("piece %d of %d completes the copy", p[0], p[1])
+		}
+	}
+}
+
 // Guards against a member that counts as lost because it has not seen the record
 // yet: it activates its copy from the record in the seal, and without the record
 // it says nothing.
@@ -108,10 +122,10 @@
 	return &Message{Kind: KindRecord, Reply: true, FromInc: 1, ToInc: 1, Epoch: 5, View: req.View, Result: ResultAcked, Claim: req.Claim}
 }
 
-func results(e Effects, k Kind) string {
+func claimReplies(e Effects) string {
 	out := ""
 	for _, s := range e.Sends {
-		if s.Message.Kind == k && s.Message.Reply {
+		if s.Message.Kind == KindClaim && s.Message.Reply {
 			out += fmt.Sprintf("%s:%d ", s.To, s.Message.Result)
 		}
 	}
@@ -130,7 +144,7 @@
 	}
 	late := second[len(second)-1].Message
 	m.Step(simStart, "w1", ack(late))
-	if got := results(m.Step(simStart, "w2", ack(first)), KindClaim); got != "" {
+	if got := claimReplies(m.Step(simStart, "w2", ack(first))); got != "" {
 		t.Fatalf("a late acknowledgement led to %q", got)
 	}
 	sealed := m.Step(simStart, "p", sealOf(testRecord.Owner, &testRecord))
@@ -141,11 +155,29 @@
 			}
 		}
 	}
-	if got := results(m.Step(simStart, "w2", ack(late)), KindClaim); got != "" {
+	if got := claimReplies(m.Step(simStart, "w2", ack(late))); got != "" {
 		t.Fatalf("the sealed owner answered %q", got)
 	}
 }
 
+// Guards against a claim that stays granted after a witness had no room for it.
+func TestWitnessWithoutRoom(t *testing.T) {
+	m, claim := ownerOf(t)
+	req := claim("a", 1).Sends[0].Message
+	m.Step(simStart, "w1", ack(req))
+	full := ack(req)
+	full.Result = ResultFull
+	if got := claimReplies(m.Step(simStart, "w2", full)); got != fmt.Sprintf("a:%d ", ResultFull) {
+		t.Fatalf("the claim was answered %q", got)
+	}
+	if got := claimReplies(m.Step(simStart, "w2", ack(req))); got != "" {
+		t.Fatalf("the refused claim was answered again: %q", got)
+	}
+	if e := claim("b", 1); len(e.Sends) != 2 || e.Sends[0].Message.Claim.Attempt != 2 {
+		t.Fatalf("the key is not free: %+v", e.Sends)
+	}
+}
+
 // Guards against a second run of a key on one VM, which would not reach the owner.
 func TestSecondRequestOnOneVM(t *testing.T) {
 	m := New(simStart, Config{Self: Member{"entry", 1}, Partitions: 1})
--- a/once/tick.go
+++ b/once/tick.go
@@ -8,6 +8,9 @@
 	// settleDelay is how long the directory must be unchanged before the first
 	// assignment, so that VMs that start together share the partitions.
 	settleDelay = 2 * time.Second
+	// incompleteDelay is added while the directory is not complete, so that the
+	// first VM to start does not take all partitions without witnesses.
+	incompleteDelay = 10 * time.Second
 	// leaveGrace is how long others wait for a leaving VM to move its partitions.
 	leaveGrace = 2 * time.Second
 	// expirePerTick bounds the claims that one Tick examines per partition.
@@ -49,7 +52,11 @@
 		if rank < 0 || len(m.dir.vms) == 0 || m.now.Sub(m.dir.since) < settleDelay {
 			return "", 0
 		}
-		return ReasonFirst, time.Duration(rank) * time.Second
+		delay := time.Duration(rank) * time.Second
+		if !m.dir.complete {
+			delay += incompleteDelay
+		}
+		return ReasonFirst, delay
 	}
 	if p.role == RoleNone {
 		for _, mb := range p.rec.Members() {
--- a/once/witness.go
+++ b/once/witness.go
@@ -105,7 +105,9 @@
 			s.table.put(&msg.Claims[i])
 		}
 	}
-	m.reply(from, msg, Message{Result: ResultAcked, Piece: msg.Piece})
+	if s.got.has(msg.Piece, msg.Pieces) {
+		m.reply(from, msg, Message{Result: ResultAcked, Piece: msg.Piece})
+	}
 }
 
 // stage returns the copy for a proposed view, creating it if needed.
