Widen the randomised histories of the at-most-once core

Cause: callers that give up, full tables and the end of retention did not occur in them. Message and store faults are as before.

--- a/once/history_test.go
+++ b/once/history_test.go
@@ -49,6 +49,9 @@
 	runs map[Key]int
 	outs map[opOut]int
 	last verdict.Reason // of the latest refusal
+	// unavailable counts the claims that found no owner although the store was
+	// up for 10 s.
+	unavailable int
 	// reasons counts the refusals.
 	reasons map[verdict.Reason]int
 	ids     int
@@ -114,6 +117,14 @@
 	q.granted = func() { granted(n, seq) }
 	n.reqs[seq] = q
 	n.apply(eff)
+	if f.abandon > 0 && f.rnd.Float64() < f.abandon {
+		n.doAs(time.Duration(f.rnd.IntN(600))*time.Millisecond, func() {
+			if f.hist.ops[q.op].Return == 1<<62 {
+				n.apply(n.m.Abandon(f.now, seq))
+				f.finish(q.op, outRefused)
+			}
+		})
+	}
 }
 
 func (f *fleet) answered(n *node, a Answer) {
@@ -135,6 +146,9 @@
 	if a.Err != nil {
 		f.hist.reasons[a.Err.Reason]++
 		f.hist.last = a.Err.Reason
+		if a.Err.Reason == verdict.ReasonKeyUnavailable && f.now.Sub(f.store.downUntil) > 10*time.Second {
+			f.hist.unavailable++
+		}
 	}
 	f.finish(q.op, out)
 	if out == outGranted {
--- a/once/oncerpc/runner_test.go
+++ b/once/oncerpc/runner_test.go
@@ -179,6 +179,11 @@
 	st := &memStore{entries: make(map[string]store.Entry), lose: 2}
 	vms := startVMs(t, st, "a", "b", "c", "d")
 	key := once.KeyOf("orders", "k1")
+	short, cancelShort := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancelShort()
+	if _, err := vms["a"].Claim(short, key, 7); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("claim that its caller gave up: %v", err)
+	}
 	g, err := claim(t, vms["a"], key, 7)
 	if err != nil {
 		t.Fatal(err)
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -24,6 +24,8 @@
 	hist   history
 	sent   map[Kind]int
 	failed []string
+	// abandon is the probability that a caller gives up within 600 ms.
+	abandon float64
 }
 
 type netFaults struct {
@@ -51,6 +53,8 @@
 	slow    time.Duration
 	reads   int
 	writes  int
+	// downUntil is the last time at which the store did not answer all VMs.
+	downUntil time.Time
 }
 
 type event struct {
@@ -295,6 +299,9 @@
 
 // spreadDirectory tells every VM about the fleet, with the delays of membership.
 func (f *fleet) spreadDirectory() {
+	if f.store.down != nil {
+		f.store.downUntil = f.now
+	}
 	for _, n := range f.nodes {
 		if !n.up {
 			continue
