Stop grants of members that are cut off from the fleet

Cause: members that are alive together, but heard by nobody and reported as gone, count as lost. They went on granting after their successors had stopped refusing unknown keys, so a key could run twice. Change: an owner that for 5 min has neither heard of a VM outside its view nor read its record grants nothing, and lost-until is that much later. A fleet with no VM outside the view is exempt.

--- a/once/change.go
+++ b/once/change.go
@@ -128,6 +128,9 @@
 	p.reading = false
 	if ok && found && r.Partition == n {
 		m.observe(&r)
+		if r.View == p.rec.View {
+			p.contact = now
+		}
 	}
 	ch := p.change
 	stale := !ok || (found && r.Epoch < p.rec.Epoch) || (!found && p.rec.Epoch > 0)
@@ -282,7 +285,7 @@
 	}
 	next.Epoch, next.View, next.LostUntil = ch.base.Epoch+1, m.viewName(), ch.base.LostUntil
 	if ch.historyOff {
-		next.LostUntil = m.now.Add(m.cfg.Retention)
+		next.LostUntil = m.now.Add(m.cfg.Retention + m.cfg.IsolationLimit)
 	}
 	if !m.now.Before(next.LostUntil) {
 		next.LostUntil = time.Time{}
--- a/once/config.go
+++ b/once/config.go
@@ -32,6 +32,10 @@
 	// GoneDelay is how long a member must be reported as gone before it counts
 	// as lost, default 10 s.
 	GoneDelay time.Duration
+	// IsolationLimit is how long an owner grants without hearing of any VM outside
+	// its view and without reading its record, default 5 min. Members that all
+	// others take for gone thus stop before their successors forget the loss.
+	IsolationLimit time.Duration
 	// RebalanceInterval is the time between moves that only spread partitions
 	// evenly, over all VMs, default 10 s. Negative: never.
 	RebalanceInterval time.Duration
@@ -54,6 +58,7 @@
 	setDuration(&c.PingInterval, 250*time.Millisecond)
 	setDuration(&c.Silence, time.Second)
 	setDuration(&c.GoneDelay, 10*time.Second)
+	setDuration(&c.IsolationLimit, 5*time.Minute)
 	setDuration(&c.RebalanceInterval, 10*time.Second)
 	return c
 }
@@ -91,7 +96,8 @@
 	State      VMState
 }
 
-// Directory is the view of the fleet that membership provides.
+// Directory is the view of the fleet that membership provides. It is set again
+// at least once a minute, also if nothing changed.
 type Directory struct {
 	VMs []VM
 	// Complete means that the platform's list was read and that peers were
--- a/once/directory.go
+++ b/once/directory.go
@@ -48,6 +48,11 @@
 		})
 	}
 	d.vms, d.complete = vms, dir.Complete
+	for _, p := range m.parts {
+		if p.role == RoleOwner && m.seesOutsider(p) {
+			p.contact = now
+		}
+	}
 	for id, v := range vms {
 		m.setGone(id, v.State == VMGone)
 	}
@@ -61,6 +66,23 @@
 	return m.finish()
 }
 
+// seesOutsider tells whether a VM outside the view is serving, or whether the
+// fleet has no VM outside it.
+func (m *Machine) seesOutsider(p *partition) bool {
+	alone := true
+	for _, id := range m.dir.order {
+		v := m.dir.vms[id]
+		if id == m.cfg.Self.VM || p.rec.RoleOf(v.Member) != RoleNone {
+			continue
+		}
+		if v.State == VMServing {
+			return true
+		}
+		alone = false
+	}
+	return alone
+}
+
 func (m *Machine) setGone(id string, gone bool) {
 	if !gone {
 		delete(m.dir.gone, id)
--- a/once/machine.go
+++ b/once/machine.go
@@ -45,6 +45,8 @@
 	nextNum  uint64
 	peers    []peer
 	lastPing time.Time
+	// contact is the last sign of a VM outside the view or of the record.
+	contact time.Time
 	// Witness.
 	heard    time.Time
 	impaired bool
@@ -222,6 +224,9 @@
 	if msg.Record != nil && msg.Kind != KindInstall && msg.Record.Partition == p.n {
 		m.observe(msg.Record)
 	}
+	if from != m.cfg.Self.VM && p.rec.RoleOf(Member{VM: from, Incarnation: msg.FromInc}) == RoleNone {
+		p.contact = m.now
+	}
 	switch {
 	case msg.Kind == KindClaim && msg.Reply:
 		m.claimReply(msg)
@@ -283,7 +288,7 @@
 	}
 	clear(p.staged[len(keep):])
 	p.staged = keep
-	p.heard, p.lastPing = m.now, time.Time{}
+	p.heard, p.lastPing, p.contact = m.now, time.Time{}, m.now
 	p.need, p.needSince = "", time.Time{}
 	p.backoff, p.readWait = 0, 0
 	p.peers = make([]peer, len(p.rec.Witnesses))
--- a/once/oncerpc/runner.go
+++ b/once/oncerpc/runner.go
@@ -164,7 +164,8 @@
 	event.OnceRecordsLoaded.Log(r.opt.Logger, "records", len(entries))
 }
 
-// SetMembers replaces the view of the fleet. It includes this VM.
+// SetMembers replaces the view of the fleet. It includes this VM. It is called at
+// least once a minute, also if nothing changed; see once.Config.IsolationLimit.
 func (r *Runner) SetMembers(d once.Directory) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/once/owner.go
+++ b/once/owner.go
@@ -42,6 +42,12 @@
 		m.reply(from, msg, res)
 		return
 	}
+	if m.now.Sub(p.contact) >= m.cfg.IsolationLimit {
+		m.readRecord(p)
+		res.Result = ResultNotOwner
+		m.reply(from, msg, res)
+		return
+	}
 	if pd := p.pending[c.Key]; pd != nil && pd.req.Kind == KindClaim && pd.claim.sameRequest(&c) {
 		pd.req = header(msg) // answer the latest repetition
 		return
