Read the record first after a long pause

Cause: members that were all paused beyond lost-until saw the fleet as it was before the pause and granted a key that had run elsewhere. Figures: `go test ./once -run PausedMembers` failed before ("granted after the pause") and passes now.

--- a/once/change.go
+++ b/once/change.go
@@ -128,10 +128,11 @@
 	p.reading = false
 	if ok && found && r.Partition == n {
 		m.observe(&r)
-		if r.View == p.rec.View {
-			p.contact = now
+		if r.View == p.rec.View && !p.staleRead {
+			p.contact, p.paused = now, false
 		}
 	}
+	p.staleRead = false
 	ch := p.change
 	stale := !ok || (found && r.Epoch < p.rec.Epoch) || (!found && p.rec.Epoch > 0)
 	switch {
--- a/once/focused_test.go
+++ b/once/focused_test.go
@@ -282,6 +282,35 @@
 	}
 }
 
+// Guards against members that were all paused beyond lost-until and then grant
+// from what they heard before the pause.
+func TestPausedMembersReadTheRecordFirst(t *testing.T) {
+	f := settledFleet(t, Config{Partitions: 1, Retention: 2 * time.Minute, IsolationLimit: 30 * time.Second, RebalanceInterval: -1})
+	f.reportCut = true
+	entry, k := f.outsider(0), keyIn(f.cfg, 0, 1)
+	members := []*node{f.member(0, 0), f.member(0, 1), f.member(0, 2)}
+	for _, n := range members {
+		n.pause(4 * time.Minute)
+	}
+	f.net.cut = func(a, b *node) bool { return slices.Contains(members, a) != slices.Contains(members, b) }
+	resume := f.now.Add(4 * time.Minute)
+	f.run(4*time.Minute - time.Second)
+	want(t, f.ask(entry, k, 900*time.Millisecond), "granted")
+	f.store.down = func(n *node) bool { return slices.Contains(members, n) }
+	f.run(resume.Sub(f.now) + 5*time.Millisecond)
+	// Membership still holds what it knew before the pause.
+	before := Directory{Complete: true}
+	for _, n := range f.nodes {
+		before.VMs = append(before.VMs, n.vm)
+	}
+	for _, n := range members {
+		n.apply(n.m.SetDirectory(f.now, before))
+	}
+	if got := f.ask(members[0], k, 4*time.Second); got == "granted" {
+		t.Fatal("a key that ran elsewhere was granted after the pause")
+	}
+}
+
 // Guards against a member that is taken for lost while it only cannot be
 // reached, which would forget its claims.
 func TestUnreachableMembersAreNotLost(t *testing.T) {
--- a/once/machine.go
+++ b/once/machine.go
@@ -47,6 +47,11 @@
 	lastPing time.Time
 	// contact is the last sign of a VM outside the view or of the record.
 	contact time.Time
+	// paused is set after a pause of IsolationLimit or longer, until the record
+	// has been read: what is heard right after it may be from before the pause.
+	paused bool
+	// staleRead marks a read that was under way at the pause.
+	staleRead bool
 	// Witness.
 	heard    time.Time
 	impaired bool
@@ -118,6 +123,12 @@
 }
 
 func (m *Machine) begin(now time.Time) {
+	// Round strips the monotonic reading, which may stand still during a pause.
+	if now.Round(0).Sub(m.now.Round(0)) >= m.cfg.IsolationLimit {
+		for _, p := range m.parts {
+			p.paused, p.staleRead = true, p.reading
+		}
+	}
 	m.now = now
 	e := &m.eff
 	clear(e.Sends)
--- a/once/owner.go
+++ b/once/owner.go
@@ -42,7 +42,7 @@
 		m.reply(from, msg, res)
 		return
 	}
-	if m.now.Sub(p.contact) >= m.cfg.IsolationLimit {
+	if p.paused || m.now.Sub(p.contact) >= m.cfg.IsolationLimit {
 		m.readRecord(p)
 		res.Result = ResultNotOwner
 		m.reply(from, msg, res)
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -24,7 +24,7 @@
 	hist   history
 	sent   map[Kind]int
 	failed []string
-	// reportCut makes the directory report VMs across a cut as gone.
+	// reportCut makes the directory report VMs that are not heard as gone.
 	reportCut bool
 	// abandon is the probability that a caller gives up within 600 ms.
 	abandon float64
@@ -313,7 +313,7 @@
 			v, age := o.vm, f.now.Sub(o.since)
 			silent := !o.up || f.now.Before(o.paused) || (f.net.cut != nil && f.net.cut(o, n))
 			switch {
-			case !o.up && age > 6*time.Second, f.reportCut && f.net.cut != nil && f.net.cut(o, n):
+			case !o.up && age > 6*time.Second, f.reportCut && silent && age > 3*time.Second:
 				v.State = VMGone
 			case silent && age > 3*time.Second:
 				v.State = VMSuspected
