--- a/once/machine.go
+++ b/once/machine.go
@@ -45,6 +45,13 @@
 	nextNum  uint64
 	peers    []peer
 	lastPing time.Time
+	// contact is the last sign of a VM outside the view or of the record.
+	contact time.Time
+	// paused is set after a pause of IsolationLimit or longer, until the record
+	// has been read: what is heard right after it may be from before the pause.
+	paused bool
+	// staleRead marks a read that was under way at the pause.
+	staleRead bool
 	// Witness.
 	heard    time.Time
 	impaired bool
@@ -55,6 +62,9 @@
 	nextChange time.Time
 	reading    bool
 	nextRead   time.Time
+	// backoff and readWait grow while the store or the members do not answer.
+	backoff  time.Duration
+	readWait time.Duration
 }
 
 // staged is the copy of the claims for a proposed view.
@@ -75,8 +85,13 @@
 	count int
 }
 
+// maxPieces bounds the number that a peer may announce. It covers 134 million
+// claims in pieces of the default size.
+const maxPieces = 1 << 16
+
+// add records a piece and tells whether it is new.
 func (s *pieceSet) add(i, of int) bool {
-	if s.have == nil {
+	if s.have == nil && of >= 1 && of <= maxPieces {
 		s.have = make([]bool, of)
 	}
 	if i < 0 || i >= len(s.have) || of != len(s.have) || s.have[i] {
@@ -87,6 +102,10 @@
 	return true
 }
 
+func (s *pieceSet) has(i, of int) bool {
+	return of == len(s.have) && i >= 0 && i < of && s.have[i]
+}
+
 func (s *pieceSet) complete() bool { return s.have != nil && s.count == len(s.have) }
 
 // New returns a machine that knows no records.
@@ -104,6 +123,12 @@
 }
 
 func (m *Machine) begin(now time.Time) {
+	// Round strips the monotonic reading, which may stand still during a pause.
+	if now.Round(0).Sub(m.now.Round(0)) >= m.cfg.IsolationLimit {
+		for _, p := range m.parts {
+			p.paused, p.staleRead = true, p.reading
+		}
+	}
 	m.now = now
 	e := &m.eff
 	clear(e.Sends)
@@ -210,6 +235,9 @@
 	if msg.Record != nil && msg.Kind != KindInstall && msg.Record.Partition == p.n {
 		m.observe(msg.Record)
 	}
+	if from != m.cfg.Self.VM && p.rec.RoleOf(Member{VM: from, Incarnation: msg.FromInc}) == RoleNone {
+		p.contact = m.now
+	}
 	switch {
 	case msg.Kind == KindClaim && msg.Reply:
 		m.claimReply(msg)
@@ -271,8 +299,9 @@
 	}
 	clear(p.staged[len(keep):])
 	p.staged = keep
-	p.heard, p.lastPing = m.now, time.Time{}
+	p.heard, p.lastPing, p.contact = m.now, time.Time{}, m.now
 	p.need, p.needSince = "", time.Time{}
+	p.backoff, p.readWait = 0, 0
 	p.peers = make([]peer, len(p.rec.Witnesses))
 	for i := range p.peers {
 		p.peers[i].acked = m.now
