Assign partitions once the platform's list was read

Change: the delay holds only until the list was read; the directory has to be unchanged for 1 s instead of 2 s. Safety does not depend on either, since a partition's first record is created by compare-and-swap.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -162,6 +162,7 @@
 		}
 		d.VMs = append(d.VMs, vm)
 	}
+	d.Listed = listed
 	d.Complete = listed && now.Sub(n.started) > settled
 	return d
 }
--- a/once/config.go
+++ b/once/config.go
@@ -103,4 +103,6 @@
 	// Complete means that the platform's list was read and that peers were
 	// heard, so that a VM which is absent is gone.
 	Complete bool
+	// Listed means that the platform's list was read.
+	Listed bool
 }
--- a/once/directory.go
+++ b/once/directory.go
@@ -10,6 +10,7 @@
 	vms      map[string]VM
 	order    []string // all VMs, by an order that every VM computes alike
 	complete bool
+	listed   bool
 	since    time.Time // of the last change
 	// gone is since when a VM is reported as gone.
 	gone map[string]time.Time
@@ -47,7 +48,7 @@
 			return a < b || (a == b && d.order[i] < d.order[j])
 		})
 	}
-	d.vms, d.complete = vms, dir.Complete
+	d.vms, d.complete, d.listed = vms, dir.Complete, dir.Listed || dir.Complete
 	for _, p := range m.parts {
 		if p.role == RoleOwner && m.seesOutsider(p) {
 			p.contact = now
--- a/once/tick.go
+++ b/once/tick.go
@@ -7,10 +7,10 @@
 	rankDelay = 300 * time.Millisecond
 	// settleDelay is how long the directory must be unchanged before the first
 	// assignment, so that VMs that start together share the partitions.
-	settleDelay = 2 * time.Second
-	// incompleteDelay is added while the directory is not complete, so that the
+	settleDelay = time.Second
+	// unlistedDelay is added until the platform's list was read, so that the
 	// first VM to start does not take all partitions without witnesses.
-	incompleteDelay = 10 * time.Second
+	unlistedDelay = 10 * time.Second
 	// leaveGrace is how long others wait for a leaving VM to move its partitions.
 	leaveGrace = 2 * time.Second
 	// expirePerTick bounds the claims that one Tick examines per partition.
@@ -53,8 +53,8 @@
 			return "", 0
 		}
 		delay := time.Duration(rank) * time.Second
-		if !m.dir.complete {
-			delay += incompleteDelay
+		if !m.dir.listed {
+			delay += unlistedDelay
 		}
 		return ReasonFirst, delay
 	}
