--- a/steer/blocks.go
+++ b/steer/blocks.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"iter"
 	"math/bits"
 	"net/netip"
@@ -194,28 +195,24 @@
 
 func key4(a netip.Addr) uint32 {
 	b := a.As4()
-	return uint32(b[0])<<24 | uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+	return binary.BigEndian.Uint32(b[:])
 }
 
 func key6(a netip.Addr) (hi, lo uint64) {
 	b := a.As16()
-	for i := range 8 {
-		hi = hi<<8 | uint64(b[i])
-		lo = lo<<8 | uint64(b[i+8])
-	}
-	return hi, lo
+	return binary.BigEndian.Uint64(b[:8]), binary.BigEndian.Uint64(b[8:])
 }
 
 func prefix4(start uint32, n uint8) netip.Prefix {
-	return netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(start >> 24), byte(start >> 16), byte(start >> 8), byte(start)}), int(n))
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], start)
+	return netip.PrefixFrom(netip.AddrFrom4(b), int(n))
 }
 
 func prefix6(hi, lo uint64, n uint8) netip.Prefix {
 	var b [16]byte
-	for i := range 8 {
-		b[i] = byte(hi >> (56 - 8*i))
-		b[i+8] = byte(lo >> (56 - 8*i))
-	}
+	binary.BigEndian.PutUint64(b[:8], hi)
+	binary.BigEndian.PutUint64(b[8:], lo)
 	return netip.PrefixFrom(netip.AddrFrom16(b), int(n))
 }
 
--- a/steer/builder.go
+++ b/steer/builder.go
@@ -91,17 +91,18 @@
 	}
 	for i, vm := range usable {
 		s.vms[i] = candidate{
-			vm:       vm,
-			hash:     xxhash.Sum64String(vm.ID),
-			capacity: float64(capacity(&vm)),
-			weight:   uint16(max(1, 100*b.factorOf(vm.ID)+0.5)),
+			vm:     vm,
+			weight: uint16(max(1, 100*b.factorOf(vm.ID)+0.5)),
 		}
+		s.hashes = append(s.hashes, xxhash.Sum64String(vm.ID))
+		s.capacities = append(s.capacities, float64(capacity(&vm)))
 		d := &s.dcs[p.dc[vm.DataCentre]]
 		if d.empty() {
 			d.from = i
 		}
 		d.to = i + 1
-		if s.vms[i].capacity != s.vms[d.from].capacity {
+		d.capacity += s.capacities[i]
+		if s.capacities[i] != s.capacities[d.from] {
 			d.equal = false
 		}
 	}
--- a/steer/snapshot.go
+++ b/steer/snapshot.go
@@ -17,7 +17,11 @@
 	services map[string]struct{}
 	// vms are the VMs that are handed out, ordered by data centre and ID.
 	vms []candidate
-	dcs []dataCentre
+	// hashes and capacities are those of vms. They lie apart because a lookup
+	// reads them for every VM of three data centres, and few of the rest.
+	hashes     []uint64
+	capacities []float64
+	dcs        []dataCentre
 	// regions holds the data centres of each region.
 	regions [][]uint16
 	// orders holds the order of data centres for each site of blocks. The last
@@ -27,10 +31,7 @@
 
 // candidate is a VM that may be handed out.
 type candidate struct {
-	vm   VM
-	hash uint64
-	// capacity is the weight in the rendezvous hash.
-	capacity float64
+	vm VM
 	// weight is that in the answer, 1 to 100.
 	weight uint16
 }
@@ -41,6 +42,8 @@
 	region uint16
 	// from and to bound its VMs in Snapshot.vms.
 	from, to int
+	// capacity is the sum of theirs.
+	capacity float64
 	// equal tells that all VMs have the same capacity, so that the hashes can
 	// be compared without their logarithms.
 	equal bool
@@ -209,19 +212,18 @@
 // keepSalt makes the choice of the blocks that move independent of that of VMs.
 const keepSalt = 0x9e3779b97f4a7c15
 
-// spillDC chooses among the other data centres of the region by capacity.
+// spillDC chooses among the other data centres of the region by capacity. One
+// that gives callers away itself gets less, but not nothing: if it got nothing,
+// the first to do so would send every moved caller back at once.
 func (s *Snapshot) spillDC(region, not uint16, key uint64) uint16 {
 	best, bestScore := uint16(noDataCentre), math.Inf(1)
 	for _, dc := range s.regions[region] {
 		d := &s.dcs[dc]
-		if dc == not || d.empty() || d.keep < keepAll {
+		if dc == not || d.empty() {
 			continue
 		}
-		sum := 0.0
-		for i := d.from; i < d.to; i++ {
-			sum += s.vms[i].capacity
-		}
-		if score := expScore(mix(key^keepSalt^uint64(dc+1)<<32)) / sum; score < bestScore {
+		weight := d.capacity * float64(d.keep) / keepAll
+		if score := expScore(mix(key^keepSalt^uint64(dc+1)<<32)) / weight; score < bestScore {
 			best, bestScore = dc, score
 		}
 	}
@@ -258,30 +260,43 @@
 // pick adds the VM of a data centre with the best rendezvous score that the
 // answer does not have yet. It returns false when there is none.
 func (s *Snapshot) pick(a *Answer, key uint64, dc uint16, priority uint8, share float64) bool {
-	d := &s.dcs[dc]
-	best := -1
-	var bestHash uint64
-	bestScore := math.Inf(1)
-	for i := d.from; i < d.to; i++ {
-		h := mix(key ^ s.vms[i].hash)
-		if d.equal {
-			if (best < 0 || h > bestHash) && !a.has(&s.vms[i].vm) {
-				best, bestHash = i, h
-			}
-			continue
-		}
-		if score := expScore(h) / s.vms[i].capacity; score < bestScore && !a.has(&s.vms[i].vm) {
-			best, bestScore = i, score
-		}
+	var i int
+	if d := &s.dcs[dc]; d.equal {
+		i = s.bestEqual(a, key, d)
+	} else {
+		i = s.bestWeighted(a, key, d)
 	}
-	if best < 0 {
+	if i < 0 {
 		return false
 	}
-	c := &s.vms[best]
+	c := &s.vms[i]
 	a.add(&c.vm, max(1, uint16(math.Round(share*float64(c.weight)))), priority)
 	return true
 }
 
+// bestEqual returns the VM with the highest hash, or -1.
+func (s *Snapshot) bestEqual(a *Answer, key uint64, d *dataCentre) int {
+	best, bestHash := -1, uint64(0)
+	for i, hash := range s.hashes[d.from:d.to] {
+		if h := pairHash(key, hash); h >= bestHash && !a.has(&s.vms[d.from+i].vm) {
+			best, bestHash = d.from+i, h
+		}
+	}
+	return best
+}
+
+// bestWeighted returns the VM with the lowest score, or -1. With equal capacities
+// it is that of bestEqual.
+func (s *Snapshot) bestWeighted(a *Answer, key uint64, d *dataCentre) int {
+	best, bestScore := -1, math.Inf(1)
+	for i := d.from; i < d.to; i++ {
+		if score := expScore(pairHash(key, s.hashes[i])) / s.capacities[i]; score < bestScore && !a.has(&s.vms[i].vm) {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
 func (a *Answer) has(vm *VM) bool {
 	for i := range a.targets[:a.n] {
 		if a.targets[i].VM == vm {
@@ -298,6 +313,13 @@
 	return -math.Log((float64(h>>11) + 0.5) / (1 << 53))
 }
 
+// pairHash mixes the hashes of a block and a VM. One wide multiplication, as in
+// wyhash, since it is done for each VM of three data centres in each lookup.
+func pairHash(key, vm uint64) uint64 {
+	hi, lo := bits.Mul64(key^0xa0761d6478bd642f, vm^0xe7037ed1a0b428db)
+	return hi ^ lo
+}
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -307,11 +329,6 @@
 
 // blockKey hashes a block, the same on every node.
 func blockKey(p netip.Prefix) uint64 {
-	a := p.Addr().As16()
-	var hi, lo uint64
-	for i := range 8 {
-		hi = hi<<8 | uint64(a[i])
-		lo = lo<<8 | uint64(a[i+8])
-	}
+	hi, lo := key6(p.Addr())
 	return mix(mix(hi+1) ^ bits.RotateLeft64(mix(lo+uint64(p.Bits())<<56+2), 17))
 }
--- a/steer/table.go
+++ b/steer/table.go
@@ -27,24 +27,29 @@
 func (e entry) inner() bool  { return e>>24 != 0 }
 
 // last returns the number of keys in the sorted keys that are at most k.
+//
+// Each round reads three keys at once and keeps a quarter, so that the reads
+// overlap; with one key a round each read would wait for the one before. The
+// comparisons are arithmetic, because half of all branches on them would be
+// mispredicted.
 func last[K uint32 | uint64](keys []K, k K) int {
 	base, n := 0, len(keys)
-	if n == 0 {
-		return 0
-	}
-	// The borrow of k - key is 1 where key is larger than k. Arithmetic instead of
-	// a branch, because the branch would be mispredicted half of the time and the
-	// compiler emits no conditional move in a loop.
-	for n > 1 {
-		half := n >> 1
-		_, borrow := bits.Sub64(uint64(k), uint64(keys[base+half]), 0)
-		base += half & (int(borrow) - 1)
-		n -= half
+	for n > 8 {
+		quarter := n >> 2
+		base += quarter * (atMost(keys[base+quarter], k) + atMost(keys[base+2*quarter], k) + atMost(keys[base+3*quarter], k))
+		n -= 3 * quarter
 	}
-	if keys[base] <= k {
-		base++
+	count := base
+	for _, key := range keys[base : base+n] {
+		count += atMost(key, k)
 	}
-	return base
+	return count
+}
+
+// atMost is 1 if a <= b and else 0.
+func atMost[K uint32 | uint64](a, b K) int {
+	_, borrow := bits.Sub64(uint64(b), uint64(a), 0)
+	return 1 - int(borrow)
 }
 
 // top is the first level of a table: where the keys of each bucket begin. Buckets
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -9,10 +9,9 @@
 }
 
 // Bounds of one change. Cutting is faster than giving back, because an
-// overloaded data centre sheds requests while an underused one only wastes
-// some.
+// overloaded data centre sheds requests while the others have room.
 const (
-	maxCut   = 0.8
+	maxCut   = 0.5
 	maxRaise = 1.1
 	// minKeep leaves a data centre enough callers to see that its load fell.
 	minKeep = 0.1
@@ -74,6 +73,7 @@
 // caps, which are the planner's.
 func (b *Builder) weigh(now time.Time, vms, usable []VM, p *places) {
 	dcs, regions := b.loads(vms, usable, p)
+	inherit(dcs, p)
 	for i, name := range p.names {
 		own := dcs[i].mean()
 		region := regions[p.region[i]].mean()
@@ -121,6 +121,23 @@
 	return dcs, regions
 }
 
+// inherit adds the work of data centres that lost every usable VM to those that
+// their callers use next in the region. The load that this brings is acted on
+// at once instead of after the reports have shown it.
+func inherit(dcs []load, p *places) {
+	for i := range dcs {
+		if dcs[i].capacity > 0 || dcs[i].work == 0 {
+			continue
+		}
+		for _, dc := range p.order([]string{p.names[i]}).dcs {
+			if p.region[dc] == p.region[i] && dcs[dc].capacity > 0 {
+				dcs[dc].work += dcs[i].work
+				break
+			}
+		}
+	}
+}
+
 // weighVMs gives a VM less than its full weight while its load is well above the
 // mean of its data centre.
 func (b *Builder) weighVMs(now time.Time, usable []VM, dcs []load, p *places) {
--- a/steer/wire.go
+++ b/steer/wire.go
@@ -13,13 +13,14 @@
 // largest value that the store holds.
 const MaxChunkBytes = 1 << 20
 
-// Chunks end where the hash of a block's prefix has cutMask zero bits, so that a
-// change of one block replaces one chunk instead of shifting all that follow. A
-// chunk of about 8,192 blocks is 32 KB; at 2,100 changes a day that is 0.8 KB/s
-// of the 3 KB/s that a node may spend for control.
+// Chunks end where the hash of a block's prefix has the bits of cutMask zero, so
+// that a change of one block replaces one chunk instead of shifting all that
+// follow. Smaller chunks make a change cheaper and the list of their hashes
+// longer; a mean of 5,000 blocks (21 KB) is near the least sum of both, 0.8 KB/s
+// at 2,100 changes a day of the 3 KB/s that a node may spend for control.
 const (
-	cutMask   = 1<<13 - 1
-	minBlocks = 1 << 11
+	cutMask   = 1<<12 - 1
+	minBlocks = 1 << 10
 )
 
 // wireMagic starts a chunk; its last byte is the version of the form.
@@ -196,6 +197,26 @@
 	return nil
 }
 
+// BuildBlocks makes a table of chunks, which must be in the order in which they
+// were emitted. It reserves exactly the memory of the table.
+func BuildBlocks(chunks [][]byte) (*Blocks, error) {
+	v4, v6 := 0, 0
+	for _, c := range chunks {
+		n4, n6, err := CountBlocks(c)
+		if err != nil {
+			return nil, err
+		}
+		v4, v6 = v4+n4, v6+n6
+	}
+	bb := NewBlocksBuilder(v4, v6)
+	for _, c := range chunks {
+		if err := DecodeBlocks(c, bb.Add); err != nil {
+			return nil, err
+		}
+	}
+	return bb.Build(), nil
+}
+
 type decoder struct {
 	rest   []byte
 	hi, lo uint64
