Choose a DNS port that is free for TCP and UDP

Cause: with port 0 the UDP port was chosen first, and a start failed when TCP had it in use: `go test ./lookup -bench Load/overload -benchtime 2s` failed in one of three runs with "address already in use". Load reports that are not numbers count as none, and a report counts as at most 2, so that one VM cannot empty its data centre.

--- a/lookup/bench_test.go
+++ b/lookup/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,9 @@
 	"time"
 
 	"github.com/miekg/dns"
+
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/steer"
 )
 
 // load runs n exchanges over clients at a time, each with one exchange in
@@ -49,45 +53,98 @@
 // server in this process, so that clients and server share the machine.
 func BenchmarkDNSLoad(b *testing.B) {
 	for _, sockets := range []int{1, 4, 8} {
-		b.Run("sockets="+string(rune('0'+sockets)), func(b *testing.B) {
-			core := testCore(b, Config{}, testInput(3))
-			s := testDNS(b, core, sockets)
-			const clients = 64
-			conns := make([]net.Conn, clients)
-			bufs := make([][2][]byte, clients)
-			for i := range conns {
-				c, err := net.Dial("udp", s.Addr().String())
-				if err != nil {
-					b.Fatal(err)
-				}
-				defer c.Close()
-				addr := netip.AddrFrom4([4]byte{10, byte(i), 0, 0})
-				packed, err := withSubnet(question("proefbank.lookup.example.", dns.TypeA), addr.String(), 16, 0).Pack()
-				if err != nil {
-					b.Fatal(err)
-				}
-				conns[i], bufs[i] = c, [2][]byte{packed, make([]byte, maxUDP)}
-			}
-			b.ResetTimer()
-			load(b, clients, max(b.N, 1000), "queries/s", func(client, i int) error {
-				c, out, in := conns[client], bufs[client][0], bufs[client][1]
-				binary.BigEndian.PutUint16(out, uint16(i))
-				if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
-					return err
-				}
-				if _, err := c.Write(out); err != nil {
-					return err
-				}
-				n, err := c.Read(in)
-				if err == nil && (n < headerBytes || binary.BigEndian.Uint16(in) != uint16(i) || in[3]&0xf != 0 || in[7] == 0) {
-					b.Errorf("response % x", in[:n])
-				}
-				return err
-			})
-			b.StopTimer()
-			b.ReportMetric(float64(core.Count(DNS, Overloaded)), "overloaded")
+		b.Run(fmt.Sprintf("today/sockets=%d", sockets), func(b *testing.B) {
+			benchDNS(b, testCore(b, Config{}, testInput(3)), sockets)
 		})
 	}
+	b.Run("two-years/sockets=4", func(b *testing.B) { benchDNS(b, testCore(b, Config{}, largeInput(b)), 4) })
+	// More clients than the limit admits, but so few that nothing is dropped,
+	// for which a client would wait 5 s: each of the 64 counts at most twice,
+	// with the query and the response that is just sent.
+	b.Run("overload/sockets=4", func(b *testing.B) {
+		core := testCore(b, Config{MaxConcurrent: 32}, testInput(3))
+		benchDNS(b, core, 4)
+		b.ReportMetric(float64(core.Count(DNS, Dropped)), "dropped")
+	})
+}
+
+// largeInput has 740 VMs in 8 data centres and 780,000 blocks on 230 sites.
+func largeInput(b *testing.B) steer.Input {
+	reg := &register.Register{Services: []register.Service{{Name: "proefbank"}}}
+	in := steer.Input{Register: reg}
+	for r := range 4 {
+		region := register.Region{Name: fmt.Sprintf("r%d", r)}
+		for d := range 2 {
+			dc := fmt.Sprintf("r%d-%d", r, d)
+			region.DataCentres = append(region.DataCentres, register.DataCentre{Name: dc})
+			for len(in.VMs) < 740*(2*r+d+1)/8 {
+				n := len(in.VMs)
+				in.VMs = append(in.VMs, steer.VM{
+					ID: fmt.Sprintf("vm-%d", n), DataCentre: dc, Region: region.Name, State: steer.Serving, Load: -1,
+					Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(n >> 8), byte(n)}), 8080),
+				})
+			}
+		}
+		reg.Regions = append(reg.Regions, region)
+	}
+	for i := range 230 {
+		reg.Sites = append(reg.Sites, register.Site{Name: fmt.Sprintf("site-%d", i), DataCentres: []string{fmt.Sprintf("r%d-%d", i%4, i/4%2)}})
+	}
+	bb := steer.NewBlocksBuilder(468_000, 312_000)
+	for n := range 780_000 {
+		p := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(10 + n>>16), byte(n >> 8), byte(n)}), 24)
+		if n >= 468_000 {
+			p = netip.PrefixFrom(netip.AddrFrom16([16]byte{0x20, 1, byte(n >> 16), byte(n >> 8), byte(n)}), 48)
+		}
+		if err := bb.Add(p, reg.Sites[n%230].Name); err != nil {
+			b.Fatal(err)
+		}
+	}
+	in.Blocks = bb.Build()
+	return in
+}
+
+func benchDNS(b *testing.B, core *Core, sockets int) {
+	s := testDNS(b, core, sockets)
+	const clients = 64
+	conns := make([]net.Conn, clients)
+	bufs := make([][2][]byte, clients)
+	for i := range conns {
+		c, err := net.Dial("udp", s.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer c.Close()
+		addr := netip.AddrFrom4([4]byte{10, byte(i), 0, 0})
+		packed, err := withSubnet(question("proefbank.lookup.example.", dns.TypeA), addr.String(), 16, 0).Pack()
+		if err != nil {
+			b.Fatal(err)
+		}
+		conns[i], bufs[i] = c, [2][]byte{packed, make([]byte, maxUDP)}
+	}
+	n := max(b.N, 1000)
+	b.ResetTimer()
+	load(b, clients, n, "queries/s", func(client, i int) error {
+		c, out, in := conns[client], bufs[client][0], bufs[client][1]
+		binary.BigEndian.PutUint16(out, uint16(i))
+		if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+			return err
+		}
+		if _, err := c.Write(out); err != nil {
+			return err
+		}
+		size, err := c.Read(in)
+		if err != nil {
+			return err
+		}
+		refused := size >= headerBytes && in[3]&0xf == dns.RcodeServerFailure
+		if size < headerBytes || binary.BigEndian.Uint16(in) != uint16(i) || (!refused && (in[3]&0xf != 0 || in[7] == 0)) {
+			b.Errorf("response % x", in[:size])
+		}
+		return nil
+	})
+	b.StopTimer()
+	b.ReportMetric(100*float64(core.Count(DNS, Overloaded))/float64(n), "refused-%")
 }
 
 // BenchmarkHTTPLoad sends lookups over loopback on 64 kept connections to one
--- a/lookup/dns_test.go
+++ b/lookup/dns_test.go
@@ -87,6 +87,45 @@
 	waitFor(t, func() bool { return c.inFlight.Load() == 0 })
 }
 
+// Guards against a start that fails by chance because a port that TCP chose is
+// in use by UDP, and against sockets that a failed start leaves open.
+func TestDNSListen(t *testing.T) {
+	s := testDNS(t, testCore(t, Config{}, testInput(2)), 2)
+	cfg := DNSConfig{Core: s.core, Listen: s.Addr(), Zone: testZone}
+	if _, err := ListenDNS(cfg); err == nil {
+		t.Error("a second server on the same address started")
+	}
+	taken := udpOnly(t)
+	defer taken.Close()
+	cfg.Listen = taken.LocalAddr().(*net.UDPAddr).AddrPort()
+	for range 2 {
+		if _, err := ListenDNS(cfg); err == nil || !strings.Contains(err.Error(), "UDP socket") {
+			t.Errorf("UDP port in use: %v", err)
+		}
+	}
+	cfg.Zone = "."
+	if _, err := ListenDNS(cfg); err == nil {
+		t.Error("the root was accepted as a zone")
+	}
+}
+
+// udpOnly takes a UDP port that is free for TCP.
+func udpOnly(t *testing.T) net.PacketConn {
+	t.Helper()
+	for range portAttempts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		if conn, err := net.ListenPacket("udp", l.Addr().String()); err == nil {
+			return conn
+		}
+	}
+	t.Fatal("no port is free for TCP and UDP")
+	return nil
+}
+
 // waitFor allows for counters that are written after the response.
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
--- a/lookup/dnsserver.go
+++ b/lookup/dnsserver.go
@@ -112,29 +112,47 @@
 	return first
 }
 
+// portAttempts is how often open tries to find a port that is free for both TCP
+// and UDP when it may choose. A port that one protocol picks may be in use by
+// the other.
+const portAttempts = 16
+
 func (s *DNSServer) open(cfg DNSConfig) error {
+	attempts := 1
+	if cfg.Listen.Port() == 0 {
+		attempts = portAttempts
+	}
+	var err error
+	for range attempts {
+		if err = s.openOnce(cfg); err == nil {
+			return nil
+		}
+		s.close()
+		s.servers = nil
+	}
+	return err
+}
+
+func (s *DNSServer) openOnce(cfg DNSConfig) error {
 	ctx := context.Background()
+	tcp, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return errors.Wrapf(err, "lookup: TCP socket on %s", cfg.Listen)
+	}
+	s.servers = append(s.servers, s.server(nil, netutil.LimitListener(tcp, maxTCP)))
+	s.addr = netip.AddrPortFrom(cfg.Listen.Addr(), tcp.Addr().(*net.TCPAddr).AddrPort().Port())
 	udp := net.ListenConfig{Control: reusePort}
-	address := cfg.Listen.String()
 	for i := range cfg.UDPSockets {
-		conn, err := udp.ListenPacket(ctx, "udp", address)
+		conn, err := udp.ListenPacket(ctx, "udp", s.addr.String())
 		if err != nil {
-			return errors.Wrapf(err, "lookup: UDP socket %d on %s", i, address)
+			return errors.Wrapf(err, "lookup: UDP socket %d on %s", i, s.addr)
 		}
 		s.servers = append(s.servers, s.server(conn, nil))
-		s.addr = conn.LocalAddr().(*net.UDPAddr).AddrPort()
-		s.addr = netip.AddrPortFrom(s.addr.Addr().Unmap(), s.addr.Port())
-		address = s.addr.String()
 		if c, ok := conn.(*net.UDPConn); ok {
 			// The kernel may grant less; the server works with less.
 			_ = c.SetReadBuffer(readBuffer)
 		}
 	}
-	tcp, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrapf(err, "lookup: TCP socket on %s", address)
-	}
-	s.servers = append(s.servers, s.server(nil, netutil.LimitListener(tcp, maxTCP)))
 	return nil
 }
 
--- a/steer/snapshot_test.go
+++ b/steer/snapshot_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -409,3 +410,68 @@
 		}
 	}
 }
+
+// Guards against answers from the wrong members: an old incarnation of a VM that
+// left, suspected VMs that are dropped when nothing else is left, and a far
+// region before a near one.
+func TestSelection(t *testing.T) {
+	reg := testRegister(3)
+	reg.Links = []register.Link{{A: "r0", B: "r1", OneWayMillis: 80}, {A: "r0", B: "r2", OneWayMillis: 20}}
+	caller := netip.MustParseAddr("10.0.0.1")
+	lookup := func(change func(vms []VM) []VM) Answer {
+		s := mustBuild(t, New(Config{}), start, Input{Register: reg, VMs: change(testVMs(reg, 2))})
+		a, err := s.Lookup(caller, "proefbank")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	same := func(vms []VM) []VM { return vms }
+	a := lookup(same)
+	if a.Targets()[3].VM.Region != "r2" {
+		t.Errorf("away VM in %s, r2 is nearer", a.Targets()[3].VM.Region)
+	}
+	old := a.Targets()[0].VM.ID
+	a = lookup(func(vms []VM) []VM {
+		for _, vm := range vms {
+			if vm.ID == old {
+				vm.Incarnation, vm.State = 2, Leaving
+				return append(vms, vm)
+			}
+		}
+		return vms
+	})
+	if slices.Contains(ids(a), old) {
+		t.Errorf("%s is leaving in its newest incarnation and handed out: %v", old, ids(a))
+	}
+	a = lookup(func(vms []VM) []VM {
+		for i := range vms {
+			vms[i].State = Leaving
+		}
+		vms[5].State = Suspected
+		return vms
+	})
+	if got := ids(a); !slices.Equal(got, []string{"vm-5"}) {
+		t.Errorf("only vm-5 is left, though suspected: %v", got)
+	}
+}
+
+// Guards against one VM with a wrong report that empties its data centre, and
+// against weights that are not numbers.
+func TestWrongReports(t *testing.T) {
+	for _, load := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e300, -1} {
+		reg := testRegister(1)
+		vms := testVMs(reg, 4)
+		vms[0].Load = load
+		b := New(Config{})
+		for second := range 100 {
+			mustBuild(t, b, start.Add(time.Duration(second)*time.Second), Input{Register: reg, VMs: vms})
+		}
+		if keep := b.keepOf("r0-a"); keep != 1 {
+			t.Errorf("load %g: the data centre keeps %g of its callers", load, keep)
+		}
+		if f := b.factorOf("vm-0"); !(f >= minFactor && f <= 1) {
+			t.Errorf("load %g: factor %g", load, f)
+		}
+	}
+}
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -1,6 +1,9 @@
 package steer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // held is a factor between a floor and 1 that changes at most once per hold.
 type held struct {
@@ -24,8 +27,19 @@
 	// vmIdle is the load below which a VM keeps its full weight: differences
 	// between lightly loaded VMs are noise.
 	vmIdle = 0.5
+	// maxLoad bounds what a report counts for, so that one VM with a wrong
+	// report cannot empty its data centre.
+	maxLoad = 2.0
 )
 
+// reported returns a VM's load, or false without a usable report.
+func (vm *VM) reported() (float64, bool) {
+	if math.IsNaN(vm.Load) || vm.Load < 0 {
+		return 0, false
+	}
+	return min(vm.Load, maxLoad), true
+}
+
 // move multiplies the value by ratio, within the bounds of one change.
 func (h *held) move(now time.Time, ratio, floor float64, hold time.Duration) {
 	if !h.changed.IsZero() && now.Sub(h.changed) < hold {
@@ -102,16 +116,17 @@
 	regions = make([]load, len(p.regionDCs))
 	for i := range vms {
 		dc, ok := p.dc[vms[i].DataCentre]
-		if !ok || vms[i].Load < 0 || vms[i].State == Gone {
+		work, reports := vms[i].reported()
+		if !ok || !reports || vms[i].State == Gone {
 			continue
 		}
 		for _, l := range []*load{&dcs[dc], &regions[p.region[dc]]} {
-			l.work += vms[i].Load * float64(capacity(&vms[i]))
+			l.work += work * float64(capacity(&vms[i]))
 			l.reports++
 		}
 	}
 	for i := range usable {
-		if usable[i].Load < 0 {
+		if _, reports := usable[i].reported(); !reports {
 			continue
 		}
 		dc := p.dc[usable[i].DataCentre]
@@ -146,16 +161,18 @@
 		vm := &usable[i]
 		live[vm.ID] = true
 		mean := dcs[p.dc[vm.DataCentre]].mean()
+		own, reports := vm.reported()
 		h := b.factor[vm.ID]
 		switch {
-		case vm.Load < 0 || mean == 0:
-		case vm.Load > vmIdle && vm.Load > vmHigh*mean:
+		case !reports || mean == 0:
+			// Without reports the last value stays.
+		case own > vmIdle && own > vmHigh*mean:
 			if h == nil {
 				h = &held{value: 1}
 				b.factor[vm.ID] = h
 			}
-			h.move(now, mean/vm.Load, minFactor, b.cfg.Hold)
-		case h != nil && (vm.Load < vmLow*mean || vm.Load <= vmIdle):
+			h.move(now, mean/own, minFactor, b.cfg.Hold)
+		case h != nil && (own < vmLow*mean || own <= vmIdle):
 			h.move(now, maxRaise, minFactor, b.cfg.Hold)
 			if h.value >= 1 && now.Sub(h.changed) >= b.cfg.Hold {
 				delete(b.factor, vm.ID)
