--- a/steer/blocks_test.go
+++ b/steer/blocks_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/currantferry/currantferry/invariant"
 	"github.com/currantferry/currantferry/register"
 )
 
@@ -25,6 +26,7 @@
 	t.Helper()
 	seed := envInt("CURRANTFERRY_SEED", 1)
 	rounds = envInt("CURRANTFERRY_ROUNDS", rounds)
+	defer invariant.OnViolation(func(v invariant.Violation) { t.Errorf("invariant violated: %s", v) })()
 	defer func() {
 		if t.Failed() {
 			t.Logf("repeat with: CURRANTFERRY_SEED=%d CURRANTFERRY_ROUNDS=%d go test ./steer -run '^%s$'", seed, rounds, t.Name())
--- a/steer/builder.go
+++ b/steer/builder.go
@@ -19,9 +19,9 @@
 	cfg Config
 	// keep is the part of its callers that each data centre keeps, 0 to 1. An
 	// absent one keeps all.
-	keep map[string]*held
+	keep map[string]*dampedFactor
 	// factor is the part of its full weight that each VM has, by ID.
-	factor map[string]*held
+	factor map[string]*dampedFactor
 
 	fromRegister *register.Register
 	registered   *Blocks
@@ -29,7 +29,7 @@
 
 // New returns a builder.
 func New(cfg Config) *Builder {
-	return &Builder{cfg: cfg.withDefaults(), keep: make(map[string]*held), factor: make(map[string]*held)}
+	return &Builder{cfg: cfg.withDefaults(), keep: make(map[string]*dampedFactor), factor: make(map[string]*dampedFactor)}
 }
 
 // Build makes a snapshot. It fails only on a register that does not validate.
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// held is a factor between a floor and 1 that changes at most once per hold.
-type held struct {
+// dampedFactor is a factor between a floor and 1 that changes at most once per hold.
+type dampedFactor struct {
 	value   float64
 	changed time.Time
 }
@@ -41,7 +41,7 @@
 }
 
 // move multiplies the value by ratio, within the bounds of one change.
-func (h *held) move(now time.Time, ratio, floor float64, hold time.Duration) {
+func (h *dampedFactor) move(now time.Time, ratio, floor float64, hold time.Duration) {
 	if !h.changed.IsZero() && now.Sub(h.changed) < hold {
 		return
 	}
@@ -54,7 +54,7 @@
 func (b *Builder) keepOf(dc string) float64   { return valueOf(b.keep, dc) }
 func (b *Builder) factorOf(vm string) float64 { return valueOf(b.factor, vm) }
 
-func valueOf(m map[string]*held, key string) float64 {
+func valueOf(m map[string]*dampedFactor, key string) float64 {
 	if h := m[key]; h != nil {
 		return h.value
 	}
@@ -87,7 +87,7 @@
 // caps, which are the planner's.
 func (b *Builder) weigh(now time.Time, vms, usable []VM, p *places) {
 	dcs, regions := b.loads(vms, usable, p)
-	inherit(dcs, p)
+	addDisplaced(dcs, p)
 	for i, name := range p.names {
 		own := dcs[i].mean()
 		region := regions[p.region[i]].mean()
@@ -97,7 +97,7 @@
 			// Without reports the last value stays.
 		case own > b.cfg.HighLoad && own > region*1.05:
 			if h == nil {
-				h = &held{value: 1}
+				h = &dampedFactor{value: 1}
 				b.keep[name] = h
 			}
 			h.move(now, max(b.cfg.HighLoad, region)/own, minKeep, b.cfg.Hold)
@@ -136,10 +136,10 @@
 	return dcs, regions
 }
 
-// inherit adds the work of data centres that lost every usable VM to those that
+// addDisplaced adds the work of data centres that lost every usable VM to those that
 // their callers use next in the region. The load that this brings is acted on
 // at once instead of after the reports have shown it.
-func inherit(dcs []load, p *places) {
+func addDisplaced(dcs []load, p *places) {
 	for i := range dcs {
 		if dcs[i].capacity > 0 || dcs[i].work == 0 {
 			continue
@@ -168,7 +168,7 @@
 			// Without reports the last value stays.
 		case own > vmIdle && own > vmHigh*mean:
 			if h == nil {
-				h = &held{value: 1}
+				h = &dampedFactor{value: 1}
 				b.factor[vm.ID] = h
 			}
 			h.move(now, mean/own, minFactor, b.cfg.Hold)
