--- a/steer/builder.go
+++ b/steer/builder.go
@@ -83,7 +83,7 @@
 	slices.SortFunc(usable, func(x, y VM) int {
 		return cmp.Or(cmp.Compare(p.dc[x.DataCentre], p.dc[y.DataCentre]), cmp.Compare(x.ID, y.ID))
 	})
-	s.regions = p.regionDCs
+	s.regions, s.regionNames = p.regionDCs, p.regionNames
 	s.dcs = make([]dataCentre, len(p.names))
 	s.vms = make([]candidate, len(usable))
 	for i := range s.dcs {
@@ -92,7 +92,7 @@
 	for i, vm := range usable {
 		s.vms[i] = candidate{
 			vm:     vm,
-			weight: uint16(max(1, 100*b.factorOf(vm.ID)+0.5)),
+			weight: uint16(max(1, fullWeight*b.factorOf(vm.ID)+0.5)),
 		}
 		s.hashes = append(s.hashes, xxhash.Sum64String(vm.ID))
 		s.capacities = append(s.capacities, float64(capacity(&vm)))
--- a/steer/snapshot.go
+++ b/steer/snapshot.go
@@ -23,7 +23,8 @@
 	capacities []float64
 	dcs        []dataCentre
 	// regions holds the data centres of each region.
-	regions [][]uint16
+	regions     [][]uint16
+	regionNames []string
 	// orders holds the order of data centres for each site of blocks. The last
 	// one is for callers in no block and for sites that the register lacks.
 	orders []order
@@ -54,7 +55,11 @@
 
 func (d *dataCentre) empty() bool { return d.from == d.to }
 
-const keepAll = 1 << 16
+const (
+	keepAll = 1 << 16
+	// fullWeight is the weight in an answer of a VM that is not overloaded.
+	fullWeight = 100
+)
 
 // order is what a site prefers.
 type order struct {
@@ -79,6 +84,34 @@
 	return nil, false
 }
 
+// DataCentreStatus says what a snapshot does with a data centre, for operators.
+type DataCentreStatus struct {
+	Name, Region string
+	// Usable is the number of its entry VMs that are handed out.
+	Usable int
+	// Keep is the part of its callers that it keeps, 0 to 1; the others go to
+	// other data centres of the region, because its load is too high.
+	Keep float64
+	// Reduced is the number of its VMs with less than their full weight.
+	Reduced int
+}
+
+// DataCentres returns the status of each data centre in the order of the
+// register.
+func (s *Snapshot) DataCentres() []DataCentreStatus {
+	out := make([]DataCentreStatus, len(s.dcs))
+	for i := range s.dcs {
+		d := &s.dcs[i]
+		out[i] = DataCentreStatus{Name: d.name, Region: s.regionNames[d.region], Usable: d.to - d.from, Keep: float64(d.keep) / keepAll}
+		for j := d.from; j < d.to; j++ {
+			if s.vms[j].weight < fullWeight {
+				out[i].Reduced++
+			}
+		}
+	}
+	return out
+}
+
 // TTL returns how long callers may keep an answer.
 func (s *Snapshot) TTL() time.Duration { return s.cfg.TTL }
 
--- a/steer/snapshot_test.go
+++ b/steer/snapshot_test.go
@@ -335,6 +335,9 @@
 			t.Fatalf("first VM in %s", a.Targets()[0].VM.DataCentre)
 		}
 	}
+	if d := s.DataCentres()[0]; d.Name != "r0-a" || d.Region != "r0" || d.Usable != 3 || d.Keep < 0.59 || d.Keep > 0.61 {
+		t.Errorf("status %+v", d)
+	}
 	// The region's mean is 0.9, so 0.9/1.5 of the callers stay.
 	if moved < total*3/10 || moved > total/2 {
 		t.Fatalf("%d of %d blocks moved, want about 40 %%", moved, total)
