--- a/steer/blocks_test.go
+++ b/steer/blocks_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/currantferry/currantferry/invariant"
 	"github.com/currantferry/currantferry/register"
 )
 
@@ -25,6 +26,7 @@
 	t.Helper()
 	seed := envInt("CURRANTFERRY_SEED", 1)
 	rounds = envInt("CURRANTFERRY_ROUNDS", rounds)
+	defer invariant.OnViolation(func(v invariant.Violation) { t.Errorf("invariant violated: %s", v) })()
 	defer func() {
 		if t.Failed() {
 			t.Logf("repeat with: CURRANTFERRY_SEED=%d CURRANTFERRY_ROUNDS=%d go test ./steer -run '^%s$'", seed, rounds, t.Name())
@@ -108,7 +110,7 @@
 		blocks := nestedBlocks(rng, 1+rng.IntN(60))
 		slices.SortFunc(blocks, func(a, b register.Block) int { return ComparePrefixes(a.Prefix, b.Prefix) })
 		var got []register.Block
-		for p, site := range decodeAll(t, encodeAll(t, blocks), func() {}).All() {
+		for p, site := range buildAll(t, encodeAll(t, blocks)).All() {
 			got = append(got, register.Block{Prefix: p, Site: site})
 		}
 		if !slices.Equal(got, blocks) {
@@ -184,7 +186,7 @@
 			return
 		}
 		var again []register.Block
-		for p, site := range decodeAll(t, encodeAll(t, blocks), func() {}).All() {
+		for p, site := range buildAll(t, encodeAll(t, blocks)).All() {
 			again = append(again, register.Block{Prefix: p, Site: site})
 		}
 		if !slices.Equal(blocks, again) {
--- a/steer/builder.go
+++ b/steer/builder.go
@@ -19,9 +19,9 @@
 	cfg Config
 	// keep is the part of its callers that each data centre keeps, 0 to 1. An
 	// absent one keeps all.
-	keep map[string]*held
+	keep map[string]*dampedFactor
 	// factor is the part of its full weight that each VM has, by ID.
-	factor map[string]*held
+	factor map[string]*dampedFactor
 
 	fromRegister *register.Register
 	registered   *Blocks
@@ -29,7 +29,7 @@
 
 // New returns a builder.
 func New(cfg Config) *Builder {
-	return &Builder{cfg: cfg.withDefaults(), keep: make(map[string]*held), factor: make(map[string]*held)}
+	return &Builder{cfg: cfg.withDefaults(), keep: make(map[string]*dampedFactor), factor: make(map[string]*dampedFactor)}
 }
 
 // Build makes a snapshot. It fails only on a register that does not validate.
@@ -83,7 +83,7 @@
 	slices.SortFunc(usable, func(x, y VM) int {
 		return cmp.Or(cmp.Compare(p.dc[x.DataCentre], p.dc[y.DataCentre]), cmp.Compare(x.ID, y.ID))
 	})
-	s.regions = p.regionDCs
+	s.regions, s.regionNames = p.regionDCs, p.regionNames
 	s.dcs = make([]dataCentre, len(p.names))
 	s.vms = make([]candidate, len(usable))
 	for i := range s.dcs {
@@ -91,17 +91,18 @@
 	}
 	for i, vm := range usable {
 		s.vms[i] = candidate{
-			vm:       vm,
-			hash:     xxhash.Sum64String(vm.ID),
-			capacity: float64(capacity(&vm)),
-			weight:   uint16(max(1, 100*b.factorOf(vm.ID)+0.5)),
+			vm:     vm,
+			weight: uint16(max(1, fullWeight*b.factorOf(vm.ID)+0.5)),
 		}
+		s.hashes = append(s.hashes, xxhash.Sum64String(vm.ID))
+		s.capacities = append(s.capacities, float64(capacity(&vm)))
 		d := &s.dcs[p.dc[vm.DataCentre]]
 		if d.empty() {
 			d.from = i
 		}
 		d.to = i + 1
-		if s.vms[i].capacity != s.vms[d.from].capacity {
+		d.capacity += s.capacities[i]
+		if s.capacities[i] != s.capacities[d.from] {
 			d.equal = false
 		}
 	}
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -1,18 +1,20 @@
 package steer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// held is a factor between a floor and 1 that changes at most once per hold.
-type held struct {
+// dampedFactor is a factor between a floor and 1 that changes at most once per hold.
+type dampedFactor struct {
 	value   float64
 	changed time.Time
 }
 
 // Bounds of one change. Cutting is faster than giving back, because an
-// overloaded data centre sheds requests while an underused one only wastes
-// some.
+// overloaded data centre sheds requests while the others have room.
 const (
-	maxCut   = 0.8
+	maxCut   = 0.5
 	maxRaise = 1.1
 	// minKeep leaves a data centre enough callers to see that its load fell.
 	minKeep = 0.1
@@ -25,10 +27,21 @@
 	// vmIdle is the load below which a VM keeps its full weight: differences
 	// between lightly loaded VMs are noise.
 	vmIdle = 0.5
+	// maxLoad bounds what a report counts for, so that one VM with a wrong
+	// report cannot empty its data centre.
+	maxLoad = 2.0
 )
 
+// reported returns a VM's load, or false without a usable report.
+func (vm *VM) reported() (float64, bool) {
+	if math.IsNaN(vm.Load) || vm.Load < 0 {
+		return 0, false
+	}
+	return min(vm.Load, maxLoad), true
+}
+
 // move multiplies the value by ratio, within the bounds of one change.
-func (h *held) move(now time.Time, ratio, floor float64, hold time.Duration) {
+func (h *dampedFactor) move(now time.Time, ratio, floor float64, hold time.Duration) {
 	if !h.changed.IsZero() && now.Sub(h.changed) < hold {
 		return
 	}
@@ -41,7 +54,7 @@
 func (b *Builder) keepOf(dc string) float64   { return valueOf(b.keep, dc) }
 func (b *Builder) factorOf(vm string) float64 { return valueOf(b.factor, vm) }
 
-func valueOf(m map[string]*held, key string) float64 {
+func valueOf(m map[string]*dampedFactor, key string) float64 {
 	if h := m[key]; h != nil {
 		return h.value
 	}
@@ -74,6 +87,7 @@
 // caps, which are the planner's.
 func (b *Builder) weigh(now time.Time, vms, usable []VM, p *places) {
 	dcs, regions := b.loads(vms, usable, p)
+	addDisplaced(dcs, p)
 	for i, name := range p.names {
 		own := dcs[i].mean()
 		region := regions[p.region[i]].mean()
@@ -83,7 +97,7 @@
 			// Without reports the last value stays.
 		case own > b.cfg.HighLoad && own > region*1.05:
 			if h == nil {
-				h = &held{value: 1}
+				h = &dampedFactor{value: 1}
 				b.keep[name] = h
 			}
 			h.move(now, max(b.cfg.HighLoad, region)/own, minKeep, b.cfg.Hold)
@@ -102,16 +116,17 @@
 	regions = make([]load, len(p.regionDCs))
 	for i := range vms {
 		dc, ok := p.dc[vms[i].DataCentre]
-		if !ok || vms[i].Load < 0 || vms[i].State == Gone {
+		work, reports := vms[i].reported()
+		if !ok || !reports || vms[i].State == Gone {
 			continue
 		}
 		for _, l := range []*load{&dcs[dc], &regions[p.region[dc]]} {
-			l.work += vms[i].Load * float64(capacity(&vms[i]))
+			l.work += work * float64(capacity(&vms[i]))
 			l.reports++
 		}
 	}
 	for i := range usable {
-		if usable[i].Load < 0 {
+		if _, reports := usable[i].reported(); !reports {
 			continue
 		}
 		dc := p.dc[usable[i].DataCentre]
@@ -121,6 +136,23 @@
 	return dcs, regions
 }
 
+// addDisplaced adds the work of data centres that lost every usable VM to those that
+// their callers use next in the region. The load that this brings is acted on
+// at once instead of after the reports have shown it.
+func addDisplaced(dcs []load, p *places) {
+	for i := range dcs {
+		if dcs[i].capacity > 0 || dcs[i].work == 0 {
+			continue
+		}
+		for _, dc := range p.order([]string{p.names[i]}).dcs {
+			if p.region[dc] == p.region[i] && dcs[dc].capacity > 0 {
+				dcs[dc].work += dcs[i].work
+				break
+			}
+		}
+	}
+}
+
 // weighVMs gives a VM less than its full weight while its load is well above the
 // mean of its data centre.
 func (b *Builder) weighVMs(now time.Time, usable []VM, dcs []load, p *places) {
@@ -129,16 +161,18 @@
 		vm := &usable[i]
 		live[vm.ID] = true
 		mean := dcs[p.dc[vm.DataCentre]].mean()
+		own, reports := vm.reported()
 		h := b.factor[vm.ID]
 		switch {
-		case vm.Load < 0 || mean == 0:
-		case vm.Load > vmIdle && vm.Load > vmHigh*mean:
+		case !reports || mean == 0:
+			// Without reports the last value stays.
+		case own > vmIdle && own > vmHigh*mean:
 			if h == nil {
-				h = &held{value: 1}
+				h = &dampedFactor{value: 1}
 				b.factor[vm.ID] = h
 			}
-			h.move(now, mean/vm.Load, minFactor, b.cfg.Hold)
-		case h != nil && (vm.Load < vmLow*mean || vm.Load <= vmIdle):
+			h.move(now, mean/own, minFactor, b.cfg.Hold)
+		case h != nil && (own < vmLow*mean || own <= vmIdle):
 			h.move(now, maxRaise, minFactor, b.cfg.Hold)
 			if h.value >= 1 && now.Sub(h.changed) >= b.cfg.Hold {
 				delete(b.factor, vm.ID)
