Answer VMs that are not known yet and ask for their introduction

Cause: a VM that had just restarted gave no reply to VMs which it did not know, and they counted that as silence. Change: the reply is flagged, and the other side sends its description again.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -213,6 +213,12 @@
 	if boots == 0 {
 		t.Error("the new boot was not reported")
 	}
+	// A process that knows nobody answers, and asks for an introduction.
+	fresh := member.New(member.Options{}, v.info, l.now, 1)
+	reply, _ := fresh.Step(l.now, member.Message{From: a.info.ID, To: member.Key(v.info.ID), Inc: a.core.Self().Incarnation})
+	if reply == nil || !reply.Unknown || len(reply.Updates) != 1 || reply.Updates[0].Info == nil {
+		t.Errorf("reply to an unknown VM: %+v", reply)
+	}
 	// A process whose clock is behind that of its predecessor.
 	now := l.now
 	l.now = start
--- a/member/message.go
+++ b/member/message.go
@@ -30,6 +30,9 @@
 	Inc   Incarnation
 	State State
 	Reply bool
+	// Unknown is set in a reply to a VM that the replying one does not know, for
+	// example because it just started. The other side introduces itself again.
+	Unknown bool
 	// ViewHash covers all members that the sender knows.
 	ViewHash uint64
 	// Docs are the sender's versions. Hashes are sent only to a VM that is not
--- a/member/step.go
+++ b/member/step.go
@@ -13,7 +13,11 @@
 	}
 	e := c.entries[m.From]
 	if e == nil {
-		return nil, c.take()
+		if !m.Reply {
+			reply = c.compose(now, &entry{info: Info{ID: m.From}, key: Key(m.From)})
+			reply.Reply, reply.Unknown = true, true
+		}
+		return reply, c.take()
 	}
 	first := !e.contacted
 	c.hear(now, e, &m)
@@ -49,7 +53,7 @@
 	e.heard = now
 	if m.Reply {
 		e.awaiting = false
-		e.contacted = true
+		e.contacted = !m.Unknown
 	}
 	e.doubtSince = time.Time{}
 	if e.target {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -31,7 +31,7 @@
 		From: m.From, To: m.To, Boot: m.Inc.Boot, Seq: m.Inc.Seq, State: uint32(m.State), ViewHash: m.ViewHash,
 		Config: toDocument(m.Docs[member.Config]), Plan: toDocument(m.Docs[member.Plan]), List: toDocument(m.Docs[member.List]),
 		Buckets: m.Buckets, Resync: m.Resync, Ask: m.Ask,
-		StoreStamp: m.StoreStamp, StoreAgeMs: millis(m.StoreAge),
+		StoreStamp: m.StoreStamp, StoreAgeMs: millis(m.StoreAge), Unknown: m.Unknown,
 	}
 	for i := range m.Updates {
 		u := &m.Updates[i]
@@ -81,7 +81,7 @@
 	}
 	m := member.Message{
 		From: p.From, To: p.To, Inc: member.Incarnation{Boot: p.Boot, Seq: p.Seq}, State: member.State(p.State),
-		Reply: reply, ViewHash: p.ViewHash, StoreStamp: p.StoreStamp, StoreAge: age(p.StoreAgeMs), Buckets: p.Buckets, Resync: p.Resync, Ask: p.Ask,
+		Reply: reply, Unknown: p.Unknown, ViewHash: p.ViewHash, StoreStamp: p.StoreStamp, StoreAge: age(p.StoreAgeMs), Buckets: p.Buckets, Resync: p.Resync, Ask: p.Ask,
 	}
 	for i, d := range []*peerpb.Document{p.Config, p.Plan, p.List} {
 		m.Docs[i].Version = d.GetVersion()
