--- a/internal/fakeupstream/fakeupstream.go
+++ b/internal/fakeupstream/fakeupstream.go
@@ -116,6 +116,8 @@
 	Load                 float64       // offered work over all slots, both classes
 	Timeout              time.Duration // deadline after arrival, zero means none
 	ClientOneWay, OneWay time.Duration // caller to entry VM; between the data centres
+	Regions              int           // instances and entry VMs alternate between them, default 1
+	BetweenRegions       time.Duration // one way
 	ReportDelay          time.Duration // default 5 s
 	NoticeDelay          time.Duration // until entry VMs learn a change of state, default 1 s
 	SlowPercent          float64       // instances in a slow spell at any time
@@ -130,6 +132,7 @@
 	c.Mean = cmp.Or(c.Mean, 20*time.Millisecond)
 	c.LongFactor = cmp.Or(c.LongFactor, 30)
 	c.ReadPercent = cmp.Or(c.ReadPercent, 80)
+	c.Regions = cmp.Or(c.Regions, 1)
 	c.ReportDelay = cmp.Or(c.ReportDelay, 5*time.Second)
 	c.NoticeDelay = cmp.Or(c.NoticeDelay, time.Second)
 	c.SlowFactor = cmp.Or(c.SlowFactor, 10)
@@ -374,9 +377,13 @@
 }
 
 // oneWay is the latency between an entry VM and an instance. Both alternate
-// between the two data centres of the region.
+// between the regions, and between the two data centres of their region.
 func (g *Group) oneWay(a *attempt) time.Duration {
-	if a.r.Entry%2 == a.instance%2 {
+	n := g.cfg.Regions
+	if a.r.Entry%n != a.instance%n {
+		return g.cfg.BetweenRegions
+	}
+	if a.r.Entry/n%2 == a.instance/n%2 {
 		return sameCentre
 	}
 	return g.cfg.OneWay
--- /dev/null
+++ b/policybench/regionvm_test.go
@@ -0,0 +1,195 @@
+package policybench
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/budget"
+	"github.com/currantferry/currantferry/internal/fakeupstream"
+	"github.com/currantferry/currantferry/plan"
+)
+
+// lossRegions is the number of regions, between which instances and entry VMs
+// alternate.
+const lossRegions = 3
+
+// regionVM is an entry VM with a plan.Gate and a balancer for each region.
+type regionVM struct {
+	gate    *plan.Gate
+	regions [lossRegions]*currantferry
+	budget  *budget.Retry
+	own     int
+	grants  map[uint64]*regionGrant
+	waiting []regionWait
+	arrived float64 // work in slot seconds since the last measurement
+	dead    bool
+}
+
+type regionGrant struct {
+	plan.Grant
+	region, attempts int
+}
+
+// regionWait is a request that waits for room; held requests had an attempt.
+type regionWait struct {
+	r    *fakeupstream.Request
+	till time.Time
+	held bool
+}
+
+// Bounds on waiting for room in an entry VM.
+const (
+	lossMaxWait    = time.Second
+	lossMaxWaiting = 500
+)
+
+func lossRegionName(r int) string { return "region-" + strconv.Itoa(r) }
+
+func newRegionVM(cfg fakeupstream.Config, e int) *regionVM {
+	v := &regionVM{
+		own: e % lossRegions, grants: make(map[uint64]*regionGrant), budget: budget.NewRetry(budget.Config{}),
+		gate: plan.NewGate(plan.GateConfig{VM: "vm-" + strconv.Itoa(100+e), Incarnation: 1, Region: lossRegionName(e % lossRegions)}),
+	}
+	for r := range v.regions {
+		peers, rank := cfg.Entries, e
+		if r == v.own {
+			peers, rank = (cfg.Entries+lossRegions-1-r)/lossRegions, e/lossRegions
+		}
+		v.regions[r] = newCurrantferry(balance.Config{ExpectedShort: cfg.Mean}, cfg.Seed+uint64(r), rank, peers)
+	}
+	return v
+}
+
+func (v *regionVM) Instances(now time.Time, s []fakeupstream.InstanceState) {
+	for r := range v.regions {
+		var part []fakeupstream.InstanceState
+		for i := r; i < len(s); i += lossRegions {
+			part = append(part, s[i])
+		}
+		v.regions[r].Instances(now, part)
+	}
+}
+
+func (v *regionVM) Report(now time.Time, i int, l fakeupstream.Load) {
+	v.regions[i%lossRegions].Report(now, i/lossRegions, l)
+}
+
+// global translates a region's instance indexes.
+func (v *regionVM) global(region int, starts []fakeupstream.Start) []fakeupstream.Start {
+	for k := range starts {
+		if s := &starts[k]; s.Instance >= 0 {
+			s.Instance = s.Instance*lossRegions + region
+		}
+	}
+	return starts
+}
+
+func (v *regionVM) Pick(now time.Time, r *fakeupstream.Request) []fakeupstream.Start {
+	v.arrived += r.Work.Seconds()
+	v.budget.Request(now, "service", callerName(r))
+	if len(v.waiting) == 0 {
+		if out, ok := v.try(now, r); ok {
+			return out
+		}
+	}
+	if len(v.waiting) >= lossMaxWaiting {
+		return []fakeupstream.Start{{Request: r, Instance: fakeupstream.Refuse}}
+	}
+	v.waiting = append(v.waiting, regionWait{r: r, till: now.Add(lossMaxWait)})
+	return nil
+}
+
+// try admits a request and hands it to the balancer of its region.
+func (v *regionVM) try(now time.Time, r *fakeupstream.Request) ([]fakeupstream.Start, bool) {
+	g := v.grants[r.ID]
+	if g == nil {
+		g = &regionGrant{}
+	}
+	var refusal error
+	if grant, err := v.gate.Admit(now, plan.Request{Service: "service", Bytes: 5000}); err == nil {
+		g.Grant = grant
+	} else {
+		refusal = err
+	}
+	if refusal != nil {
+		return nil, false
+	}
+	for i := range v.regions {
+		if lossRegionName(i) == g.Region() {
+			g.region = i
+		}
+	}
+	v.grants[r.ID] = g
+	out := v.global(g.region, v.regions[g.region].Pick(now, r))
+	return v.settle(now, out), true
+}
+
+// settle releases the grants of requests that are refused.
+func (v *regionVM) settle(now time.Time, starts []fakeupstream.Start) []fakeupstream.Start {
+	for _, s := range starts {
+		if s.Instance == fakeupstream.Refuse {
+			v.release(now, s.Request)
+		}
+	}
+	return starts
+}
+
+func (v *regionVM) release(now time.Time, r *fakeupstream.Request) {
+	if g := v.grants[r.ID]; g != nil {
+		v.gate.Release(now, &g.Grant, 20000)
+		delete(v.grants, r.ID)
+	}
+}
+
+func (v *regionVM) Done(now time.Time, i int, r *fakeupstream.Request, res fakeupstream.Result) []fakeupstream.Start {
+	region := i % lossRegions
+	out := v.settle(now, v.global(region, v.regions[region].Done(now, i/lossRegions, r, res)))
+	if v.dead {
+		return nil
+	}
+	g := v.grants[r.ID]
+	if g != nil && retryable(r, res) && g.attempts < maxAttempts-1 &&
+		v.budget.Allow(now, "service", callerName(r), 0) == nil {
+		g.attempts++
+		v.gate.Release(now, &g.Grant, 0)
+		v.waiting = append(v.waiting, regionWait{r, now.Add(lossMaxWait), true})
+		out = append(out, fakeupstream.Start{Request: r, Instance: fakeupstream.Hold})
+	} else if res != fakeupstream.Cancelled {
+		v.release(now, r)
+	}
+	return v.next(now, out)
+}
+
+// next starts waiting requests while there is room and refuses those that waited
+// too long.
+func (v *regionVM) next(now time.Time, out []fakeupstream.Start) []fakeupstream.Start {
+	for len(v.waiting) > 0 {
+		w := v.waiting[0]
+		starts, ok := v.try(now, w.r)
+		if !ok && now.Before(w.till) {
+			break
+		}
+		v.waiting = v.waiting[1:]
+		switch {
+		case !ok:
+			v.release(now, w.r)
+			starts = []fakeupstream.Start{{Request: w.r, Instance: fakeupstream.Refuse}}
+		case len(starts) == 0 && w.held:
+			starts = []fakeupstream.Start{{Request: w.r, Instance: fakeupstream.Hold}}
+		}
+		out = append(out, starts...)
+	}
+	return out
+}
+
+func (v *regionVM) Tick(now time.Time) []fakeupstream.Start {
+	if v.dead {
+		return nil
+	}
+	var out []fakeupstream.Start
+	for r, c := range v.regions {
+		out = append(out, v.settle(now, v.global(r, c.Tick(now)))...)
+	}
+	return v.next(now, out)
+}
--- /dev/null
+++ b/policybench/retrystorm_test.go
@@ -0,0 +1,155 @@
+package policybench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/budget"
+	"github.com/currantferry/currantferry/internal/fakeupstream"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// maxAttempts bounds the attempts of one request with every policy.
+const maxAttempts = 4
+
+// retryable tells whether an attempt may be followed by another.
+func retryable(r *fakeupstream.Request, res fakeupstream.Result) bool {
+	v := verdict.MayHaveRun
+	switch res {
+	case fakeupstream.OK, fakeupstream.Cancelled:
+		return false
+	case fakeupstream.Refused, fakeupstream.ConnectFailed:
+		v = verdict.NotRun
+	case fakeupstream.Lost:
+	}
+	return verdict.MayResend(v, r.Idempotent)
+}
+
+// pickAgain starts another attempt, or holds the request while it waits.
+func pickAgain(p fakeupstream.Policy, now time.Time, r *fakeupstream.Request, out []fakeupstream.Start) []fakeupstream.Start {
+	starts := p.Pick(now, r)
+	if len(starts) == 0 {
+		starts = []fakeupstream.Start{{Request: r, Instance: fakeupstream.Hold}}
+	}
+	return append(out, starts...)
+}
+
+// budgetedVM retries within the budgets of package budget.
+type budgetedVM struct {
+	*currantferry
+	budget   *budget.Retry
+	attempts map[uint64]int
+}
+
+func newBudgetedVM(cfg fakeupstream.Config, e int) *budgetedVM {
+	return &budgetedVM{
+		currantferry: newCurrantferry(balance.Config{ExpectedShort: cfg.Mean}, cfg.Seed, e, cfg.Entries),
+		budget:       budget.NewRetry(budget.Config{}), attempts: make(map[uint64]int),
+	}
+}
+
+// callerName spreads requests over 100 callers.
+func callerName(r *fakeupstream.Request) string { return strconv.Itoa(int(r.ID % 100)) }
+
+func (p *budgetedVM) Pick(now time.Time, r *fakeupstream.Request) []fakeupstream.Start {
+	p.budget.Request(now, "service", callerName(r))
+	return p.currantferry.Pick(now, r)
+}
+
+func (p *budgetedVM) Done(now time.Time, i int, r *fakeupstream.Request, res fakeupstream.Result) []fakeupstream.Start {
+	out := p.currantferry.Done(now, i, r, res)
+	if !retryable(r, res) {
+		delete(p.attempts, r.ID)
+		return out
+	}
+	if p.attempts[r.ID]++; p.attempts[r.ID] >= maxAttempts || p.budget.Allow(now, "service", callerName(r), verdict.NotRun) != nil {
+		delete(p.attempts, r.ID)
+		return out
+	}
+	return pickAgain(p.currantferry, now, r, out)
+}
+
+// blindVM is a baseline: it chooses at random, or by the last load report, among
+// the instances that it believes to take work, and retries without a budget.
+type blindVM struct {
+	least    bool
+	rng      *rand.Rand
+	states   []fakeupstream.InstanceState
+	load     []int
+	avoid    func(instance int) bool // nil means none
+	attempts map[uint64]int
+}
+
+func newBlindVM(policy string, cfg fakeupstream.Config, e int) *blindVM {
+	return &blindVM{
+		least: policy == "least-report", rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+e))),
+		load: make([]int, cfg.Instances), attempts: make(map[uint64]int),
+	}
+}
+
+func (p *blindVM) Instances(_ time.Time, s []fakeupstream.InstanceState) { p.states = s }
+func (p *blindVM) Tick(time.Time) []fakeupstream.Start                   { return nil }
+func (p *blindVM) Report(_ time.Time, i int, l fakeupstream.Load)        { p.load[i] = l.Running + l.Queued }
+
+func (p *blindVM) Pick(_ time.Time, r *fakeupstream.Request) []fakeupstream.Start {
+	best, ties := fakeupstream.Refuse, 0
+	for i := range p.states {
+		if p.states[i].Draining || p.avoid != nil && p.avoid(i) {
+			continue
+		}
+		if best < 0 || p.least && p.load[i] < p.load[best] {
+			best, ties = i, 1
+		} else if !p.least || p.load[i] == p.load[best] {
+			if ties++; p.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return []fakeupstream.Start{{Request: r, Instance: best}}
+}
+
+func (p *blindVM) Done(now time.Time, _ int, r *fakeupstream.Request, res fakeupstream.Result) []fakeupstream.Start {
+	if p.attempts[r.ID]++; !retryable(r, res) || p.attempts[r.ID] >= maxAttempts {
+		delete(p.attempts, r.ID)
+		return nil
+	}
+	return p.Pick(now, r)
+}
+
+// BenchmarkRetryStorm has 30 % of the instances refuse all work for 60 s at 60 %
+// load, which the others could just serve. Amplification counts all attempts,
+// hedges included.
+func BenchmarkRetryStorm(b *testing.B) {
+	for _, s := range services {
+		for _, policy := range []string{"currantferry", "random", "least-report"} {
+			b.Run(s.name+"/"+policy, func(b *testing.B) {
+				var st *fakeupstream.Stats
+				for b.Loop() {
+					cfg, _ := fakeupstream.Deployment(s.deployment, s.service)
+					cfg.Seed, cfg.Entries, cfg.Load = number(b, "CURRANTFERRY_SEED", defaultSeed), 12, 0.6
+					cfg.Warmup, cfg.Length, cfg.Timeout = 20*time.Second, 60*time.Second, 5*time.Second
+					g := fakeupstream.New(cfg, func(e int) fakeupstream.Policy {
+						if policy == "currantferry" {
+							return newBudgetedVM(cfg, e)
+						}
+						return newBlindVM(policy, cfg, e)
+					})
+					bad := rand.New(rand.NewPCG(cfg.Seed, 40)).Perm(cfg.Instances)[:(cfg.Instances*3+9)/10]
+					g.At(cfg.Warmup, func() {
+						for _, i := range bad {
+							g.RefuseFor(i, cfg.Length)
+						}
+					})
+					st = g.Run()
+				}
+				served := len(st.Latency[0]) + len(st.Latency[1])
+				b.ReportMetric(1+float64(st.Extra)/float64(st.Requests), "amplification")
+				b.ReportMetric(100*float64(served)/float64(st.Requests), "goodput-%")
+				b.ReportMetric(ms(st.Percentile(fakeupstream.Short, 0.99)), "p99-ms")
+			})
+		}
+	}
+}
