Keep slots for short work free for longer

Cause: in small services long work often took a slot for short work between two short requests and then held it for 30 times as long. Change: the recent need of short work fades over the mean time of long work, at least 1 s as before, and long work takes free slots of its own first. A need under 0.1 slots counts as none, since the fading never reaches zero.

--- a/balance/hedge.go
+++ b/balance/hedge.go
@@ -44,7 +44,7 @@
 		return Ticket{}, false
 	}
 	f := &b.flights[ticket.slot]
-	i := b.chooseOwn(t, Short, f.instance)
+	i := b.chooseOwn(t, Short, f.instance, false)
 	if i == none {
 		i = b.chooseBorrowed(t, f.instance)
 	}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -53,9 +53,14 @@
 
 // choose returns the instance for work of a class, or none if it has to wait.
 func (b *Balancer) choose(t int64, c Class) int32 {
-	if i := b.chooseOwn(t, c, none); i != none {
+	if i := b.chooseOwn(t, c, none, false); i != none {
 		return i
 	}
+	if c == Long && b.shortIdle(t) {
+		if i := b.chooseOwn(t, c, none, true); i != none {
+			return i
+		}
+	}
 	if !b.mayBorrow(c) {
 		return none
 	}
@@ -63,13 +68,12 @@
 }
 
 // chooseOwn compares the first two instances with a free own slot, from a random
-// position on.
-func (b *Balancer) chooseOwn(t int64, c Class, except int32) int32 {
+// position on. With spare, long work may use the slots for short work.
+func (b *Balancer) chooseOwn(t int64, c Class, except int32, spare bool) int32 {
 	n := len(b.own)
 	if n == 0 {
 		return none
 	}
-	spare := c == Long && b.shortIdle(t)
 	first := int32(none)
 	for k, at := 0, b.random(n); k < n; k, at = k+1, at+1 {
 		if at == n {
@@ -108,20 +112,26 @@
 }
 
 // shortIdle tells whether the slots for short work are more than it has needed
-// lately, so that long work may use a spare one.
+// lately, so that long work may use a spare one. The need fades within about the
+// time for which long work would then hold the slot.
 func (b *Balancer) shortIdle(t int64) bool {
 	if b.queues[Short-1].len() > 0 {
 		return false
 	}
 	idle := b.ownSlots - b.out[0] - b.out[1] + b.borrowed[0] + b.borrowed[1]
-	return float64(idle-1) >= b.peak(t)-float64(b.out[Short-1])
+	return float64(idle-1) >= b.peak(t)-float64(b.out[Short-1])-negligible
 }
 
-// peakDecay is the time in which the recent need of short work falls to a third.
-const peakDecay = 1e9
+const (
+	// minPeakDecay is the least time in nanoseconds in which the recent need of
+	// short work falls to a third.
+	minPeakDecay = 1e9
+	// negligible is a need in slots that keeps no slot free.
+	negligible = 0.1
+)
 
 func (b *Balancer) peak(t int64) float64 {
-	dt := float64(t-b.shortPeakT) / peakDecay
+	dt := float64(t-b.shortPeakT) / max(minPeakDecay, b.service[Long-1].mean)
 	return b.shortPeak / (1 + dt + dt*dt)
 }
 
