Let a VM exceed its local share by one deviation only

Cause: until a lost region is noticed, its callers filled the others: a VM could use twice its part of the slots. Change: without pressure a VM may use its part plus the square root of it.

--- a/plan/admit.go
+++ b/plan/admit.go
@@ -144,12 +144,14 @@
 }
 
 // localLimit bounds the VM's work in its own region. Callers never spread evenly
-// over VMs, so without pressure a VM may use more than its part.
+// over VMs, so without pressure a VM may use more than its part. One standard
+// deviation more keeps the region near its slots when another one is lost, until
+// that is noticed.
 func (g *Gate) localLimit(s *gateService) int64 {
 	if s.strict {
 		return s.limits[g.own]
 	}
-	return 2*s.limits[g.own] + 2
+	return s.limits[g.own] + s.spare
 }
 
 func (g *Gate) checkReserved(s *gateService, t int) {
--- a/plan/gate.go
+++ b/plan/gate.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -81,8 +82,10 @@
 	admitted  float64 // credit of the above
 	limits    []int64 // on concurrent work by target
 	inFlight  []int64
-	// strict applies the own region's limit exactly.
+	// strict applies the own region's limit exactly; otherwise it is exceeded by
+	// at most spare.
 	strict   bool
+	spare    int64
 	pressure bool
 	answer   float64 // mean bytes of an answer
 	refusals [3]*verdict.Error
@@ -365,4 +368,5 @@
 	// With fewer slots than VMs some would get none; one each is the least that
 	// lets every VM serve, and the instances' own limits hold the rest.
 	s.limits[g.own] = max(1, mine)
+	s.spare = int64(math.Ceil(math.Sqrt(float64(s.limits[g.own]))))
 }
