Use suspected instances while requests wait for room

Cause: after a region loss, package balance avoided up to a quarter of the slots as slow at 90 % load, and each one avoided raised the load of the others. Change: Balancer.SetPressed; the entry VM sets it while requests wait at the gate. Suspected instances then get work, those that refuse or break do not.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -107,6 +107,7 @@
 	borrowed          [2]int32 // part of out beyond own slots
 	borrowLimit       [2]float64
 	suspects          int // active instances that are suspected
+	pressed           bool
 
 	nextProbe  int64
 	shortPeak  float64 // recent need of short work in slots
--- a/balance/failed_test.go
+++ b/balance/failed_test.go
@@ -33,3 +33,20 @@
 		}
 	}
 }
+
+// TestPressed guards against slots that stay idle while requests wait for room,
+// and against work for instances that fail.
+func TestPressed(t *testing.T) {
+	b := newTest(1, 0, 10, 3)
+	b.learn(&b.instances[0], 0, maxScore)
+	b.instances[1].failed = true
+	b.learn(&b.instances[1], 0, maxScore)
+	if n := len(fill(t, b, start, Short)); n >= 30-3 {
+		t.Fatalf("%d requests started", n)
+	}
+	b.SetPressed(true)
+	fill(t, b, start, Short)
+	if slow, failed := b.instances[0].total(), b.instances[1].total(); slow != 3 || failed != 0 {
+		t.Errorf("%d requests on a suspected instance, %d on one that fails", slow, failed)
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -64,12 +64,18 @@
 // instances are suspected, the cause is not a few of them, and avoiding them
 // would only overload the rest.
 func (b *Balancer) slow(in *instance, t int64) bool {
-	if 2*b.suspects > len(b.active) {
+	if 2*b.suspects > len(b.active) || b.pressed && !in.failed {
 		return false
 	}
 	return in.suspect || b.evidence(in, t) > suspectAt
 }
 
+// SetPressed tells that requests wait outside for room, so that every slot is
+// needed. Instances that are only suspected to be slow then get work like others:
+// near saturation most suspicions are long requests, and avoiding the instances
+// makes the remaining ones slow too.
+func (b *Balancer) SetPressed(on bool) { b.pressed = on }
+
 // learn adds to the score of an instance.
 func (b *Balancer) learn(in *instance, t int64, amount float64) {
 	in.score, in.scoreAt = min(max(0, in.doubt(t)+amount), maxScore), t
--- a/policybench/regionvm_test.go
+++ b/policybench/regionvm_test.go
@@ -189,6 +189,7 @@
 	}
 	var out []fakeupstream.Start
 	for r, c := range v.regions {
+		c.b.SetPressed(len(v.waiting) > 0)
 		out = append(out, v.settle(now, v.global(r, c.Tick(now)))...)
 	}
 	return v.next(now, out)
