Count hedges among the work of their region

Cause: hedges were outside the gate's limit and took slots beyond it; late overload after a region loss was theirs. Change: Gate.Hedge reserves a region once more, Gate.Full tells that there is no room; package balance starts no hedge while pressed.

--- a/balance/health.go
+++ b/balance/health.go
@@ -70,8 +70,8 @@
 	return in.suspect || b.evidence(in, t) > suspectAt
 }
 
-// SetPressed tells that requests wait outside for room, so that every slot is
-// needed. Instances that are only suspected to be slow then get work like others:
+// SetPressed tells that requests wait outside for room, or are about to, so that
+// every slot is needed. No hedges start meanwhile. Instances that are only suspected to be slow then get work like others:
 // near saturation most suspicions are long requests, and avoiding the instances
 // makes the remaining ones slow too.
 func (b *Balancer) SetPressed(on bool) { b.pressed = on }
--- a/balance/hedge.go
+++ b/balance/hedge.go
@@ -40,7 +40,7 @@
 // is to be cancelled and reported as Cancelled.
 func (b *Balancer) Hedge(now time.Time, ticket Ticket) (Ticket, bool) {
 	t := b.ns(now)
-	if _, ok := b.HedgeAfter(ticket); !ok || b.hedgeTokens < 1 {
+	if _, ok := b.HedgeAfter(ticket); !ok || b.hedgeTokens < 1 || b.pressed {
 		return Ticket{}, false
 	}
 	f := &b.flights[ticket.slot]
--- a/plan/admit.go
+++ b/plan/admit.go
@@ -180,6 +180,24 @@
 	return false
 }
 
+// Full tells whether the VM's own region has no room for more of a service's work.
+// Hedges should then wait.
+func (g *Gate) Full(service string) bool {
+	s := g.services[service]
+	return s != nil && s.index >= 0 && g.share != nil && s.inFlight[g.own] >= g.localLimit(s)
+}
+
+// Hedge reserves the grant's region once more, for a second attempt. It returns
+// false when there is no room. Each grant is given back by its own Release.
+func (g *Gate) Hedge(now time.Time, r *Grant) (Grant, bool) {
+	if r.service == nil || !r.held {
+		return Grant{}, r.service == nil
+	}
+	h := *r
+	h.held = false
+	return h, g.reserve(now, h.service, &h) < 0
+}
+
 // Release ends a grant. answerBytes is what the answer took on the link, 0 for
 // none. A second Release does nothing.
 func (g *Gate) Release(now time.Time, r *Grant, answerBytes int64) {
--- a/plan/gate_test.go
+++ b/plan/gate_test.go
@@ -84,6 +84,22 @@
 	}
 }
 
+// TestHedge guards against hedges that exceed the VM's part of its region.
+func TestHedge(t *testing.T) {
+	g := testGate(t, testInput(start, 60, 60, 60))
+	g.Observe(start, "c", RegionUnreachable)
+	r, _ := g.Admit(start, Request{Service: "press"})
+	admitAll(g, start, 48)
+	h, ok := g.Hedge(start, &r)
+	if _, again := g.Hedge(start, &r); !ok || again || !g.Full("press") {
+		t.Errorf("first hedge %v, second %v with one slot left", ok, again)
+	}
+	g.Release(start, &h, 0)
+	if g.Full("press") || g.services["press"].inFlight[0] != 49 {
+		t.Error("the hedge was not given back")
+	}
+}
+
 // TestConfirmedWaits guards against a share that is given away while requests
 // still use it.
 func TestConfirmedWaits(t *testing.T) {
--- a/policybench/regionvm_test.go
+++ b/policybench/regionvm_test.go
@@ -24,11 +24,13 @@
 	waiting []regionWait
 	arrived float64 // work in slot seconds since the last measurement
 	dead    bool
+	now     time.Time
 }
 
 type regionGrant struct {
 	plan.Grant
 	region, attempts int
+	hedges           []plan.Grant
 }
 
 // regionWait is a request that waits for room; held requests had an attempt.
@@ -57,6 +59,7 @@
 			peers, rank = (cfg.Entries+lossRegions-1-r)/lossRegions, e/lossRegions
 		}
 		v.regions[r] = newCurrantferry(balance.Config{ExpectedShort: cfg.Mean}, cfg.Seed+uint64(r), rank, peers)
+		v.regions[r].hedged = v.hedged
 	}
 	return v
 }
@@ -135,9 +138,21 @@
 	return starts
 }
 
+// hedged counts a hedge among the work of its region.
+func (v *regionVM) hedged(r *fakeupstream.Request) {
+	if g := v.grants[r.ID]; g != nil {
+		if h, ok := v.gate.Hedge(v.now, &g.Grant); ok {
+			g.hedges = append(g.hedges, h)
+		}
+	}
+}
+
 func (v *regionVM) release(now time.Time, r *fakeupstream.Request) {
 	if g := v.grants[r.ID]; g != nil {
 		v.gate.Release(now, &g.Grant, 20000)
+		for k := range g.hedges {
+			v.gate.Release(now, &g.hedges[k], 0)
+		}
 		delete(v.grants, r.ID)
 	}
 }
@@ -187,9 +202,10 @@
 	if v.dead {
 		return nil
 	}
+	v.now = now
 	var out []fakeupstream.Start
 	for r, c := range v.regions {
-		c.b.SetPressed(len(v.waiting) > 0)
+		c.b.SetPressed(len(v.waiting) > 0 || r == v.own && v.gate.Full("service"))
 		out = append(out, v.settle(now, v.global(r, c.Tick(now)))...)
 	}
 	return v.next(now, out)
