--- a/crashguard/crashguard.go
+++ b/crashguard/crashguard.go
@@ -152,11 +152,11 @@
 	}
 	if e.own != nil && (e.started || e.own.Instance != instance) {
 		// Another send of the suspect is being tried by this VM.
-		return g.busy()
+		return g.busy(now)
 	}
 	if g.precededBy(now, e) {
 		g.endTrial(e)
-		return g.busy()
+		return g.busy(now)
 	}
 	if !g.free(now, e, instance) {
 		g.endTrial(e)
@@ -167,7 +167,7 @@
 		e.started = false
 		if !e.addTrial(*e.own) {
 			e.own = nil
-			return g.busy()
+			return Decision{Action: Refuse, Err: verdict.New(verdict.NotRun, verdict.ReasonCrashGuard, time.Second)}
 		}
 		g.touch(e)
 	}
@@ -182,9 +182,10 @@
 	return g.start(now, r, instance, e, true)
 }
 
-// busy refuses a suspect that is being tried elsewhere.
-func (g *Guard) busy() Decision {
-	return Decision{Action: Refuse, Err: verdict.New(verdict.NotRun, verdict.ReasonCrashGuard, time.Second)}
+// busy lets a suspect wait while another send of it is tried. It may be innocent
+// and wanted by many callers, so it is not refused.
+func (g *Guard) busy(now time.Time) Decision {
+	return Decision{Action: Wait, Until: now.Add(g.cfg.Settle)}
 }
 
 func (g *Guard) start(now time.Time, r Request, instance string, e *entry, trial bool) Decision {
