Borrow slots later where instances have few

Cause: in the services with 3 or 4 slots an instance a third of the work was borrowed, mostly at full instances, some of them slow; with 9 slots borrowing pays off sooner. Change: short work borrows after 3 mean service times over the slots of an instance instead of 0.5.

--- a/balance/borrow.go
+++ b/balance/borrow.go
@@ -1,9 +1,12 @@
 package balance
 
 // Borrowing a slot of another entry VM may make that VM's work wait, so it is for
-// work that would otherwise wait at least this many mean service times here.
+// work that would otherwise wait at least this many mean service times here. An
+// instance with few slots is full more often, and then frees one more seldom, so
+// that a borrowed slot is worth less: short work waits for borrowAfterShort over
+// the slots of an instance.
 const (
-	borrowAfterShort = 0.5
+	borrowAfterShort = 3.0
 	borrowAfterLong  = 3.0
 )
 
@@ -20,7 +23,7 @@
 	if float64(b.borrowed[c-1]) >= b.borrowLimit[c-1] {
 		return false
 	}
-	after := borrowAfterShort
+	after := borrowAfterShort / b.meanSlots
 	if c == Long {
 		after = borrowAfterLong
 	}
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -154,6 +154,7 @@
 			b.ownLong += in.ownLong
 		}
 	}
+	b.meanSlots = float64(long+short) / float64(max(1, len(order)))
 	// A VM without own slots lives on borrowed ones, up to its part of all slots.
 	floor := max(1, float64(b.ownSlots)/10)
 	if b.ownSlots == 0 {
