Borrow slots for long work later still

Cause: in rolinname borrowed long work still takes slots for short work. Change: borrowAfterLong 4 instead of 3 mean service times.

--- a/balance/borrow.go
+++ b/balance/borrow.go
@@ -7,7 +7,7 @@
 // the slots of an instance.
 const (
 	borrowAfterShort = 3.0
-	borrowAfterLong  = 3.0
+	borrowAfterLong  = 4.0
 )
 
 // The limit on borrowed slots grows while borrowed work is answered in normal
