Suspect fewer instances at the start and under one VM's load

Cause: a new VM learned its mean from the quick answers that come first and then held all other work in flight for late; and of many requests in flight on an instance, the longest always looks late. With all traffic at one of 12 VMs, half of the instances were suspected at times. Change: latencies count after 50 answers of a class; the threshold grows with the logarithm of the requests in flight.

--- a/balance/class.go
+++ b/balance/class.go
@@ -65,14 +65,23 @@
 	return Short
 }
 
-// expected returns the mean latency of the route, or else of the class.
+// learnAfter is how many requests of a class have to be answered before a latency
+// counts as unusual. The first answers after a start are the quick ones, against
+// which all other work in flight would look late.
+const learnAfter = 50
+
+// expected returns the mean latency of the route, or else of the class, or 0 while
+// it isn't known.
 func (b *Balancer) expected(route uint64, c Class) float64 {
 	if route != 0 {
 		if e := b.route(route); e.route == route && e.n >= routeMinimum {
 			return e.mean
 		}
 	}
-	return b.service[c-1].mean
+	if e := &b.service[c-1]; e.n >= learnAfter {
+		return e.mean
+	}
+	return 0
 }
 
 // observe records the latency of a completed request.
--- a/balance/flight.go
+++ b/balance/flight.go
@@ -63,7 +63,7 @@
 	instance   int32
 	prev, next int32 // flights on the same instance in the order of their start
 	started    int64
-	expected   float64 // latency in nanoseconds
+	expected   float64 // latency in nanoseconds, 0 if not known
 	deadline   int64
 	route      uint64
 }
@@ -190,7 +190,10 @@
 // conclude learns from the end of an attempt.
 func (b *Balancer) conclude(t int64, in *instance, f *flight, o Outcome) {
 	latency := float64(t - f.started)
-	x := latency / f.expected
+	x := cost / gain // says nothing
+	if f.expected > 0 {
+		x = latency / f.expected
+	}
 	// A cold instance is expected to be slower.
 	x *= 0.25 + 0.75*b.warmth(in, t)
 	switch o {
@@ -198,7 +201,9 @@
 		if !in.suspect {
 			b.observe(f, latency)
 		}
-		b.observeHedge(f, x)
+		if f.expected > 0 {
+			b.observeHedge(f, x)
+		}
 		b.learn(in, t, gain*x-cost)
 		if f.partner != none && f.hedge {
 			// The first attempt had a head start and lost.
--- a/balance/health.go
+++ b/balance/health.go
@@ -40,6 +40,9 @@
 		return score
 	}
 	f := &b.flights[in.oldest]
+	if f.expected <= 0 {
+		return score
+	}
 	return score + gain*float64(t-f.started)/f.expected
 }
 
@@ -55,6 +58,11 @@
 	return h.score * min(1, max(0, 1-float64(t-h.scoreAt)/doubtDecay))
 }
 
+// threshold is the score from which an instance is suspected. It grows with the
+// requests in flight, since the longest of n exponential times exceeds a bound n
+// times as often as one of them.
+func (h *health) threshold(n int32) float64 { return suspectAt + gain*math.Log(float64(max(1, n))) }
+
 // slow tells whether an instance gets no ordinary work. When half of the
 // instances are suspected, the cause is not a few of them, and avoiding them
 // would only overload the rest.
@@ -62,14 +70,15 @@
 	if 2*b.suspects > len(b.active) {
 		return false
 	}
-	return in.suspect || b.evidence(in, t) > suspectAt
+	e := b.evidence(in, t)
+	return in.suspect || e > suspectAt && e > in.threshold(in.total())
 }
 
 // learn adds to the score of an instance.
 func (b *Balancer) learn(in *instance, t int64, amount float64) {
 	in.score, in.scoreAt = min(max(0, in.doubt(t)+amount), maxScore), t
 	was := in.suspect
-	in.suspect = in.score > suspectAt
+	in.suspect = in.score > in.threshold(in.total()+1)
 	switch {
 	case in.suspect && (!was || amount > 0):
 		if !was {
--- a/balance/hedge.go
+++ b/balance/hedge.go
@@ -20,12 +20,15 @@
 )
 
 // HedgeAfter returns how long after its start a request should be hedged with
-// Hedge, and false if it never should: it isn't idempotent, it is long, or it is
-// a second attempt itself. Long work is not hedged, since one second attempt
+// Hedge, and false if it never should: it isn't idempotent, it is long, it is a
+// second attempt itself, or too few requests were answered yet. Long work is not hedged, since one second attempt
 // would cost as much as dozens of short ones.
 func (b *Balancer) HedgeAfter(ticket Ticket) (time.Duration, bool) {
 	f := b.get(ticket)
-	if f == nil || f.state != running || !f.idempotent || f.class != Short || f.hedge || f.hedged || b.cfg.HedgePercent <= 0 {
+	if f == nil || f.state != running || !f.idempotent || f.class != Short || f.hedge || f.hedged {
+		return 0, false
+	}
+	if b.cfg.HedgePercent <= 0 || f.expected <= 0 {
 		return 0, false
 	}
 	x := b.hedgeAt
