Suspect an instance on more evidence

Cause: 0.55 % of normal answers were enough to suspect an instance for about 0.3 s, which took 6 % of the own slots away when nothing was slow. Change: suspectAt 3.5 instead of 2.5, the highest score 6 instead of 5.

--- a/balance/health.go
+++ b/balance/health.go
@@ -7,9 +7,9 @@
 // The score is a cumulative sum of log-likelihood ratios between service that is
 // spellFactor times slower and normal service, for exponentially distributed
 // times. A completed request counts gain*x - cost, where x is its latency over
-// the mean; one that is still running counts gain*x. One request that takes five
-// times the mean is enough to suspect the instance, as are a few that take twice
-// the mean.
+// the mean; one that is still running counts gain*x. One request that takes seven
+// times the mean is enough to suspect the instance, as are several that take three
+// times the mean.
 type health struct {
 	score   float64
 	scoreAt int64
@@ -22,9 +22,9 @@
 const (
 	spellFactor = 6.0
 	gain        = 1 - 1/spellFactor
-	suspectAt   = 2.5
-	// maxScore bounds how many good probes a recovery takes: two.
-	maxScore = 5.0
+	suspectAt   = 3.5
+	// maxScore bounds how many good probes a recovery takes: about three.
+	maxScore = 6.0
 	// The first probe follows soon, as most suspicions are a single long request;
 	// later ones are rarer, as each one costs a request that is likely slow.
 	firstProbe = 150e6
