Count only work of drained instances as the longest in flight

Cause: BenchmarkDrain took the longest work of any request that had touched a drained instance, which can be more than what is in flight there. Change: only requests whose last attempt is on a drained instance count.

--- a/policybench/drain_test.go
+++ b/policybench/drain_test.go
@@ -99,8 +99,9 @@
 		})
 	}
 	var run drainRun
-	open := make(map[uint64]bool) // requests on drained instances
+	open := make(map[uint64]bool) // requests whose last attempt is on a drained instance
 	g.OnStart = func(now time.Time, r *fakeupstream.Request, i int) {
+		delete(open, r.ID)
 		if drained[i] {
 			open[r.ID] = true
 			if len(vms) > 0 && !vms[r.Entry].noticed.IsZero() {
@@ -108,7 +109,6 @@
 			}
 			if !now.Before(effect) {
 				run.lastNew = max(run.lastNew, now.Sub(effect))
-				run.longest = max(run.longest, r.Work)
 			}
 		}
 	}
