Answer a request whose connection died at once

Cause: the guard asked its user to hold the failure back for 250 ms until other VMs knew. The users want the final answer of a request that is given up at once, with the time at which to come back.

--- a/crashguard/crashguard.go
+++ b/crashguard/crashguard.go
@@ -273,13 +273,13 @@
 
 // End records how a started request ended. A second End of a ticket does nothing.
 //
-// It returns the earliest time to tell the caller of a failure. After a death
-// this is Settle later than now, when all VMs know of it: a caller that resends
-// at once through another region would otherwise be faster than the note.
-func (g *Guard) End(now time.Time, t Ticket, o Outcome) time.Time {
+// After a death the caller of the package hands out the note and answers its own
+// caller at once. A resend cannot arrive at another VM before the note, because
+// the answer and the resend together travel at least as far as the note does.
+func (g *Guard) End(now time.Time, t Ticket, o Outcome) {
 	s, ok := g.sent[t]
 	if !ok {
-		return now
+		return
 	}
 	delete(g.sent, t)
 	e := g.lookup(now, s.Fingerprint)
@@ -298,10 +298,6 @@
 	case Unknown:
 	}
 	g.announceRunning(g.notes[s.Fingerprint])
-	if o == Died {
-		return now.Add(g.cfg.Settle)
-	}
-	return now
 }
 
 // announceRunning announces a run of a suspect that this VM started before the
