--- a/balance/health.go
+++ b/balance/health.go
@@ -78,7 +78,7 @@
 func (b *Balancer) learn(in *instance, t int64, amount float64) {
 	in.score, in.scoreAt = min(max(0, in.doubt(t)+amount), maxScore), t
 	was := in.suspect
-	in.suspect = in.score > in.threshold(in.total()+1)
+	in.suspect = in.score > suspectAt && in.score > in.threshold(in.total()+1)
 	switch {
 	case in.suspect && (!was || amount > 0):
 		if !was {
