Shrink the limit on borrowed slots once per slow spell of answers

Cause: late answers that come together tell of one wait, but each one shrank the limit, so that a VM with most of the traffic refused work at times.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -106,8 +106,9 @@
 	out               [2]int32 // started and not done, by class
 	borrowed          [2]int32 // part of out beyond own slots
 	borrowLimit       [2]float64
-	meanSlots         float64 // of the instances
-	suspects          int     // active instances that are suspected
+	borrowCut         [2]int64 // when the limit last shrank
+	meanSlots         float64  // of the instances
+	suspects          int      // active instances that are suspected
 
 	nextProbe  int64
 	shortPeak  float64 // recent need of short work in slots
--- a/balance/borrow.go
+++ b/balance/borrow.go
@@ -60,11 +60,14 @@
 	return min(in.limit, max(in.own+1, in.slots))
 }
 
-func (b *Balancer) adaptBorrow(c Class, x float64) {
+// adaptBorrow shrinks the limit at most once in the time that slow work takes, as
+// the answers that come together tell of the same wait.
+func (b *Balancer) adaptBorrow(t int64, c Class, x float64) {
 	l := &b.borrowLimit[c-1]
 	if x <= borrowSlow {
 		*l += borrowGrow
-	} else {
+	} else if float64(t-b.borrowCut[c-1]) > borrowSlow*b.service[c-1].mean {
+		b.borrowCut[c-1] = t
 		*l *= borrowShrink
 	}
 	*l = min(max(*l, 1, float64(b.ownSlots)/10), float64(b.ownSlots)*float64(b.peers)+1)
--- a/balance/flight.go
+++ b/balance/flight.go
@@ -220,6 +220,6 @@
 		}
 	}
 	if f.borrowed {
-		b.adaptBorrow(f.class, x)
+		b.adaptBorrow(t, f.class, x)
 	}
 }
