--- a/balance/balance.go
+++ b/balance/balance.go
@@ -109,6 +109,7 @@
 	meanSlots         float64 // of the instances
 	suspects          int     // active instances that are suspected
 	pressed           bool
+	borrowCut         [2]int64 // when the limit last shrank
 
 	nextProbe  int64
 	shortPeak  float64 // recent need of short work in slots
