Let requests wait for room at the gate, and mark pressed pools

Change: a queue for each service before the gate (at most 1024 requests, 1 s), Gate.Hedge for hedges, SetPressed on the pools. Suspects of the crash guard are not hedged. Failures after a lost connection carry Retry-After where a resend cannot run the request twice.

--- a/node/crash.go
+++ b/node/crash.go
@@ -60,6 +60,15 @@
 	}
 }
 
+// isSuspect tells whether the request has cost an instance.
+func (c *crashNotes) isSuspect(q *proxy.Query) bool {
+	var f crashguard.Fingerprint
+	copy(f[:], q.Fingerprint[:])
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.Suspect(time.Now(), f)
+}
+
 // end records the end of an attempt. The caller's refusal is never held back
 // until the note has arrived everywhere; Retry-After covers that time.
 func (c *crashNotes) end(t crashguard.Ticket, o proxy.Outcome) {
--- /dev/null
+++ b/node/gatequeue.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/currantferry/currantferry/plan"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+const (
+	// maxGateWait bounds how long a request waits for room in any region. It is
+	// far below usual deadlines, so that a refusal still leaves time to come back.
+	maxGateWait = time.Second
+	// maxGateWaiting bounds the requests of a service that wait.
+	maxGateWaiting = 1024
+)
+
+// gateQueue holds requests that wait for the gate, first come first served. A nil
+// queue is empty.
+type gateQueue struct {
+	// waiting has a channel for each request; the first is signalled when there
+	// may be room.
+	waiting []chan struct{}
+}
+
+// wake lets the first waiting request try again. The caller holds the lock of
+// the selector.
+func (q *gateQueue) wake() {
+	if q == nil || len(q.waiting) == 0 {
+		return
+	}
+	select {
+	case q.waiting[0] <- struct{}{}:
+	default:
+	}
+}
+
+// admit asks the gate, and waits for room if others wait already or there is none.
+func (s *selector) admit(ctx context.Context, q *proxy.Query) (plan.Grant, error) {
+	request := plan.Request{Service: q.Service.Name, Bytes: max(0, q.Bytes)}
+	s.mu.Lock()
+	queue := s.queues[q.Service.Name]
+	if queue == nil {
+		queue = new(gateQueue)
+		s.queues[q.Service.Name] = queue
+	}
+	var refused *verdict.Error
+	if len(queue.waiting) == 0 {
+		var grant plan.Grant
+		if grant, refused = s.gate.Admit(time.Now(), request); refused == nil {
+			s.mu.Unlock()
+			return grant, nil
+		}
+	}
+	if len(queue.waiting) >= maxGateWaiting || (refused != nil && !isRoomRefusal(refused)) {
+		s.mu.Unlock()
+		if refused == nil {
+			refused = verdict.New(verdict.NotRun, verdict.ReasonRegionLimit, time.Second)
+		}
+		return plan.Grant{}, refused
+	}
+	turn := make(chan struct{}, 1)
+	queue.waiting = append(queue.waiting, turn)
+	s.mu.Unlock()
+	return s.await(ctx, queue, turn, request)
+}
+
+// isRoomRefusal tells whether a refusal may end when other requests do.
+func isRoomRefusal(e *verdict.Error) bool {
+	switch e.Reason {
+	case verdict.ReasonRegionLimit, verdict.ReasonLinkLimit, verdict.ReasonShiftCap:
+		return true
+	default:
+		return false
+	}
+}
+
+// await tries again at each signal until there is room or the wait is over.
+func (s *selector) await(ctx context.Context, queue *gateQueue, turn chan struct{}, request plan.Request) (plan.Grant, error) {
+	timer := time.NewTimer(maxGateWait)
+	defer timer.Stop()
+	refused := verdict.New(verdict.NotRun, verdict.ReasonRegionLimit, time.Second)
+	for {
+		var over bool
+		select {
+		case <-turn:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+		s.mu.Lock()
+		if queue.waiting[0] == turn {
+			grant, err := s.gate.Admit(time.Now(), request)
+			if err == nil {
+				queue.leave(turn)
+				s.mu.Unlock()
+				return grant, nil
+			}
+			refused = err
+		}
+		if over {
+			queue.leave(turn)
+		}
+		s.mu.Unlock()
+		if over {
+			return plan.Grant{}, refused
+		}
+	}
+}
+
+// leave takes a request out of the queue and lets the next one try. The caller
+// holds the lock of the selector.
+func (q *gateQueue) leave(turn chan struct{}) {
+	if i := slices.Index(q.waiting, turn); i >= 0 {
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+	}
+	q.wake()
+}
+
+// pressed tells for each service whether requests wait or are about to.
+func (s *selector) pressed() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]bool, len(s.queues))
+	for service, q := range s.queues {
+		q.wake()
+		if len(q.waiting) > 0 || s.gate.Full(service) {
+			out[service] = true
+		}
+	}
+	return out
+}
--- a/node/inventory.go
+++ b/node/inventory.go
@@ -136,14 +136,15 @@
 }
 
 func (n *Node) pollPools(now time.Time) {
+	pressed := n.selector.pressed()
 	n.selector.mu.Lock()
-	pools := make([]*pool, 0, len(n.selector.pools))
-	for _, p := range n.selector.pools {
-		pools = append(pools, p)
+	pools := make(map[poolKey]*pool, len(n.selector.pools))
+	for key, p := range n.selector.pools {
+		pools[key] = p
 	}
 	n.selector.mu.Unlock()
-	for _, p := range pools {
-		p.poll(now)
+	for key, p := range pools {
+		p.poll(now, pressed[key.service])
 	}
 }
 
--- a/node/pool.go
+++ b/node/pool.go
@@ -110,10 +110,12 @@
 	}
 }
 
-// poll is called every few milliseconds.
-func (p *pool) poll(now time.Time) {
+// poll is called every few milliseconds. pressed tells whether requests wait for
+// room before an instance is chosen.
+func (p *pool) poll(now time.Time, pressed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.balancer.SetPressed(pressed)
 	if len(p.waiters) > 0 {
 		p.tick(now)
 	}
--- a/node/selector.go
+++ b/node/selector.go
@@ -25,6 +25,8 @@
 	gate  *plan.Gate
 	pools map[poolKey]*pool
 	work  map[string]*workMeter
+	// queues hold the requests that wait for room in any region, by service.
+	queues map[string]*gateQueue
 
 	crash *crashNotes
 }
@@ -36,7 +38,7 @@
 const maxOther = 8
 
 func newSelector(gate *plan.Gate, crash *crashNotes) *selector {
-	return &selector{gate: gate, crash: crash, pools: make(map[poolKey]*pool), work: make(map[string]*workMeter)}
+	return &selector{gate: gate, crash: crash, pools: make(map[poolKey]*pool), work: make(map[string]*workMeter), queues: make(map[string]*gateQueue)}
 }
 
 func (s *selector) pool(service, region string) *pool {
@@ -47,27 +49,23 @@
 
 // Select implements proxy.Selector.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
-	now := time.Now()
-	s.mu.Lock()
-	grant, refused := s.gate.Admit(now, plan.Request{Service: q.Service.Name, Bytes: max(0, q.Bytes)})
-	s.mu.Unlock()
-	if refused != nil {
-		return nil, refused
+	grant, err := s.admit(ctx, q)
+	if err != nil {
+		return nil, err
 	}
-	var err error
 	for {
 		var chosen *selection
 		chosen, err = s.selectIn(ctx, q, grant.Region())
 		if err == nil {
 			chosen.grant = grant
-			s.began(now, q)
+			s.began(time.Now(), q)
 			return chosen, nil
 		}
 		if !isRegional(err) || !s.next(&grant) {
 			break
 		}
 	}
-	s.release(&grant, 0)
+	s.release(q.Service.Name, &grant, 0)
 	return nil, err
 }
 
@@ -91,10 +89,11 @@
 	return s.gate.Next(time.Now(), g)
 }
 
-func (s *selector) release(g *plan.Grant, answerBytes int64) {
+func (s *selector) release(service string, g *plan.Grant, answerBytes int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gate.Release(time.Now(), g, answerBytes)
+	s.queues[service].wake()
 }
 
 func (s *selector) selectIn(ctx context.Context, q *proxy.Query, region string) (*selection, error) {
@@ -156,8 +155,6 @@
 	ticket balance.Ticket
 	trial  crashguard.Ticket
 	grant  plan.Grant
-	// isHedge attempts share the grant of the first.
-	isHedge bool
 }
 
 // Instance implements proxy.Selection.
@@ -168,27 +165,39 @@
 // HedgeAfter implements proxy.Selection.
 func (c *selection) HedgeAfter() (time.Duration, bool) { return c.pool.hedgeAfter(c.ticket) }
 
-// Hedge implements proxy.Selection.
+// Hedge implements proxy.Selection. A suspect of the crash guard is never run on
+// two instances at the same time.
 func (c *selection) Hedge() (proxy.Selection, bool) {
+	if c.s.crash.isSuspect(&c.q) {
+		return nil, false
+	}
+	c.s.mu.Lock()
+	grant, ok := c.s.gate.Hedge(time.Now(), &c.grant)
+	c.s.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
 	ticket, ok := c.pool.hedge(c.ticket)
 	if !ok {
+		c.s.release(c.q.Service.Name, &grant, 0)
 		return nil, false
 	}
+	second := &selection{s: c.s, q: c.q, pool: c.pool, region: c.region, ticket: ticket, grant: grant}
 	trial, err := c.s.crash.begin(context.Background(), &c.q, ticket.Instance)
 	if err != nil {
 		c.pool.done(ticket, balance.Cancelled)
+		c.s.release(c.q.Service.Name, &grant, 0)
 		return nil, false
 	}
-	return &selection{s: c.s, q: c.q, pool: c.pool, region: c.region, ticket: ticket, trial: trial, isHedge: true}, true
+	second.trial = trial
+	return second, true
 }
 
 // Done implements proxy.Selection.
 func (c *selection) Done(o proxy.Outcome) {
 	c.pool.done(c.ticket, outcomeOf(o))
 	c.s.crash.end(c.trial, o)
-	if !c.isHedge {
-		c.s.release(&c.grant, o.AnswerBytes)
-	}
+	c.s.release(c.q.Service.Name, &c.grant, o.AnswerBytes)
 	c.s.ended(c, o)
 }
 
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -63,7 +63,7 @@
 	if x.ctx.Err() != nil {
 		return a.classify(err)
 	}
-	return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonTruncated)
+	return x.advise(verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonTruncated))
 }
 
 func (x *exchange) writeHeader(res *http.Response) {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -132,10 +132,19 @@
 	case v == verdict.NotRun:
 		return verdict.Wrap(err, v, verdict.ReasonConnectFailed)
 	default:
-		return verdict.Wrap(err, v, verdict.ReasonConnectionLost)
+		return a.x.advise(verdict.Wrap(err, v, verdict.ReasonConnectionLost))
 	}
 }
 
+// advise tells the caller when to come back, unless a resend could run a request
+// twice.
+func (x *exchange) advise(e *verdict.Error) *verdict.Error {
+	if x.query.Idempotent || x.key != "" {
+		e.RetryAfter = retryAdvice
+	}
+	return e
+}
+
 // refusal returns an error when the upstream says that it did not run the
 // request, or when the answer is not for this request.
 func (a *attempt) refusal(res *http.Response) *verdict.Error {
