--- a/node/fleet.go
+++ b/node/fleet.go
@@ -247,13 +247,20 @@
 		switch {
 		case !alive[region]:
 			state = plan.RegionUnreachable
-		case n.prober.isRegionDown(region):
+		case n.prober.isRegionDown(region) || n.isDrained(now, region):
 			state = plan.RegionNoUpstreams
 		}
 		n.selector.gate.Observe(now, region, state)
 	}
 }
 
+// isDrained tells whether a drain covers a whole region.
+func (n *Node) isDrained(now time.Time, region string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.drains.Region(now, region) == 0
+}
+
 // broadcast sends crash notes to all VMs without waiting.
 func (n *Node) broadcast(notes []*peerpb.CrashNote) {
 	n.group.Go(func() {
--- a/node/inventory.go
+++ b/node/inventory.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantferry/currantferry/balance"
@@ -20,10 +21,7 @@
 
 // onSnapshot puts a configuration in force.
 func (n *Node) onSnapshot(s *config.Snapshot) {
-	blocks, err := buildBlocks(s)
-	if err != nil {
-		event.SteerFailed.Log(n.log, "error", err)
-	}
+	blocks := n.blocksOf(s)
 	now := time.Now()
 	n.mu.Lock()
 	n.snapshot = s
@@ -43,9 +41,34 @@
 	n.refresh(now)
 }
 
-// buildBlocks builds the table of client blocks from a configuration.
+// blocksOf returns the table of client blocks, the present one if the blocks are
+// the same.
+func (n *Node) blocksOf(s *config.Snapshot) *steer.Blocks {
+	n.mu.Lock()
+	before, blocks := n.snapshot, n.blocks
+	n.mu.Unlock()
+	if before != nil && blocks != nil && slices.Equal(before.Head.Section(config.SectionBlocks), s.Head.Section(config.SectionBlocks)) {
+		return blocks
+	}
+	blocks, err := buildBlocks(s)
+	if err != nil {
+		event.SteerFailed.Log(n.log, "error", err)
+	}
+	return blocks
+}
+
+// buildBlocks builds the table of client blocks from a configuration. The blocks
+// are counted first, because a table that grows takes twice its memory meanwhile.
 func buildBlocks(s *config.Snapshot) (*steer.Blocks, error) {
-	builder := steer.NewBlocksBuilder(0, 0)
+	v4, v6 := 0, 0
+	for b := range s.Blocks() {
+		if b.Prefix.Addr().Is4() {
+			v4++
+		} else {
+			v6++
+		}
+	}
+	builder := steer.NewBlocksBuilder(v4, v6)
 	for b := range s.Blocks() {
 		if err := builder.Add(b.Prefix, b.Site); err != nil {
 			return nil, err
