Keep the place of an item that waits to be passed on

Cause: a section that changed again before its first turn went to the end of the queue. Change: it keeps its place with the new value.

--- a/member/queue.go
+++ b/member/queue.go
@@ -13,8 +13,15 @@
 	left int
 }
 
-// push adds an item or restarts its count.
+// push adds an item or restarts its count. An item that still waits for its
+// first turn keeps its place, because items that change more often than the
+// queue is emptied would never be sent otherwise.
 func (q *queue[T]) push(item T, sends int) {
+	for i := range q.items {
+		if q.items[i].item == item && q.items[i].left == sends {
+			return
+		}
+	}
 	q.remove(item)
 	i, _ := slices.BinarySearchFunc(q.items, sends, func(e queued[T], left int) int {
 		// Descending by left; equal ones keep their order of arrival.
