--- a/event/peer.go
+++ b/event/peer.go
@@ -7,5 +7,4 @@
 	PeerAcceptFailed    = define(1401, slog.LevelError, "accepting a connection from a VM failed", "check the limit of open files")
 	PeerHandshakeFailed = define(1402, slog.LevelWarn, "TLS handshake with a VM failed", "check the certificates of both VMs")
 	PeerConnectFailed   = define(1403, slog.LevelDebug, "connecting to a VM failed", "")
-	PeerReloadFailed    = define(1404, slog.LevelError, "reading the certificates again failed, the former ones stay in use", "correct the files")
 )
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/currantferry/currantferry/certs"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/peer/peerpb"
 )
@@ -230,47 +231,74 @@
 }
 
 // Guards against plain or foreign connections where mutual TLS is demanded, and
-// against a certificate that stays in use after its file changed.
+// against connections that use a certificate after its file changed.
 func TestMutualTLSAndReload(t *testing.T) {
 	dir := t.TempDir()
-	ours, theirs := newAuthority(t), newAuthority(t)
-	ours.write(t, dir, "one")
-	f, err := NewTLSFiles(filepath.Join(dir, "cert"), filepath.Join(dir, "key"), filepath.Join(dir, "ca"), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := serve(t, "127.0.0.1:0", echo{}, ServerOptions{TLS: f.Config})
+	ours := newAuthority(t)
+	ours.write(t, dir)
+	own := keeper(t, dir)
+	s := serve(t, "127.0.0.1:0", echo{}, ServerOptions{TLS: own.PeerServer})
 	m := sample()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	if _, err := pool(t, PoolOptions{TLS: f.Config}).Exchange(ctx, s.Address(), &m); err != nil {
+	if _, err := pool(t, PoolOptions{TLS: own.PeerClient}).Exchange(ctx, s.Address(), &m); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := pool(t, PoolOptions{}).Exchange(ctx, s.Address(), &m); err == nil {
 		t.Error("a plain connection was served")
 	}
-	foreign := func() (*tls.Config, error) { return MutualTLS(theirs.issue(t, "x"), ours.pool()), nil }
-	if _, err := pool(t, PoolOptions{TLS: foreign}).Exchange(ctx, s.Address(), &m); err == nil {
+	foreignDir := t.TempDir()
+	newAuthority(t).write(t, foreignDir)
+	foreign := keeper(t, foreignDir)
+	if _, err := pool(t, PoolOptions{TLS: foreign.PeerClient}).Exchange(ctx, s.Address(), &m); err == nil {
+		t.Error("a server of another authority was accepted")
+	}
+	trusting := func() (*tls.Config, error) {
+		c, err := foreign.PeerClient()
+		if err == nil {
+			c = c.Clone()
+			c.InsecureSkipVerify, c.VerifyConnection, c.VerifyPeerCertificate = true, nil, nil
+		}
+		return c, err
+	}
+	if _, err := pool(t, PoolOptions{TLS: trusting}).Exchange(ctx, s.Address(), &m); err == nil {
 		t.Error("a certificate of another authority was accepted")
 	}
-	ours.write(t, dir, "two")
-	later := time.Now().Add(time.Minute)
-	for _, name := range []string{"cert", "key", "ca"} {
-		if err := os.Chtimes(filepath.Join(dir, name), later, later); err != nil {
-			t.Fatal(err)
+	ours.write(t, dir)
+	if err := own.Check(); err != nil {
+		t.Fatal(err)
+	}
+	var serial int64
+	watch := func() (*tls.Config, error) {
+		c, err := own.PeerClient()
+		if err != nil {
+			return nil, err
+		}
+		c = c.Clone()
+		verify := c.VerifyConnection
+		c.VerifyConnection = func(s tls.ConnectionState) error {
+			serial = s.PeerCertificates[0].SerialNumber.Int64()
+			if verify == nil {
+				return nil
+			}
+			return verify(s)
 		}
+		return c, nil
 	}
-	f.mu.Lock()
-	f.checked = time.Time{}
-	f.mu.Unlock()
-	cfg, err := f.Config()
+	if _, err := pool(t, PoolOptions{TLS: watch}).Exchange(ctx, s.Address(), &m); err != nil || serial != 2 {
+		t.Fatalf("certificate %d is in use, %v", serial, err)
+	}
+}
+
+func keeper(t *testing.T, dir string) *certs.Keeper {
+	t.Helper()
+	k, err := certs.Load(certs.Config{
+		Name: "peer", CertFile: filepath.Join(dir, "cert"), KeyFile: filepath.Join(dir, "key"), CAFile: filepath.Join(dir, "ca"),
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	leaf, err := x509.ParseCertificate(cfg.Certificates[0].Certificate[0])
-	if err != nil || leaf.SerialNumber.Int64() != 2 {
-		t.Fatalf("certificate %v is in use, %v", leaf.SerialNumber, err)
-	}
+	return k
 }
 
 type authority struct {
@@ -300,13 +328,7 @@
 	return &authority{cert: cert, key: key}
 }
 
-func (a *authority) pool() *x509.CertPool {
-	p := x509.NewCertPool()
-	p.AddCert(a.cert)
-	return p
-}
-
-func (a *authority) issue(t *testing.T, _ string) tls.Certificate {
+func (a *authority) issue(t *testing.T) tls.Certificate {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -324,9 +346,9 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
 }
 
-func (a *authority) write(t *testing.T, dir, name string) {
+func (a *authority) write(t *testing.T, dir string) {
 	t.Helper()
-	c := a.issue(t, name)
+	c := a.issue(t)
 	key, err := x509.MarshalPKCS8PrivateKey(c.PrivateKey)
 	if err != nil {
 		t.Fatal(err)
