Let Head.Validate check the whole head

Cause: the method promoted from Meta checked the author's data only. Change: Head has its own exported Validate.

--- a/config/head.go
+++ b/config/head.go
@@ -180,17 +180,18 @@
 	if err := json.Unmarshal(data, h); err != nil {
 		return nil, errors.Wrap(err, "config: head")
 	}
-	if err := h.validate(); err != nil {
+	if err := h.Validate(); err != nil {
 		return nil, err
 	}
 	return h, nil
 }
 
-func (h *Head) validate() error {
+// Validate checks the version, the author's data and the limits of the chunks.
+func (h *Head) Validate() error {
 	if h.Version == 0 {
 		return errors.New("config: head without a version")
 	}
-	if err := h.Validate(); err != nil {
+	if err := h.Meta.Validate(); err != nil {
 		return err
 	}
 	if len(h.Chunks) > MaxChunks {
@@ -209,7 +210,7 @@
 
 // Encode writes the record.
 func (h *Head) Encode() ([]byte, error) {
-	if err := h.validate(); err != nil {
+	if err := h.Validate(); err != nil {
 		return nil, err
 	}
 	data, err := json.Marshal(h)
