Spread probes over time and use the allowance of small fleets

Cause: with 12 VMs the loss of a data centre was noticed after up to 5,350 ms and that of a region after 5,985 ms: news that reached all VMs at once made their probes due together, with gaps of 2 s, and small fleets probed seldom. Change: wide jitter of probes; the total rate of probes is the same for all sizes; a first missed probe leads to probes of the data centre.

--- a/member/cluster.go
+++ b/member/cluster.go
@@ -56,6 +56,9 @@
 	// doubts are the VMs that were doubted lately, by data centre.
 	doubts    map[string]map[string]time.Time
 	massUntil map[string]time.Time
+	// lookedAt is when the VMs of a data centre were last probed for a missed
+	// probe of one of them.
+	lookedAt map[string]time.Time
 	// missed is when a probe last failed, by data centre.
 	missed      map[string]time.Time
 	impaired    bool
@@ -79,6 +82,7 @@
 		values:    make(map[sectionKey]Section),
 		doubts:    make(map[string]map[string]time.Time),
 		massUntil: make(map[string]time.Time),
+		lookedAt:  make(map[string]time.Time),
 		missed:    make(map[string]time.Time),
 		stale:     true,
 		rankCache: -1,
--- a/member/options.go
+++ b/member/options.go
@@ -51,10 +51,11 @@
 
 // Fixed limits.
 const (
-	// ownRate and otherRate are the probes/s above which the intervals are not
-	// shortened; they keep a node with 22 targets within its traffic allowance.
+	// ownRate is the probes/s within the own data centre, and probeRate those in
+	// total, above which the intervals are not shortened. They keep a node within
+	// its traffic allowance whether it has 11 targets or 22.
 	ownRate   = 2.7
-	otherRate = 1.75
+	probeRate = 4.4
 	// goneProbe is the interval at which one listed VM that is gone is probed,
 	// in turn, so that partitions heal.
 	goneProbe = 5 * time.Second
@@ -99,7 +100,7 @@
 	quietBefore = time.Second
 	resyncGap   = 400 * time.Millisecond
 	// contactAge is how long after an exchange a VM counts as a correspondent.
-	contactAge = 10 * time.Second
+	contactAge = 16 * time.Second
 	// challengeWait is how long a VM that others call gone may take to raise its
 	// incarnation before it is suspected here as well.
 	challengeWait = time.Second
--- a/member/step.go
+++ b/member/step.go
@@ -57,8 +57,10 @@
 	}
 	e.doubtSince = time.Time{}
 	if e.target {
+		// The wide jitter spreads probes again after news reached all VMs at
+		// once; otherwise all of them would be due, and none in between.
 		every := c.every(e)
-		e.due = now.Add(every - every/8 + c.random(every/4))
+		e.due = now.Add(every/8 + c.random(every*7/4))
 	} else {
 		e.due = time.Time{}
 	}
--- a/member/targets.go
+++ b/member/targets.go
@@ -79,7 +79,8 @@
 		}
 	}
 	c.ownEvery = interval(own, ownRate, c.opts.OwnInterval)
-	c.otherEvery = interval(len(c.targets)-own, otherRate, c.opts.OtherInterval)
+	rate := probeRate - float64(own)/c.ownEvery.Seconds()
+	c.otherEvery = interval(len(c.targets)-own, rate, c.opts.OtherInterval)
 	for _, e := range c.targets {
 		if !slices.Contains(old, e) {
 			e.due = now.Add(c.random(c.every(e)))
--- a/member/tick.go
+++ b/member/tick.go
@@ -129,6 +129,10 @@
 			e.nextAsk = now
 			// A second probe at once: the first may have met a stale connection.
 			wait = 0
+			if now.Sub(c.lookedAt[e.info.DataCentre]) > massWindow {
+				c.lookedAt[e.info.DataCentre] = now
+				c.probeCentre(now, e.info.DataCentre)
+			}
 		} else {
 			c.noteDoubt(now, e)
 		}
@@ -232,8 +236,7 @@
 
 // noteDoubt counts VMs by data centre that missed two probes or are suspected.
 // A single lost message is too common to tell of anything. When several are
-// counted, a rack or the data centre may be lost, and all VMs there that this
-// one knows are probed without waiting for their turn.
+// counted, a rack or the data centre may be lost: conclusions then need less time.
 func (c *Cluster) noteDoubt(now time.Time, e *entry) {
 	dc := e.info.DataCentre
 	if c.doubts[dc] == nil {
@@ -250,6 +253,13 @@
 		return
 	}
 	c.massUntil[dc] = now.Add(massWindow)
+	c.probeCentre(now, dc)
+}
+
+// probeCentre probes the VMs of a data centre that this VM exchanges messages
+// with and has not heard just now. Where VMs are few, the regular probes of a
+// second VM of a lost data centre could come too late.
+func (c *Cluster) probeCentre(now time.Time, dc string) {
 	for _, o := range c.sorted() {
 		if o != c.self && o.info.DataCentre == dc && o.known() && o.live == alive && !o.awaiting &&
 			c.correspondent(now, o) && now.Sub(o.heard) > c.opts.ProbeTimeout {
