--- a/member/options.go
+++ b/member/options.go
@@ -44,14 +44,18 @@
 	// newest version even if it missed the news. It is meant for sections that
 	// change rarely, and needs all VMs as receivers.
 	Lasting bool
+	// Collected sections go to one VM only, see Cluster.SetCollector. Sections
+	// that all VMs change often would exceed the allowance if every VM got them.
+	Collected bool
 }
 
 // Fixed limits.
 const (
-	// ownRate and otherRate are the probes/s above which the intervals are not
-	// shortened; they keep a node with 22 targets within its traffic allowance.
+	// ownRate is the probes/s within the own data centre, and probeRate those in
+	// total, above which the intervals are not shortened. They keep a node within
+	// its traffic allowance whether it has 11 targets or 22.
 	ownRate   = 2.7
-	otherRate = 1.75
+	probeRate = 4.4
 	// goneProbe is the interval at which one listed VM that is gone is probed,
 	// in turn, so that partitions heal.
 	goneProbe = 5 * time.Second
@@ -96,13 +100,19 @@
 	quietBefore = time.Second
 	resyncGap   = 400 * time.Millisecond
 	// contactAge is how long after an exchange a VM counts as a correspondent.
-	contactAge = 10 * time.Second
+	contactAge = 16 * time.Second
 	// challengeWait is how long a VM that others call gone may take to raise its
 	// incarnation before it is suspected here as well.
 	challengeWait = time.Second
 	// cutOffAfter is the silence of all VMs after which this VM may itself be
 	// cut off; it then concludes nothing.
 	cutOffAfter = 1500 * time.Millisecond
+	// collectPerVM times the number of VMs is the interval at which a VM sends
+	// its collected sections, between minCollect and maxCollect. The collector
+	// then receives about 6 messages/s however many VMs there are.
+	collectPerVM = 160 * time.Millisecond
+	minCollect   = 2 * time.Second
+	maxCollect   = 2 * time.Minute
 	// maxSectionBytes bounds the value of one section.
 	maxSectionBytes = 512
 	maxSections     = 20_000
