Keep the memory of a block table rebuild under 32 MB

Cause: a rebuild of 780,000 blocks left garbage up to the size of the live heap, and the runtime gave it back only minutes later; a graceful stop of the last VM waited for the move of its partitions until the stop bound of 10 min (seen: scripts/rss.sh did not end); measurements went from all VMs to all VMs. Change: collect more often while a version is unpacked and the table is built, return the memory afterwards; bound the move to the lookup grace plus 10 s; measurements go to the holder of the planner's lease only.

--- a/control/loop.go
+++ b/control/loop.go
@@ -8,6 +8,7 @@
 	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/configstore"
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/internal/lowmem"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/peer/peerpb"
 )
@@ -142,7 +143,15 @@
 
 // follow gives news to the tracker and carries out its effects. The lock is held.
 func (c *Control) follow(now time.Time, n config.News) {
-	for _, e := range c.tracker.Step(now, n) {
+	var effects []config.Effect
+	step := func() { effects = c.tracker.Step(now, n) }
+	if _, isChunk := n.(config.Received); isChunk {
+		// The last chunk of a version unpacks all of it.
+		lowmem.Run(step)
+	} else {
+		step()
+	}
+	for _, e := range effects {
 		switch e := e.(type) {
 		case config.Fetch:
 			c.goIfOpen(func() { c.fetch(e) })
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -23,6 +23,9 @@
 	endpoints map[string]endpoint
 	measures  map[string]timedMeasure
 	down      map[string]down
+	// planner is the VM that last took the planner's lease.
+	planner      string
+	plannerSince int64
 }
 
 type timedMeasure struct {
@@ -38,6 +41,24 @@
 	}
 }
 
+// notePlanner keeps the newest holder of the planner's lease.
+func (s *sectionSet) notePlanner(vm string, since int64) {
+	if since > s.plannerSince {
+		s.planner, s.plannerSince = vm, since
+	}
+}
+
+// announcePlanner tells all VMs where measurements go.
+func (n *Node) announcePlanner() {
+	since := time.Now().UnixNano()
+	n.mu.Lock()
+	n.sections.init()
+	n.sections.notePlanner(n.self.ID, since)
+	n.mu.Unlock()
+	n.control.SetCollector(n.self.ID)
+	n.setSection(sectionPlanner, holder{Since: since})
+}
+
 // resolveSeeds asks the seeds of the settings who they are.
 func (n *Node) resolveSeeds() []member.Info {
 	ctx, cancel := context.WithTimeout(n.ctx, time.Second)
@@ -110,6 +131,11 @@
 		if m, ok := decodeSection[measure](s); ok {
 			n.sections.measures[s.Owner] = timedMeasure{m, time.Now()}
 		}
+	case sectionPlanner:
+		if h, ok := decodeSection[holder](s); ok {
+			n.sections.notePlanner(s.Owner, h.Since)
+			n.control.SetCollector(n.sections.planner)
+		}
 	case sectionDown:
 		if d, ok := decodeSection[down](s); ok {
 			n.sections.down[s.Owner] = d
--- a/node/inventory.go
+++ b/node/inventory.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"runtime/debug"
 	"slices"
 	"time"
 
 	"github.com/currantferry/currantferry/balance"
 	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/internal/lowmem"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/register"
@@ -24,6 +26,7 @@
 	blocks := n.blocksOf(s)
 	now := time.Now()
 	n.mu.Lock()
+	before := n.blocks
 	n.snapshot = s
 	n.blocks = blocks
 	n.noticed = now
@@ -39,6 +42,27 @@
 	n.budgetMu.Unlock()
 	n.makePools(s)
 	n.refresh(now)
+	if blocks.Len() > largeTable && blocks != before {
+		n.group.Go(n.freeMemory)
+	}
+}
+
+const (
+	// largeTable is the number of blocks from which a rebuild leaves so much
+	// garbage that it is collected at once.
+	largeTable = 50_000
+	// freeDelay lets the last users of the former table end.
+	freeDelay = time.Second
+)
+
+// freeMemory returns what a rebuild of the block table left over, which would
+// otherwise stay resident for minutes.
+func (n *Node) freeMemory() {
+	select {
+	case <-time.After(freeDelay):
+		debug.FreeOSMemory()
+	case <-n.ctx.Done():
+	}
 }
 
 // blocksOf returns the table of client blocks, the present one if the blocks are
@@ -50,7 +74,8 @@
 	if before != nil && blocks != nil && slices.Equal(before.Head.Section(config.SectionBlocks), s.Head.Section(config.SectionBlocks)) {
 		return blocks
 	}
-	blocks, err := buildBlocks(s)
+	var err error
+	lowmem.Run(func() { blocks, err = buildBlocks(s) })
 	if err != nil {
 		event.SteerFailed.Log(n.log, "error", err)
 	}
--- a/node/planner.go
+++ b/node/planner.go
@@ -119,6 +119,7 @@
 	p.setLease(id)
 	p.renewed = now
 	p.signature = ""
+	p.n.announcePlanner()
 	event.PlannerLease.Log(p.n.log)
 	return nil
 }
--- a/node/sections.go
+++ b/node/sections.go
@@ -13,6 +13,7 @@
 	sectionEndpoint uint8 = 1
 	sectionMeasure  uint8 = 2
 	sectionDown     uint8 = 3
+	sectionPlanner  uint8 = 4
 	// sectionRecord and the numbers above it carry partition records.
 	sectionRecord uint8 = 16
 )
@@ -22,7 +23,8 @@
 func sectionKinds(partitions int) map[uint8]member.SectionKind {
 	kinds := map[uint8]member.SectionKind{
 		sectionEndpoint: {Lasting: true},
-		sectionMeasure:  {},
+		sectionMeasure:  {Collected: true},
+		sectionPlanner:  {Lasting: true},
 		sectionDown:     {Lasting: true},
 	}
 	for p := range partitions {
@@ -55,6 +57,11 @@
 	Answer  float64 `json:"r"`
 }
 
+// holder says that a VM holds the planner's lease. The newest claim counts.
+type holder struct {
+	Since int64 `json:"t"`
+}
+
 // down lists the instances that the VM probes and cannot reach.
 type down struct {
 	Instances []string `json:"i,omitempty"`
--- a/node/stop.go
+++ b/node/stop.go
@@ -10,6 +10,11 @@
 	"github.com/currantferry/currantferry/member"
 )
 
+// handoverTimeout bounds the move of at-most-once partitions to other VMs beyond
+// the lookup grace. It cannot end when no other VM is left or the store is down;
+// the other members then change the view after this VM has gone.
+const handoverTimeout = 10 * time.Second
+
 // closeTimeout bounds the farewell after the last request has ended.
 const closeTimeout = 2 * time.Second
 
@@ -25,7 +30,9 @@
 	n.control.Declare(member.Leaving)
 	n.refresh(time.Now())
 	var handover conc.WaitGroup
-	handover.Go(func() { _ = n.runner.Leave(ctx) })
+	moving, cancelMove := context.WithTimeout(ctx, n.settings.Node.LookupGrace+handoverTimeout)
+	defer cancelMove()
+	handover.Go(func() { _ = n.runner.Leave(moving) })
 	grace := time.NewTimer(n.settings.Node.LookupGrace)
 	select {
 	case <-grace.C:
--- a/scripts/rss.sh
+++ b/scripts/rss.sh
@@ -68,7 +68,7 @@
 
 # daemon NAME PORT STORE starts one entry VM.
 daemon() {
-	printf '[vm]\nid = %s\nregion = r1\ndata_centre = dc1\n[listen]\ncaller = 127.0.0.1:%d\npeer = 127.0.0.1:%d\nadmin = 127.0.0.1:%d\n[store]\naddresses = %s\n' \
+	printf '[vm]\nid = %s\nregion = r1\ndata_centre = dc1\n[listen]\ncaller = 127.0.0.1:%d\npeer = 127.0.0.1:%d\nadmin = 127.0.0.1:%d\n[store]\naddresses = %s\n[lookup]\nttl = 1s\n[node]\nlookup_grace = 1s\nstop_timeout = 2s\n' \
 		"$1" "$2" $(($2 + 1)) $(($2 + 2)) "$3" >"$work/$1.ini"
 	start "$1" "$work/currantferryd" run -config "$work/$1.ini"
 }
