Spread failed and leaving instances before partition records

Cause: an upstream that said it leaves still got new work 6 s later. Its two probers knew, but their sections waited behind the partition records, which all three members of each partition spread: 48 records of 250 bytes at 500 bytes/s. Ruled out: the probes and the vote of the probers (traced, both right). Change: only the owner spreads a record; sections of failed instances and of the planner are urgent and go first; the load endpoint may say "draining". Settings that had no effect now have one: heartbeat, default_timeout, keep_answers_bytes.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -289,3 +289,22 @@
 		return err == nil && res.StatusCode == http.StatusOK
 	})
 }
+
+// Guards against new work on an upstream that says itself that it leaves.
+func TestLeavingUpstream(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	l := c.startLoad()
+	time.Sleep(time.Second)
+	leaving := c.upstreams[service+"-amsterdam-b-2"]
+	leaving.SetDraining(true)
+	begun := time.Now()
+	time.Sleep(6 * time.Second)
+	l.finish(t)
+	if late := leaving.LastNew().Sub(begun); late > 4*time.Second {
+		t.Errorf("new work %s after the upstream said that it leaves", late)
+	}
+	if len(l.refused) > 0 || l.unknown > 0 {
+		t.Errorf("callers felt the upstream leave: %v", l.refused)
+	}
+}
--- a/member/options.go
+++ b/member/options.go
@@ -47,6 +47,8 @@
 	// Collected sections go to one VM only, see Cluster.SetCollector. Sections
 	// that all VMs change often would exceed the allowance if every VM got them.
 	Collected bool
+	// Urgent sections go before all others.
+	Urgent bool
 }
 
 // Fixed limits.
--- a/member/sections.go
+++ b/member/sections.go
@@ -40,7 +40,12 @@
 	}
 	c.values[k] = *s
 	if !c.opts.Sections[s.Kind].Collected {
-		c.sections.push(k, sectionSends)
+		sends := sectionSends
+		if c.opts.Sections[s.Kind].Urgent {
+			// The queue orders by the sends that are left.
+			sends++
+		}
+		c.sections.push(k, sends)
 	}
 	return true
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -143,10 +144,11 @@
 	}
 }
 
-// onRecord spreads a partition record that took effect here.
+// onRecord spreads a partition record that took effect here. Only the owner does,
+// since a copy from each member would take three times the allowance.
 func (n *Node) onRecord(r once.Record) {
 	kind := int(sectionRecord) + r.Partition
-	if kind > 0xff {
+	if kind > math.MaxUint8 || r.Owner.VM != n.self.ID {
 		return
 	}
 	n.control.SetSection(uint8(kind), r.Epoch, r.Marshal())
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -186,7 +187,7 @@
 	n.control, err = control.New(control.Options{
 		Self: n.self, Store: o.Store, Lister: o.Lister, Pool: n.pool, Seed: xxhash.Sum64String(s.VM.ID),
 		Seeds: n.resolveSeeds(), StoreTimeout: s.Store.Timeout, Log: n.log,
-		Member:     member.Options{Sections: sectionKinds(s.Once.Partitions)},
+		Member:     member.Options{Sections: sectionKinds(s.Once.Partitions), OwnInterval: s.Peers.Heartbeat},
 		OnSnapshot: n.onSnapshot, OnReady: n.onReady, OnMember: n.onMember,
 		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk,
 	})
@@ -204,11 +205,28 @@
 			Partitions: s.Once.Partitions, MaxClaims: s.Once.MaxClaims, Retention: s.Once.Retention,
 		},
 		Transport: oncerpc.NewDRPC(s.VM.ID, n.conn), Store: o.Store, Logger: n.log,
-		Scope: n.metrics.Scope(), OnRecord: n.onRecord,
+		Scope: n.metrics.Scope(), OnRecord: n.onRecord, KeptBytes: keptBytes(s.Request.KeepAnswersBytes),
 	})
 	return n.peers.Register(oncerpc.NewServer(n.runner), oncepb.DRPCOnceDescription{})
 }
 
+// keptBytes turns the zero of the settings, which keeps nothing, into that of the
+// runner.
+func keptBytes(bytes int64) int {
+	if bytes == 0 {
+		return -1
+	}
+	return int(bytes)
+}
+
+// noLimit turns the zero of the settings into a limit that nothing reaches.
+func noLimit(bytes int64) int64 {
+	if bytes == 0 {
+		return math.MaxInt64
+	}
+	return bytes
+}
+
 // conn returns a connection to a VM by its ID.
 func (n *Node) conn(vm string) (drpc.Conn, error) {
 	m, ok := n.control.Member(vm)
@@ -228,7 +246,7 @@
 	n.proxy = proxy.New(proxy.Options{
 		Services: n, Selector: n.selector, Claimer: &claimer{n.runner}, Budget: n,
 		Metrics: n.metrics, Log: n.log, Zone: s.Lookup.Zone,
-		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: s.Request.MaxBody,
+		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: noLimit(s.Request.MaxBody), DefaultTimeout: s.Request.DefaultTimeout,
 	})
 }
 
--- a/node/prober.go
+++ b/node/prober.go
@@ -138,15 +138,20 @@
 type loadReport struct {
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// Draining instances leave and want no new work.
+	Draining bool `json:"draining"`
 }
 
 func (p *prober) probe(service, region string, instance *register.Instance) {
 	at := time.Now()
 	report, err := p.fetch(instance.Address)
 	p.mu.Lock()
-	if err != nil {
+	switch {
+	case err != nil:
 		p.failures[instance.ID]++
-	} else {
+	case report.Draining:
+		p.failures[instance.ID] = failuresUntilDown
+	default:
 		p.failures[instance.ID] = 0
 	}
 	p.mu.Unlock()
--- a/node/sections.go
+++ b/node/sections.go
@@ -24,8 +24,8 @@
 	kinds := map[uint8]member.SectionKind{
 		sectionEndpoint: {Lasting: true},
 		sectionMeasure:  {Collected: true},
-		sectionPlanner:  {Lasting: true},
-		sectionDown:     {Lasting: true},
+		sectionPlanner:  {Lasting: true, Urgent: true},
+		sectionDown:     {Lasting: true, Urgent: true},
 	}
 	for p := range partitions {
 		if kind := int(sectionRecord) + p; kind <= math.MaxUint8 {
--- a/once/oncerpc/answers.go
+++ b/once/oncerpc/answers.go
@@ -9,8 +9,8 @@
 
 // Bounds of the kept answers.
 const (
-	MaxAnswerBytes = 64 << 10
-	MaxKeptBytes   = 8 << 20
+	MaxAnswerBytes   = 64 << 10
+	DefaultKeptBytes = 8 << 20
 )
 
 // Answer is the response of a request that ran.
@@ -20,7 +20,7 @@
 	Body   []byte
 }
 
-// size is what the answer counts towards MaxKeptBytes. The constants cover the
+// size is what the answer counts towards the bound. The constants cover the
 // map, slice and list overhead.
 func (a *Answer) size() int {
 	n := 256 + len(a.Body)
@@ -46,8 +46,9 @@
 // Unwrap returns the verdict.
 func (e *DoneError) Unwrap() error { return e.Err }
 
-// answers keeps the latest answers within MaxKeptBytes, oldest out first.
+// answers keeps the latest answers within its limit in bytes, oldest out first.
 type answers struct {
+	limit int
 	byKey map[once.Key]*Answer
 	order []once.Key
 	bytes int
@@ -64,7 +65,7 @@
 	k.byKey[key] = a
 	k.order = append(k.order, key)
 	k.bytes += a.size()
-	for k.bytes > MaxKeptBytes {
+	for k.bytes > k.limit {
 		k.drop(k.order[0])
 	}
 }
--- a/once/oncerpc/runner.go
+++ b/once/oncerpc/runner.go
@@ -44,6 +44,8 @@
 	// OnRecord is called for each record that takes effect here, to spread it
 	// to other VMs. It must not block and must not call the Runner. Nil: none.
 	OnRecord func(once.Record)
+	// KeptBytes bounds the kept answers. Zero means 8 MB, negative keeps none.
+	KeptBytes int
 }
 
 // Runner is the at-most-once service of one VM. Its methods are safe for
@@ -76,6 +78,9 @@
 // New returns a runner. It does nothing before Run, but answers calls.
 func New(opt Options) *Runner {
 	ctx, stop := context.WithCancel(context.Background())
+	if opt.KeptBytes == 0 {
+		opt.KeptBytes = DefaultKeptBytes
+	}
 	return &Runner{
 		opt: opt, met: newMetrics(opt.Scope), ctx: ctx, stop: stop,
 		m:       once.New(time.Now(), opt.Config),
@@ -83,6 +88,7 @@
 		settled: make(map[uint64]chan struct{}),
 		waiters: make(map[waiterKey]chan *once.Message),
 		calls:   make(map[string]int),
+		kept:    answers{limit: opt.KeptBytes},
 	}
 }
 
--- a/once/oncerpc/runner_test.go
+++ b/once/oncerpc/runner_test.go
@@ -247,12 +247,12 @@
 // Guards against answers over the bounds, and against an old answer that
 // outlives a later use of its key.
 func TestKeptAnswersStayWithinBounds(t *testing.T) {
-	var k answers
+	k := answers{limit: DefaultKeptBytes}
 	key := func(i int) once.Key { return once.Key{byte(i), byte(i >> 8)} }
 	for i := 0; i < 300; i++ {
 		k.put(key(i), &Answer{Body: make([]byte, MaxAnswerBytes)})
 	}
-	if k.bytes > MaxKeptBytes || len(k.order) != len(k.byKey) || k.byKey[key(299)] == nil || k.byKey[key(0)] != nil {
+	if k.bytes > DefaultKeptBytes || len(k.order) != len(k.byKey) || k.byKey[key(299)] == nil || k.byKey[key(0)] != nil {
 		t.Fatalf("%d bytes in %d answers", k.bytes, len(k.byKey))
 	}
 	k.put(key(299), &Answer{Body: make([]byte, MaxAnswerBytes+1)})
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -39,7 +39,7 @@
 	if service == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownService, 0)
 	}
-	timeout, err := timeoutOf(r, service)
+	timeout, err := h.timeoutOf(r, service)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 	}
@@ -96,9 +96,12 @@
 	return h.options.Services.Service(name)
 }
 
-func timeoutOf(r *http.Request, s *register.Service) (time.Duration, error) {
+func (h *Handler) timeoutOf(r *http.Request, s *register.Service) (time.Duration, error) {
 	text := r.Header.Get(HeaderTimeout)
 	if text == "" {
+		if s.TimeoutMillis == 0 && h.options.DefaultTimeout > 0 {
+			return h.options.DefaultTimeout, nil
+		}
 		return s.Timeout(), nil
 	}
 	ms, err := strconv.ParseUint(text, 10, 32)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -143,6 +143,9 @@
 	MaxConcurrent int
 	// MaxBody bounds a request's body in bytes. Zero means 1 GiB.
 	MaxBody int64
+	// DefaultTimeout is the deadline where neither caller nor service states
+	// one. Zero means register.DefaultTimeout.
+	DefaultTimeout time.Duration
 	// MaxAttempts bounds the attempts of a request. Zero means 3.
 	MaxAttempts int
 	// MaxConnections bounds the connections to one instance from this VM.
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -63,7 +63,7 @@
 	duration("store", "lease_ttl", "10s", 5*time.Second, 10*time.Minute, "after which the planner's lease lapses without renewal", func(s *Settings) *time.Duration { return &s.Store.LeaseTTL }),
 
 	addresses("peers", "seeds", "empty: only the platform's list of VMs", "peers to ask for the configuration when the store is down at the start", func(s *Settings) *[]netip.AddrPort { return &s.Peers.Seeds }),
-	duration("peers", "heartbeat", "1s", 100*time.Millisecond, 5*time.Second, "time between two exchanges with the same peer", func(s *Settings) *time.Duration { return &s.Peers.Heartbeat }),
+	duration("peers", "heartbeat", "3s", 500*time.Millisecond, 3*time.Second, "longest time between two exchanges with a VM of the own data centre; a shorter one notices failures sooner and costs more traffic", func(s *Settings) *time.Duration { return &s.Peers.Heartbeat }),
 
 	duration("lookup", "ttl", "5s", time.Second, time.Minute, "how long callers may keep an answer; whole seconds are sent, rounded down", func(s *Settings) *time.Duration { return &s.Lookup.TTL }),
 	zone("lookup", "zone", "empty: no DNS", "DNS zone under which services are names", func(s *Settings) *string { return &s.Lookup.Zone }),
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -70,6 +70,7 @@
 	waiting  int
 	running  int
 	shed     bool
+	draining bool
 	factor   float64
 	lastNew  time.Time
 	crashes  int
@@ -156,6 +157,13 @@
 	u.shed = shed
 }
 
+// SetDraining makes the load endpoint say that the instance leaves.
+func (u *Upstream) SetDraining(draining bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.draining = draining
+}
+
 // LastNew returns when the instance last began a request.
 func (u *Upstream) LastNew() time.Time {
 	u.mu.Lock()
@@ -202,12 +210,17 @@
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	Slots   int `json:"slots"`
+	// Draining says that the instance leaves.
+	Draining bool `json:"draining,omitempty"`
 }
 
 func (u *Upstream) load(w http.ResponseWriter, _ *http.Request) {
 	running, waiting := u.Running()
+	u.mu.Lock()
+	draining := u.draining
+	u.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Load{Running: running, Waiting: waiting, Slots: u.options.Slots})
+	_ = json.NewEncoder(w).Encode(Load{Running: running, Waiting: waiting, Slots: u.options.Slots, Draining: draining})
 }
 
 // enter takes a place in the queue, or refuses.
