Add currantferry load, which checks every answer of entry VMs

Cause: the fleet had no tool that drives it at a stated rate and compares what callers saw with what the upstreams ran. Their handler moves to package standin and lists all keys of a prefix. Conclusion: faults can now be looked for with one command.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -35,6 +35,8 @@
 	MaxSends int
 	// Seed of the choice by weight.
 	Seed uint64
+	// Dialer makes the connections. Nil means one with a time-out of 1 s.
+	Dialer *net.Dialer
 }
 
 const (
@@ -67,8 +69,11 @@
 	if o.MaxSends <= 0 {
 		o.MaxSends = defaultMaxSends
 	}
+	if o.Dialer == nil {
+		o.Dialer = &net.Dialer{Timeout: lookupTimeout}
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: lookupTimeout}).DialContext,
+		DialContext:         o.Dialer.DialContext,
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true,
 	}
 	return &Client{
--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net"
@@ -63,7 +62,7 @@
 func (*upstreamCommand) Name() string     { return "upstream" }
 func (*upstreamCommand) Synopsis() string { return "run a stand-in for one upstream instance" }
 func (*upstreamCommand) Usage() string {
-	return "upstream -id ID -listen IP:PORT [-control IP:PORT]\n  The control address serves /runs?key=KEY and PUT /fault.\n"
+	return "upstream -id ID -listen IP:PORT [-control IP:PORT]\n  The control address serves /runs?key=KEY, /keys?prefix=P and PUT /fault.\n"
 }
 
 func (c *upstreamCommand) SetFlags(f *flag.FlagSet) {
@@ -86,7 +85,7 @@
 		if err != nil {
 			return failed(err)
 		}
-		server := &http.Server{Handler: controlHandler(u), ReadHeaderTimeout: 10 * time.Second}
+		server := &http.Server{Handler: standin.ControlHandler(u), ReadHeaderTimeout: 10 * time.Second}
 		defer server.Close()
 		go func() { _ = server.Serve(l) }()
 		fmt.Printf("control=%s\n", l.Addr())
@@ -95,39 +94,6 @@
 	return subcommands.ExitSuccess
 }
 
-// fault is what PUT /fault sets.
-type fault struct {
-	Factor float64 `json:"factor"`
-	Shed   bool    `json:"shed"`
-}
-
-// state is what GET /runs answers.
-type state struct {
-	Runs    []string  `json:"runs"`
-	Total   int       `json:"total"`
-	CutOff  int       `json:"cut_off"`
-	Crashes int       `json:"crashes"`
-	LastNew time.Time `json:"last_new"`
-}
-
-func controlHandler(u *standin.Upstream) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, r *http.Request) {
-		_ = json.NewEncoder(w).Encode(state{
-			Runs: u.Ledger().Runs(r.URL.Query().Get("key")), Total: u.Ledger().Total(), CutOff: u.Ledger().CutOff(),
-			Crashes: u.Crashes(), LastNew: u.LastNew(),
-		})
-	})
-	mux.HandleFunc("PUT /fault", func(_ http.ResponseWriter, r *http.Request) {
-		var f fault
-		if json.NewDecoder(r.Body).Decode(&f) == nil {
-			u.SetFactor(max(f.Factor, 0.01))
-			u.SetShed(f.Shed)
-		}
-	})
-	return mux
-}
-
 // vmsCommand sets the list of VMs of a store stand-in.
 type vmsCommand struct{ store, list string }
 
--- /dev/null
+++ b/loadgen/result.go
@@ -0,0 +1,186 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/standin"
+)
+
+// Result of a run.
+type Result struct {
+	Workload string  `json:"workload"`
+	Seed     uint64  `json:"seed"`
+	Rate     float64 `json:"rate"`
+	// Seconds from the first intended send to the last answer.
+	Seconds float64 `json:"seconds"`
+	Classes []Class `json:"classes"`
+	// Refused counts final refusals as "REASON (VERDICT)".
+	Refused map[string]int64 `json:"refused"`
+	// Failed counts requests that no VM answered, as "CLASS: CAUSE".
+	Failed map[string]int64 `json:"failed"`
+	// Sends counts the sends of all requests that got an answer or a refusal.
+	Sends int64 `json:"sends"`
+	// Wrong answers do not belong to their request; Truncated ones of them
+	// were shorter than the answer and looked whole.
+	Wrong     int64 `json:"wrong"`
+	Truncated int64 `json:"truncated"`
+	// Doubled are the requests that must not run twice and did; FalseNotRun
+	// were refused as "not run" and ran.
+	Doubled     []string `json:"doubled"`
+	FalseNotRun []string `json:"false_not_run"`
+	// Compared tells how many control pages the two lists come from; Missing
+	// pages did not answer.
+	Compared int      `json:"compared"`
+	Missing  []string `json:"missing"`
+	Samples  []string `json:"samples"`
+}
+
+// Class is the result of one class of requests, with latencies in milliseconds
+// from the intended send time to the whole answer.
+type Class struct {
+	Name     string  `json:"name"`
+	Sent     int64   `json:"sent"`
+	Answered int64   `json:"answered"`
+	P50      float64 `json:"p50_ms"`
+	P90      float64 `json:"p90_ms"`
+	P99      float64 `json:"p99_ms"`
+	P999     float64 `json:"p999_ms"`
+	Max      float64 `json:"max_ms"`
+	// Slow answers took a second or longer.
+	Slow int64 `json:"slow"`
+}
+
+const controlTimeout = 10 * time.Second
+
+// runs collects where the requests of this run began, from the control pages
+// that answer.
+func (r *run) runs(ctx context.Context) (runs map[string][]string, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	transport := &http.Transport{DialContext: r.dialled.DialContext}
+	defer transport.CloseIdleConnections()
+	runs = make(map[string][]string)
+	for _, address := range r.options.Control {
+		page, err := readRuns(ctx, &http.Client{Transport: transport}, address, r.prefix)
+		if err != nil {
+			missing = append(missing, fmt.Sprintf("%s: %v", address, err))
+			continue
+		}
+		for key, instances := range page {
+			runs[key] = append(runs[key], instances...)
+		}
+	}
+	return runs, missing
+}
+
+func readRuns(ctx context.Context, c *http.Client, address, prefix string) (map[string][]string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+standin.ControlKeys+"?prefix="+url.QueryEscape(prefix), nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", res.StatusCode)
+	}
+	var page map[string][]string
+	return page, json.NewDecoder(res.Body).Decode(&page)
+}
+
+func (r *run) result(runs map[string][]string, missing []string, took time.Duration) *Result {
+	t := &r.tally
+	out := &Result{
+		Workload: r.options.Workload, Seed: r.options.Seed, Rate: r.options.Rate, Seconds: took.Seconds(),
+		Refused: make(map[string]int64), Failed: t.failed, Sends: t.sends, Wrong: t.wrong, Truncated: t.short,
+		Compared: len(r.options.Control) - len(missing), Missing: missing, Samples: t.samples,
+	}
+	for _, c := range r.classes {
+		ct := t.classes[c.name]
+		at := func(q float64) float64 { return float64(ct.latency.ValueAtQuantile(q)) / 1000 }
+		out.Classes = append(out.Classes, Class{
+			Name: c.name, Sent: ct.sent, Answered: ct.answered, P50: at(50), P90: at(90), P99: at(99), P999: at(99.9),
+			Max: float64(ct.slowest.Microseconds()) / 1000, Slow: ct.slow,
+		})
+	}
+	for f, n := range t.refused {
+		out.Refused[fmt.Sprintf("%s (%s)", f.reason, f.verdict)] = n
+	}
+	for _, id := range t.once {
+		if len(runs[id]) > 1 {
+			out.Doubled = append(out.Doubled, fmt.Sprintf("%s on %s", id, strings.Join(runs[id], ", ")))
+		}
+	}
+	for id, reason := range t.notRun {
+		if len(runs[id]) > 0 {
+			out.FalseNotRun = append(out.FalseNotRun, fmt.Sprintf("%s (%s) on %s", id, reason, strings.Join(runs[id], ", ")))
+		}
+	}
+	slices.Sort(out.FalseNotRun)
+	return out
+}
+
+// Broken describes the promises that the run found broken.
+func (r *Result) Broken() []string {
+	var broken []string
+	add := func(n int, what string) {
+		if n > 0 {
+			broken = append(broken, fmt.Sprintf("%d %s", n, what))
+		}
+	}
+	add(int(r.Wrong), "answers were wrong or truncated")
+	add(len(r.Doubled), "requests ran twice")
+	add(len(r.FalseNotRun), "requests were refused as not run and ran")
+	return broken
+}
+
+// Text renders the result for a terminal.
+func (r *Result) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, %g requests/s, seed %d, %.1f s\n\n", r.Workload, r.Rate, r.Seed, r.Seconds)
+	fmt.Fprintf(&b, "%-8s %8s %9s %9s %9s %9s %9s %9s %6s\n", "class", "sent", "answered", "p50 ms", "p90 ms", "p99 ms", "p99.9 ms", "max ms", "> 1 s")
+	for _, c := range r.Classes {
+		fmt.Fprintf(&b, "%-8s %8d %9d %9.1f %9.1f %9.1f %9.1f %9.1f %6d\n", c.Name, c.Sent, c.Answered, c.P50, c.P90, c.P99, c.P999, c.Max, c.Slow)
+	}
+	counts := func(title string, m map[string]int64) {
+		names := make([]string, 0, len(m))
+		for name := range m {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			fmt.Fprintf(&b, "%s %-40s %8d\n", title, name, m[name])
+		}
+	}
+	b.WriteString("\n")
+	counts("refused", r.Refused)
+	counts("failed ", r.Failed)
+	fmt.Fprintf(&b, "sends %d, wrong %d, truncated %d\n", r.Sends, r.Wrong, r.Truncated)
+	if r.Compared+len(r.Missing) > 0 {
+		fmt.Fprintf(&b, "run twice %d, refused as not run and ran %d (from %d control pages, %d did not answer)\n",
+			len(r.Doubled), len(r.FalseNotRun), r.Compared, len(r.Missing))
+	}
+	for _, list := range [][]string{r.Doubled, r.FalseNotRun, r.Samples, r.Missing} {
+		for i, line := range list {
+			if i == keepSamples {
+				break
+			}
+			fmt.Fprintf(&b, "  %s\n", line)
+		}
+	}
+	for _, line := range r.Broken() {
+		fmt.Fprintf(&b, "BROKEN: %s\n", line)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/loadgen/tally.go
@@ -0,0 +1,153 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/caller"
+	"github.com/currantferry/currantferry/standin"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// slowAnswer is the latency from which answers are counted as slow.
+const slowAnswer = time.Second
+
+// keepSamples bounds the faults that a result describes one by one.
+const keepSamples = 10
+
+// tally is what came back. The run's lock guards it.
+type tally struct {
+	classes map[string]*classTally
+	// refused counts final refusals by reason and verdict.
+	refused map[refusal]int64
+	// failed counts requests without any answer by cause.
+	failed map[string]int64
+	// once are the requests that must not run twice.
+	once []string
+	// notRun are the refused requests whose verdict was "not run", by the
+	// reason of the refusal.
+	notRun  map[string]verdict.Reason
+	wrong   int64
+	short   int64
+	sends   int64
+	samples []string
+}
+
+type classTally struct {
+	sent, answered, slow int64
+	// latency in microseconds of whole answers.
+	latency *hdrhistogram.Histogram
+	slowest time.Duration
+}
+
+type refusal struct {
+	reason  verdict.Reason
+	verdict string
+}
+
+func newTally(classes []class) tally {
+	t := tally{
+		classes: make(map[string]*classTally), refused: make(map[refusal]int64),
+		failed: make(map[string]int64), notRun: make(map[string]verdict.Reason),
+	}
+	for i := range classes {
+		t.classes[classes[i].name] = &classTally{latency: hdrhistogram.New(1, int64(2*maxTimeout/time.Microsecond), 3)}
+	}
+	return t
+}
+
+// note records the end of a request.
+func (t *tally) note(c *class, id string, a *caller.Answer, err error, fault string, latency time.Duration) {
+	ct := t.classes[c.name]
+	ct.sent++
+	if !c.idempotent {
+		t.once = append(t.once, id)
+	}
+	if err != nil {
+		t.failed[c.name+": "+causeOf(err)]++
+		t.sample("%s %s: no answer after %s: %v", c.name, id, latency.Round(time.Millisecond), err)
+		return
+	}
+	t.sends += int64(a.Sends)
+	if v, reason, refused := a.Refusal(); refused {
+		t.refused[refusal{reason, v.String()}]++
+		if v == verdict.NotRun {
+			t.notRun[id] = reason
+		}
+		return
+	}
+	if fault != "" {
+		t.wrong++
+		if fault == faultShort {
+			t.short++
+		}
+		t.sample("%s %s: %s: status %d, %d bytes from %s", c.name, id, fault, a.Status, len(a.Body), a.VM)
+		return
+	}
+	ct.answered++
+	ct.slowest = max(ct.slowest, latency)
+	if latency >= slowAnswer {
+		ct.slow++
+	}
+	_ = ct.latency.RecordValue(max(1, min(latency.Microseconds(), ct.latency.HighestTrackableValue())))
+}
+
+func (t *tally) sample(format string, args ...any) {
+	if len(t.samples) < keepSamples {
+		t.samples = append(t.samples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Faults of an answer.
+const (
+	faultStatus  = "unexpected status"
+	faultID      = "answer to another request"
+	faultShort   = "truncated answer that looked whole"
+	faultLength  = "wrong length"
+	faultContent = "wrong content"
+	faultBody    = "another body reached the upstream"
+)
+
+// checkAnswer compares an answer with its request. It returns the fault, or "".
+func checkAnswer(a *caller.Answer, id string, sent []byte, size int) string {
+	if _, _, refused := a.Refusal(); refused {
+		return ""
+	}
+	switch {
+	case a.Status != http.StatusOK:
+		return faultStatus
+	case a.Header.Get(standin.HeaderRequestID) != id:
+		return faultID
+	case len(a.Body) < size:
+		return faultShort
+	case len(a.Body) > size:
+		return faultLength
+	case !bytes.Equal(a.Body, standin.AnswerBody(id, size)):
+		return faultContent
+	case a.Header.Get(standin.HeaderBodySum) != sumOf(sent):
+		return faultBody
+	}
+	return ""
+}
+
+// causeOf names an error without addresses, so that it can be counted.
+func causeOf(err error) string {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return "deadline"
+	case errors.Is(err, context.Canceled):
+		return "cancelled"
+	case errors.As(err, &op):
+		return op.Op
+	default:
+		return "connection lost"
+	}
+}
--- /dev/null
+++ b/loadgen/workload.go
@@ -0,0 +1,89 @@
+package loadgen
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// class is one kind of requests of a workload.
+type class struct {
+	name    string
+	service string
+	method  string
+	path    string
+	// share of all requests, in percent.
+	share int
+	// keyed requests carry an idempotency key; idempotent ones need none.
+	keyed, idempotent bool
+	// workMillis is the mean service time.
+	workMillis float64
+	// body and answer are the largest sizes in bytes.
+	body, answer int
+}
+
+// Workloads of the two deployments. The services are those of section 1.6 of
+// the design page; orders take the 200 ms that section 2.5 reckons with.
+var workloads = map[string][]class{
+	"rolregister": {
+		{name: "read", service: "proefbank", method: http.MethodGet, path: "/proof", share: 80, idempotent: true, workMillis: 10, answer: 32 << 10},
+		{name: "order", service: "rolinname", method: http.MethodPost, path: "/order", share: 17, keyed: true, workMillis: 200, body: 8 << 10, answer: 1 << 10},
+		{name: "upload", service: "rolinname", method: http.MethodPost, path: "/rollbook", share: 3, workMillis: 1000, body: 512 << 10, answer: 256},
+	},
+	"abtropf": {
+		{name: "read", service: "kundenportal", method: http.MethodGet, path: "/model", share: 85, idempotent: true, workMillis: 10, answer: 96 << 10},
+		{name: "order", service: "werkstatt-dienst", method: http.MethodPost, path: "/pickup", share: 12, keyed: true, workMillis: 200, body: 4 << 10, answer: 1 << 10},
+		{name: "upload", service: "werkstatt-dienst", method: http.MethodPost, path: "/photo", share: 3, workMillis: 1000, body: 1 << 20, answer: 256},
+	},
+}
+
+// Workloads returns the names of the workloads.
+func Workloads() []string {
+	names := make([]string, 0, len(workloads))
+	for name := range workloads {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func workloadOf(name string) ([]class, error) {
+	classes, ok := workloads[name]
+	if !ok {
+		return nil, errors.Errorf("unknown workload %q, known are %s", name, strings.Join(Workloads(), " and "))
+	}
+	return classes, nil
+}
+
+// draw is what chance decides about one request.
+type draw struct {
+	class *class
+	// gap to the next request, as a multiple of the mean.
+	gap          float64
+	body, answer int
+	workMillis   float64
+}
+
+func drawRequest(rng *rand.Rand, classes []class, workScale float64) draw {
+	c := &classes[len(classes)-1]
+	pick := rng.IntN(100)
+	for i := range classes {
+		if pick -= classes[i].share; pick < 0 {
+			c = &classes[i]
+			break
+		}
+	}
+	d := draw{class: c, gap: -math.Log(1 - rng.Float64())}
+	// Sizes and service times spread evenly around half of the largest size
+	// and around the mean time.
+	d.answer = 1 + rng.IntN(c.answer)
+	if c.body > 0 {
+		d.body = c.body/2 + rng.IntN(c.body/2)
+	}
+	d.workMillis = c.workMillis * workScale * (0.5 + rng.Float64())
+	return d
+}
--- a/standin/ledger.go
+++ b/standin/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 )
 
@@ -57,6 +58,19 @@
 	return append([]string(nil), l.began[key]...)
 }
 
+// Keys returns the instances on which each key with the prefix began.
+func (l *Ledger) Keys(prefix string) map[string][]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keys := make(map[string][]string)
+	for key, instances := range l.began {
+		if strings.HasPrefix(key, prefix) {
+			keys[key] = append([]string(nil), instances...)
+		}
+	}
+	return keys
+}
+
 // Total returns the number of requests that began.
 func (l *Ledger) Total() int {
 	l.mu.Lock()
