Pass over entry VMs that cease to answer in package caller

Cause: a caller waited at a frozen VM until its whole deadline, looked up at the same VM first for up to 1 s in every request, and went on sending new requests there until lookups dropped the VM. Change: a request that is idempotent or keyed and waits longer than 300 ms at a VM that nothing was heard of probes the VM with a lookup (400 ms); if the probe fails, the next VM is asked while the first send goes on. New requests take VMs that do not answer last. Lookups are shared, renewed at three quarters of the TTL, and go to the next VM after 250 ms. Ruled out: slow upstreams. A VM that answers the probe is waited for, so slow work gains no extra sends (TestSlowUpstreamIsWaitedFor). Uploads without a key still wait, because a second send could run them twice.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -6,18 +6,15 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/url"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/currantferry/currantferry/lookup"
 	"github.com/currantferry/currantferry/proxy"
@@ -42,7 +39,7 @@
 const (
 	defaultTimeout  = 10 * time.Second
 	defaultMaxSends = 4
-	lookupTimeout   = time.Second
+	dialTimeout     = time.Second
 	maxAnswer       = 64 << 20
 )
 
@@ -50,15 +47,15 @@
 type Client struct {
 	options Options
 	http    *http.Client
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   conc.WaitGroup
 
 	mu      sync.Mutex
+	closed  bool
 	rng     *rand.Rand
-	answers map[string]cached
-}
-
-type cached struct {
-	answer  lookup.Response
-	expires time.Time
+	answers map[string]*cached
+	vms     map[string]*vmHealth
 }
 
 // New returns a client.
@@ -70,20 +67,38 @@
 		o.MaxSends = defaultMaxSends
 	}
 	if o.Dialer == nil {
-		o.Dialer = &net.Dialer{Timeout: lookupTimeout}
+		o.Dialer = &net.Dialer{Timeout: dialTimeout}
 	}
 	transport := &http.Transport{
 		DialContext:         o.Dialer.DialContext,
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true,
 	}
-	return &Client{
+	c := &Client{
 		options: o, http: &http.Client{Transport: transport},
-		rng: rand.New(rand.NewPCG(o.Seed, 1)), answers: make(map[string]cached),
+		rng: rand.New(rand.NewPCG(o.Seed, 1)), answers: make(map[string]*cached), vms: make(map[string]*vmHealth),
 	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// Close ends lookups and probes in the background and drops idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.group.Wait()
+	c.http.CloseIdleConnections()
+}
+
+// background runs f unless the client is closed. The caller holds the lock.
+func (c *Client) background(f func()) bool {
+	if c.closed {
+		return false
+	}
+	c.group.Go(f)
+	return true
+}
 
 // Request is one request to a service.
 type Request struct {
@@ -116,143 +131,6 @@
 	return verdict.Parse(text), verdict.Reason(a.Header.Get(verdict.HeaderReason)), text != ""
 }
 
-// Lookup returns the entry VMs for a service, from memory while the last answer
-// is valid, and also past that when no VM answers a lookup.
-func (c *Client) Lookup(ctx context.Context, service string) (lookup.Response, error) {
-	c.mu.Lock()
-	known, ok := c.answers[service]
-	c.mu.Unlock()
-	if ok && time.Now().Before(known.expires) {
-		return known.answer, nil
-	}
-	addresses := make([]string, 0, len(known.answer.VMs)+len(c.options.Bootstrap))
-	for _, vm := range known.answer.VMs {
-		addresses = append(addresses, vm.Address)
-	}
-	var last error
-	for _, a := range append(addresses, c.options.Bootstrap...) {
-		answer, err := c.ask(ctx, a, service)
-		if err == nil {
-			expires := time.Now().Add(time.Duration(answer.TTLMillis) * time.Millisecond)
-			c.mu.Lock()
-			c.answers[service] = cached{answer, expires}
-			c.mu.Unlock()
-			return answer, nil
-		}
-		last = err
-	}
-	if ok {
-		return known.answer, nil
-	}
-	return lookup.Response{}, errors.Wrap(last, "lookup")
-}
-
-func (c *Client) ask(ctx context.Context, address, service string) (lookup.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	var answer lookup.Response
-	u := "http://" + address + lookup.Path + "?service=" + url.QueryEscape(service)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
-	if err != nil {
-		return answer, err
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return answer, err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return answer, errors.Errorf("status %d", res.StatusCode)
-	}
-	return answer, json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(&answer)
-}
-
-// forget makes the next request look up anew, after a VM did not answer.
-func (c *Client) forget(service string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if known, ok := c.answers[service]; ok {
-		known.expires = time.Time{}
-		c.answers[service] = known
-	}
-}
-
-// order returns the VMs in the order of priority, by weight within one priority.
-func (c *Client) order(vms []lookup.ResponseVM) []lookup.ResponseVM {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	left := slices.Clone(vms)
-	out := make([]lookup.ResponseVM, 0, len(left))
-	for len(left) > 0 {
-		lowest := left[0].Priority
-		for _, vm := range left {
-			lowest = min(lowest, vm.Priority)
-		}
-		sum := 0
-		for _, vm := range left {
-			if vm.Priority == lowest {
-				sum += int(vm.Weight)
-			}
-		}
-		pick := c.rng.IntN(max(1, sum))
-		for i, vm := range left {
-			if vm.Priority != lowest {
-				continue
-			}
-			if pick -= int(vm.Weight); pick < 0 || sum == 0 {
-				out = append(out, vm)
-				left = slices.Delete(left, i, i+1)
-				break
-			}
-		}
-	}
-	return out
-}
-
-// Do sends a request. It returns an error when no VM answered at all; a refusal
-// is an Answer.
-func (c *Client) Do(ctx context.Context, r Request) (*Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
-	defer cancel()
-	var answer *Answer
-	var last error
-	for sends := 0; sends < c.options.MaxSends; {
-		found, err := c.Lookup(ctx, r.Service)
-		if err != nil {
-			return nil, err
-		}
-		for _, vm := range c.order(found.VMs) {
-			sends++
-			answer, last = c.send(ctx, vm, &r)
-			if answer != nil {
-				answer.Sends = sends
-			}
-			if !c.mayResend(&r, answer, last) || sends >= c.options.MaxSends || ctx.Err() != nil {
-				return answer, last
-			}
-			if last != nil {
-				c.forget(r.Service)
-			}
-		}
-	}
-	return answer, last
-}
-
-// mayResend tells whether another VM may be asked.
-func (c *Client) mayResend(r *Request, a *Answer, err error) bool {
-	if err != nil {
-		return r.Idempotent || r.Key != "" || isNotSent(err)
-	}
-	v, _, refused := a.Refusal()
-	return refused && a.Status >= http.StatusInternalServerError && verdict.MayResend(v, r.Idempotent)
-}
-
-// isNotSent tells whether no connection was made.
-func isNotSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func (c *Client) send(ctx context.Context, vm lookup.ResponseVM, r *Request) (*Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+vm.Address+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
@@ -272,9 +150,13 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.lost(vm.Address, 0)
+		}
 		return nil, err
 	}
 	defer res.Body.Close()
+	c.heard(vm.Address)
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
 	if err != nil {
 		return nil, err
