Report the verdict over all sends and no cut answers in package caller

Cause: Refusal gave the verdict of the last VM only. Change: "not run" becomes "may have run" when an earlier send may have run; an answer over the limit is an error. Figures: TestVerdictCoversAllSends and TestLongAnswerIsAnError fail without the change and pass with it (go test ./caller). Conclusion: callers no longer repeat an order on a verdict that covers only one of its sends.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/currantferry/currantferry/lookup"
@@ -50,6 +51,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	group   conc.WaitGroup
+	// maxAnswer bounds the body of an answer in bytes.
+	maxAnswer int64
 
 	mu      sync.Mutex
 	closed  bool
@@ -74,7 +77,7 @@
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true,
 	}
 	c := &Client{
-		options: o, http: &http.Client{Transport: transport},
+		options: o, maxAnswer: maxAnswer, http: &http.Client{Transport: transport},
 		rng: rand.New(rand.NewPCG(o.Seed, 1)), answers: make(map[string]*cached), vms: make(map[string]*vmHealth),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -123,12 +126,20 @@
 	VM string
 	// Sends counts the entry VMs that were asked.
 	Sends int
+	// uncertain is set when an earlier send of the request may have run.
+	uncertain bool
 }
 
 // Refusal returns the verdict and reason when an entry VM refused the request.
+// The verdict covers all sends: a VM that refuses a resend as not run does not
+// know what became of the send before.
 func (a *Answer) Refusal() (verdict.Verdict, verdict.Reason, bool) {
 	text := a.Header.Get(verdict.HeaderVerdict)
-	return verdict.Parse(text), verdict.Reason(a.Header.Get(verdict.HeaderReason)), text != ""
+	v := verdict.Parse(text)
+	if a.uncertain && v == verdict.NotRun {
+		v = verdict.MayHaveRun
+	}
+	return v, verdict.Reason(a.Header.Get(verdict.HeaderReason)), text != ""
 }
 
 func (c *Client) send(ctx context.Context, vm lookup.ResponseVM, r *Request) (*Answer, error) {
@@ -157,9 +168,12 @@
 	}
 	defer res.Body.Close()
 	c.heard(vm.Address)
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxAnswer+1))
 	if err != nil {
 		return nil, err
 	}
+	if int64(len(body)) > c.maxAnswer {
+		return nil, errors.Errorf("answer is longer than %d bytes", c.maxAnswer)
+	}
 	return &Answer{Status: res.StatusCode, Header: res.Header, Body: body, VM: vm.ID}, nil
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -89,6 +89,8 @@
 	}
 }
 
+func cutsOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
 var (
 	read   = Request{Service: "s", Method: http.MethodGet, Path: "/", Idempotent: true}
 	order  = Request{Service: "s", Method: http.MethodPost, Path: "/", Body: []byte("order"), Key: "key"}
@@ -172,6 +174,19 @@
 	}
 }
 
+// Guards against a "not run" of a VM that knows nothing of an earlier send.
+func TestVerdictCoversAllSends(t *testing.T) {
+	t.Parallel()
+	_, c := newFleet(t, cutsOff, refuses(verdict.NotRun, verdict.ReasonKeyUnavailable))
+	if v, reason, refused := do(t, c, order).Refusal(); !refused || v != verdict.MayHaveRun {
+		t.Fatalf("refused %t, %s, %s", refused, v, reason)
+	}
+	_, c = newFleet(t, refuses(verdict.NotRun, verdict.ReasonStopping), refuses(verdict.NotRun, verdict.ReasonKeyUnavailable))
+	if v, _, _ := do(t, c, order).Refusal(); v != verdict.NotRun {
+		t.Fatalf("verdict %s after two refusals as not run", v)
+	}
+}
+
 // Guards against traffic that leaves a VM because one answer was cut.
 func TestCutAnswerMovesNoTraffic(t *testing.T) {
 	t.Parallel()
@@ -189,6 +204,16 @@
 	}
 }
 
+// Guards against an answer that is cut at the limit and looks whole.
+func TestLongAnswerIsAnError(t *testing.T) {
+	t.Parallel()
+	_, c := newFleet(t, answers("eleven byte"))
+	c.maxAnswer = 10
+	if a, err := c.Do(context.Background(), upload); err == nil {
+		t.Fatalf("answer %q", a.Body)
+	}
+}
+
 // Guards against a lookup for each request that waits.
 func TestRequestsShareALookup(t *testing.T) {
 	t.Parallel()
--- a/caller/do.go
+++ b/caller/do.go
@@ -27,6 +27,8 @@
 	// refused is the last refusal, err the last error.
 	refused *Answer
 	err     error
+	// uncertain is set when a send may have run without an answer.
+	uncertain bool
 }
 
 // out is a send without a result.
@@ -68,7 +70,7 @@
 }
 
 func (q *request) end(a *Answer) *Answer {
-	a.Sends = q.sends
+	a.Sends, a.uncertain = q.sends, q.uncertain
 	return a
 }
 
@@ -129,6 +131,9 @@
 func (q *request) note(res result) bool {
 	if res.err != nil {
 		q.err = res.err
+		if !isNotSent(res.err) {
+			q.uncertain = true
+		}
 		return q.isSafe() || isNotSent(res.err)
 	}
 	v, _, refused := res.answer.Refusal()
@@ -136,6 +141,9 @@
 		return false
 	}
 	q.refused = res.answer
+	if v != verdict.NotRun {
+		q.uncertain = true
+	}
 	return res.answer.Status >= http.StatusInternalServerError && verdict.MayResend(v, q.r.Idempotent)
 }
 
