Let equal requests wait for the crash guard's try of a suspect

Cause: when an upstream died while it served a page, the page became a suspect. The crash guard tries a suspect once, 250 ms after announcing it, and refuses all other sends. Equal reads of other callers were therefore refused as not run on all VMs, and those of the trying VM waited with a slot each, so that other requests met the region's limit. Change: a VM tries a suspect with one request at a time. The others wait for its end without a place, at most 1 s and 512 of them; an answer clears them all. The guard itself and its bound of two instances are unchanged. Conclusion: the death of one upstream no longer refuses popular reads.

--- a/node/crash.go
+++ b/node/crash.go
@@ -24,6 +24,9 @@
 type crashNotes struct {
 	mu    sync.Mutex
 	guard *crashguard.Guard
+	// turns are the suspects that a request of this VM tries; see turn.
+	turns   map[crashguard.Fingerprint]*turn
+	waiting int
 	// broadcast sends notes to all VMs without waiting for the replies.
 	broadcast func(notes []*peerpb.CrashNote)
 }
--- a/node/selector.go
+++ b/node/selector.go
@@ -45,8 +45,27 @@
 	return s.pools[poolKey{service, region}]
 }
 
-// Select implements proxy.Selector.
+// Select implements proxy.Selector. A suspect of the crash guard waits for its
+// turn before it takes up a place.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
+	t, err := s.crash.turn(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		chosen, err := s.selectOnce(ctx, q)
+		if err == nil {
+			chosen.turn = t
+			return chosen, nil
+		}
+		if t == nil || !t.again(ctx, err) {
+			s.crash.endTurn(t)
+			return nil, err
+		}
+	}
+}
+
+func (s *selector) selectOnce(ctx context.Context, q *proxy.Query) (*selection, error) {
 	now := time.Now()
 	s.mu.Lock()
 	grant, refused := s.gate.Admit(now, plan.Request{Service: q.Service.Name, Bytes: max(0, q.Bytes)})
@@ -156,6 +175,8 @@
 	ticket balance.Ticket
 	trial  crashguard.Ticket
 	grant  plan.Grant
+	// turn is nil unless the request was a suspect of the crash guard.
+	turn *turn
 	// isHedge attempts share the grant of the first.
 	isHedge bool
 }
@@ -186,6 +207,7 @@
 func (c *selection) Done(o proxy.Outcome) {
 	c.pool.done(c.ticket, outcomeOf(o))
 	c.s.crash.end(c.trial, o)
+	c.s.crash.endTurn(c.turn)
 	if !c.isHedge {
 		c.s.release(&c.grant, o.AnswerBytes)
 	}
--- /dev/null
+++ b/node/turn_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/crashguard"
+	"github.com/currantferry/currantferry/plan"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// newTestSelector returns a selector of one service with instances i-1 to i-N.
+func newTestSelector(instances, slots int) *selector {
+	s := newSelector(plan.NewGate(plan.GateConfig{VM: "vm-1"}), &crashNotes{guard: crashguard.New(crashguard.Config{VM: "vm-1"})})
+	p := newPool(balance.Config{}, 1)
+	var list []balance.Instance
+	addresses := make(map[string]string)
+	for i := range instances {
+		id := fmt.Sprintf("i-%d", i+1)
+		list = append(list, balance.Instance{ID: id, Slots: slots})
+		addresses[id] = "127.0.0.1:1"
+	}
+	p.set(time.Now(), list, addresses)
+	s.pools[poolKey{"s", ""}] = p
+	return s
+}
+
+func testQuery(fingerprint byte) *proxy.Query {
+	return &proxy.Query{
+		Service: &register.Service{Name: "s"}, Method: "GET", Path: "/page", Idempotent: true,
+		Deadline: time.Now().Add(20 * time.Second), Fingerprint: [32]byte{fingerprint},
+	}
+}
+
+// Guards against refusals of a page that many callers read, and against places
+// that they hold idly, after an upstream died while it served that page.
+func TestEqualReadsWaitForTheSuspect(t *testing.T) {
+	s := newTestSelector(3, 2)
+	ctx := context.Background()
+	first, err := s.Select(ctx, testQuery(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Done(proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+
+	const reads = 20
+	var group sync.WaitGroup
+	var refused, early atomic.Int64
+	var cleared atomic.Bool
+	for range reads {
+		group.Go(func() {
+			selection, err := s.Select(ctx, testQuery(1))
+			if err != nil {
+				refused.Add(1)
+				return
+			}
+			if !cleared.Load() && early.Add(1) == 1 {
+				time.Sleep(20 * time.Millisecond)
+				cleared.Store(true)
+			}
+			selection.Done(proxy.Outcome{Verdict: verdict.Ran})
+		})
+	}
+	for range 20 {
+		other, err := s.Select(ctx, testQuery(2))
+		if err != nil {
+			t.Fatalf("another request: %v", err)
+		}
+		other.Done(proxy.Outcome{Verdict: verdict.Ran})
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+	if refused.Load() > 0 || early.Load() != 1 {
+		t.Fatalf("%d of %d reads refused, %d ran before the first was answered", refused.Load(), reads, early.Load())
+	}
+}
+
+// Guards against a turn that is never given back, and against a third instance
+// that a crashing request is sent to.
+func TestCrashingRequestIsStillRefused(t *testing.T) {
+	s := newTestSelector(4, 2)
+	var group sync.WaitGroup
+	var deaths atomic.Int64
+	for range 10 {
+		group.Go(func() {
+			for range 3 {
+				selection, err := s.Select(context.Background(), testQuery(1))
+				if err != nil {
+					continue
+				}
+				deaths.Add(1)
+				selection.Done(proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+			}
+		})
+	}
+	group.Wait()
+	// Sends that began before the first death cannot be told apart from others.
+	if len(s.crash.turns) != 0 || s.crash.waiting != 0 {
+		t.Fatalf("%d turns and %d waiting requests are left", len(s.crash.turns), s.crash.waiting)
+	}
+	if _, err := s.Select(context.Background(), testQuery(1)); err == nil {
+		t.Fatalf("sent again after %d deaths", deaths.Load())
+	}
+}
