Keep retries off the instance that just failed

Cause: a retry drew tickets until one was not for the failed instance, and gave the others back at once. A ticket that probes a suspected instance and is given back makes the next probe due at once, so that all eight draws were the failed instance and the retry went there after all. With all places elsewhere taken, three attempts failed at it within a millisecond. Change: tickets of excluded instances are kept until another instance is found, and a retry waits up to 250 ms for a place at one. Conclusion: attempts are no longer spent on an instance known to fail.

--- a/node/pool.go
+++ b/node/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,81 @@
 	return balance.Ticket{}, verdict.Wrap(ctx.Err(), verdict.NotRun, contextReason(ctx))
 }
 
+// maxOther bounds the tickets that are drawn to find another instance.
+const maxOther = 16
+
+const (
+	// otherWait is how long a retry waits for a place at an instance that it has
+	// not tried. Without the wait it used up its attempts within a millisecond
+	// at one instance that refuses connections.
+	otherWait  = 250 * time.Millisecond
+	otherPause = 5 * time.Millisecond
+)
+
+// waitOther is other with a wait. It keeps the ticket meanwhile, so that no other
+// request probes the excluded instance.
+func (p *pool) waitOther(ctx context.Context, ticket balance.Ticket, r balance.Request, exclude []string) balance.Ticket {
+	for until := time.Now().Add(otherWait); ; {
+		next, found := p.other(ticket, r, exclude)
+		if found || !p.hasOther(exclude) || time.Now().After(until) {
+			return next
+		}
+		timer := time.NewTimer(otherPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return next
+		}
+	}
+}
+
+func (p *pool) hasOther(exclude []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.addresses {
+		if !slices.Contains(exclude, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// other exchanges a ticket for one with an instance that is not excluded. It
+// returns the ticket itself and false when no such instance has a place now.
+//
+// The tickets of excluded instances are kept until the end: a ticket that is given
+// back leaves the balancer as it was, so that it would be drawn again. For a
+// probe of a suspected instance that is certain.
+func (p *pool) other(ticket balance.Ticket, r balance.Request, exclude []string) (balance.Ticket, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var kept []balance.Ticket
+	found := false
+	for range maxOther {
+		next, err := p.balancer.Pick(now, r)
+		if err != nil {
+			break
+		}
+		if next.Waiting() {
+			p.balancer.Done(now, next, balance.Cancelled)
+			break
+		}
+		if !slices.Contains(exclude, next.Instance) {
+			kept = append(kept, ticket)
+			ticket, found = next, true
+			break
+		}
+		kept = append(kept, next)
+	}
+	for _, t := range kept {
+		p.balancer.Done(now, t, balance.Cancelled)
+	}
+	p.tick(now)
+	return ticket, found
+}
+
 // asError keeps a nil pointer from becoming an error that is not nil.
 func asError(e *verdict.Error) error {
 	if e == nil {
--- a/node/selector.go
+++ b/node/selector.go
@@ -31,10 +31,6 @@
 
 type poolKey struct{ service, region string }
 
-// maxOther bounds how often an instance is chosen anew because the crash guard
-// or an earlier attempt excludes it.
-const maxOther = 8
-
 func newSelector(gate *plan.Gate, crash *crashNotes) *selector {
 	return &selector{gate: gate, crash: crash, pools: make(map[poolKey]*pool), work: make(map[string]*workMeter)}
 }
@@ -128,22 +124,28 @@
 		Idempotent: q.Idempotent,
 		Deadline:   q.Deadline,
 	}
-	for try := 0; ; try++ {
-		ticket, err := p.pick(ctx, r)
-		if err != nil {
-			return nil, err
-		}
-		if slices.Contains(q.Exclude, ticket.Instance) && try < maxOther {
-			p.done(ticket, balance.Cancelled)
-			continue
-		}
-		trial, verdictErr := s.crash.begin(ctx, q, ticket.Instance)
-		if verdictErr == nil {
+	ticket, err := p.pick(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if slices.Contains(q.Exclude, ticket.Instance) {
+		// An instance that was tried is better than none.
+		ticket = p.waitOther(ctx, ticket, r, q.Exclude)
+	}
+	exclude := q.Exclude
+	for {
+		trial, err := s.crash.begin(ctx, q, ticket.Instance)
+		if err == nil {
 			return &selection{s: s, q: *q, pool: p, region: region, ticket: ticket, trial: trial}, nil
 		}
-		p.done(ticket, balance.Cancelled)
-		if !errors.Is(verdictErr, errOtherInstance) || try >= maxOther {
-			return nil, refusalOf(verdictErr)
+		found := false
+		if errors.Is(err, errOtherInstance) {
+			exclude = append(slices.Clip(exclude), ticket.Instance)
+			ticket, found = p.other(ticket, r, exclude)
+		}
+		if !found {
+			p.done(ticket, balance.Cancelled)
+			return nil, refusalOf(err)
 		}
 	}
 }
--- /dev/null
+++ b/node/selector_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Guards against retries that go to the instance that failed before: while its
+// next probe was due, every new choice was that instance again.
+func TestRetryAvoidsTheFailedInstance(t *testing.T) {
+	s := newTestSelector(3, 4)
+	ctx := context.Background()
+	fingerprint := byte(0)
+	query := func(exclude ...string) *proxy.Query {
+		fingerprint++
+		q := testQuery(fingerprint)
+		q.Exclude = exclude
+		return q
+	}
+	const dead = "i-1"
+	for range 100 {
+		selection, err := s.Select(ctx, query())
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := proxy.Outcome{Verdict: verdict.Ran}
+		if selection.Instance().ID == dead {
+			o = proxy.Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonConnectFailed}
+		}
+		selection.Done(o)
+	}
+	// The first probe of a suspected instance is due after 150 ms.
+	for range 5 {
+		time.Sleep(200 * time.Millisecond)
+		selection, err := s.Select(ctx, query(dead))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if selection.Instance().ID == dead {
+			t.Fatal("the retry went to the excluded instance")
+		}
+		selection.Done(proxy.Outcome{Verdict: verdict.Ran})
+	}
+}
+
+// Guards against a retry that waits for a place which it holds itself.
+func TestOnlyInstanceIsTriedAgain(t *testing.T) {
+	s := newTestSelector(1, 1)
+	q := testQuery(1)
+	q.Exclude = []string{"i-1"}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for range 3 {
+		selection, err := s.Select(ctx, q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		selection.Done(proxy.Outcome{Verdict: verdict.Ran})
+	}
+}
+
+// Guards against a retry that goes back to the failed instance because all
+// places elsewhere are taken for the moment.
+func TestRetryWaitsForAnotherInstance(t *testing.T) {
+	s := newTestSelector(2, 1)
+	ctx := context.Background()
+	first, err := s.Select(ctx, testQuery(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		time.Sleep(otherWait / 5)
+		first.Done(proxy.Outcome{Verdict: verdict.Ran})
+	}()
+	failed := map[string]string{"i-1": "i-2", "i-2": "i-1"}[first.Instance().ID]
+	q := testQuery(2)
+	q.Exclude = []string{failed}
+	second, err := s.Select(ctx, q)
+	if err != nil || second.Instance().ID == failed {
+		t.Fatalf("selected %v, error %v", second, err)
+	}
+	second.Done(proxy.Outcome{Verdict: verdict.Ran})
+}
