Let requests that waited for a suspect pass the region's limit in turn

Cause: when a suspect was cleared, all equal requests that had waited for it went on at the same moment, more than the region's limit lets in.

--- a/node/selector.go
+++ b/node/selector.go
@@ -44,7 +44,7 @@
 // Select implements proxy.Selector. A suspect of the crash guard waits for its
 // turn before it takes up a place.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
-	t, err := s.crash.turn(ctx, q)
+	t, waited, err := s.crash.turn(ctx, q)
 	if err != nil {
 		return nil, err
 	}
@@ -54,7 +54,7 @@
 			chosen.turn = t
 			return chosen, nil
 		}
-		if t == nil || !t.again(ctx, err) {
+		if !t.again(ctx, err) && !crowded(ctx, waited, err) {
 			s.crash.endTurn(t)
 			return nil, err
 		}
--- a/node/turn.go
+++ b/node/turn.go
@@ -34,16 +34,18 @@
 }
 
 // turn waits until no other request of this VM tries the suspect. It returns nil
-// for a request that is no suspect.
-func (c *crashNotes) turn(ctx context.Context, q *proxy.Query) (*turn, error) {
+// for a request that is no suspect. waited is until when a request that waited
+// may go on to wait, zero for one that did not.
+func (c *crashNotes) turn(ctx context.Context, q *proxy.Query) (t *turn, waited time.Time, err error) {
 	var f crashguard.Fingerprint
 	copy(f[:], q.Fingerprint[:])
 	until := time.Now().Add(turnTimeout)
 	for {
 		t, other, err := c.takeTurn(f, until)
 		if other == nil {
-			return t, err
+			return t, waited, err
 		}
+		waited = until
 		timer := time.NewTimer(time.Until(until))
 		select {
 		case <-other.ended:
@@ -57,7 +59,7 @@
 		c.waiting--
 		c.mu.Unlock()
 		if err != nil {
-			return nil, err
+			return nil, waited, err
 		}
 	}
 }
@@ -93,10 +95,25 @@
 // because another VM tries the suspect or no other instance is free.
 func (t *turn) again(ctx context.Context, err error) bool {
 	var e *verdict.Error
-	if !errors.As(err, &e) || e.Reason != verdict.ReasonCrashGuard || e.RetryAfter > time.Second {
+	if t == nil || !errors.As(err, &e) || e.Reason != verdict.ReasonCrashGuard || e.RetryAfter > time.Second {
 		return false
 	}
-	if time.Now().Add(turnPause).After(t.until) {
+	return pauseUntil(ctx, t.until)
+}
+
+// crowded tells whether a request that waited for a turn is to try again. All of
+// them go on at the same moment, which is more than the region's limit lets in.
+func crowded(ctx context.Context, until time.Time, err error) bool {
+	var e *verdict.Error
+	if until.IsZero() || !errors.As(err, &e) {
+		return false
+	}
+	return (e.Reason == verdict.ReasonRegionLimit || e.Reason == verdict.ReasonSaturated) && pauseUntil(ctx, until)
+}
+
+// pauseUntil waits for turnPause, unless that would pass the limit or ctx ends.
+func pauseUntil(ctx context.Context, limit time.Time) bool {
+	if time.Now().Add(turnPause).After(limit) {
 		return false
 	}
 	timer := time.NewTimer(turnPause)
--- a/node/turn_test.go
+++ b/node/turn_test.go
@@ -50,7 +50,7 @@
 	}
 	first.Done(proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
 
-	const reads = 20
+	const reads = 100
 	var group sync.WaitGroup
 	var refused, early atomic.Int64
 	var cleared atomic.Bool
