--- a/node/selector.go
+++ b/node/selector.go
@@ -33,10 +33,6 @@
 
 type poolKey struct{ service, region string }
 
-// maxOther bounds how often an instance is chosen anew because the crash guard
-// or an earlier attempt excludes it.
-const maxOther = 8
-
 func newSelector(gate *plan.Gate, crash *crashNotes) *selector {
 	return &selector{gate: gate, crash: crash, pools: make(map[poolKey]*pool), work: make(map[string]*workMeter), queues: make(map[string]*gateQueue)}
 }
@@ -47,8 +43,27 @@
 	return s.pools[poolKey{service, region}]
 }
 
-// Select implements proxy.Selector.
+// Select implements proxy.Selector. A suspect of the crash guard waits for its
+// turn before it takes up a place.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
+	t, waited, err := s.crash.turn(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		chosen, err := s.selectOnce(ctx, q)
+		if err == nil {
+			chosen.turn = t
+			return chosen, nil
+		}
+		if !t.again(ctx, err) && !crowded(ctx, waited, err) {
+			s.crash.endTurn(t)
+			return nil, err
+		}
+	}
+}
+
+func (s *selector) selectOnce(ctx context.Context, q *proxy.Query) (*selection, error) {
 	grant, err := s.admit(ctx, q)
 	if err != nil {
 		return nil, err
@@ -108,22 +123,28 @@
 		Idempotent: q.Idempotent,
 		Deadline:   q.Deadline,
 	}
-	for try := 0; ; try++ {
-		ticket, err := p.pick(ctx, r)
-		if err != nil {
-			return nil, err
-		}
-		if slices.Contains(q.Exclude, ticket.Instance) && try < maxOther {
-			p.done(ticket, balance.Cancelled)
-			continue
-		}
-		trial, verdictErr := s.crash.begin(ctx, q, ticket.Instance)
-		if verdictErr == nil {
+	ticket, err := p.pick(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if slices.Contains(q.Exclude, ticket.Instance) {
+		// An instance that was tried is better than none.
+		ticket = p.waitOther(ctx, ticket, r, q.Exclude)
+	}
+	exclude := q.Exclude
+	for {
+		trial, err := s.crash.begin(ctx, q, ticket.Instance)
+		if err == nil {
 			return &selection{s: s, q: *q, pool: p, region: region, ticket: ticket, trial: trial}, nil
 		}
-		p.done(ticket, balance.Cancelled)
-		if !errors.Is(verdictErr, errOtherInstance) || try >= maxOther {
-			return nil, refusalOf(verdictErr)
+		found := false
+		if errors.Is(err, errOtherInstance) {
+			exclude = append(slices.Clip(exclude), ticket.Instance)
+			ticket, found = p.other(ticket, r, exclude)
+		}
+		if !found {
+			p.done(ticket, balance.Cancelled)
+			return nil, refusalOf(err)
 		}
 	}
 }
@@ -155,6 +176,8 @@
 	ticket balance.Ticket
 	trial  crashguard.Ticket
 	grant  plan.Grant
+	// turn is nil unless the request was a suspect of the crash guard.
+	turn *turn
 }
 
 // Instance implements proxy.Selection.
@@ -197,6 +220,7 @@
 func (c *selection) Done(o proxy.Outcome) {
 	c.pool.done(c.ticket, outcomeOf(o))
 	c.s.crash.end(c.trial, o)
+	c.s.crash.endTurn(c.turn)
 	c.s.release(c.q.Service.Name, &c.grant, o.AnswerBytes)
 	c.s.ended(c, o)
 }
