--- a/rules/rules.go
+++ b/rules/rules.go
@@ -22,6 +22,9 @@
 	// HeadroomPercent is the part of each region's slots and each link that
 	// traffic from other regions never uses. Zero means 10.
 	HeadroomPercent float64 `json:"headroom_percent,omitempty"`
+	// Teams may change the configuration through the administration API. With
+	// none, only the loopback address of a VM may.
+	Teams []Team `json:"teams,omitempty"`
 }
 
 // AnyService in a cap applies to every service without a cap of its own.
@@ -164,7 +167,7 @@
 	for i := range r.Drains {
 		errs = append(errs, r.Drains[i].validate(fmt.Sprintf("drains[%d]", i), ids)...)
 	}
-	return errs
+	return append(errs, r.validateTeams()...)
 }
 
 func (d *Drain) validate(field string, ids map[string]bool) Errors {
