--- a/plan/plan.go
+++ b/plan/plan.go
@@ -116,6 +116,18 @@
 	// and of the region they reach.
 	Links [][]int64 `json:"links"`
 	VMs   []Share   `json:"vms"`
+	// Recent are the last moves for reports, the latest last. They travel with
+	// the plan, so that each VM can show them.
+	Recent []Noted `json:"recent,omitempty"`
+}
+
+// MaxRecent bounds Plan.Recent, which every VM fetches with each plan.
+const MaxRecent = 8
+
+// Noted is a move with the time of its plan.
+type Noted struct {
+	At time.Time `json:"at"`
+	Move
 }
 
 // Service is the plan of one service.
--- a/report/report.go
+++ b/report/report.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Width is the most columns of a line of text.
@@ -25,6 +26,17 @@
 	Answered int64            `json:"answered"`
 	Refused  map[string]int64 `json:"refused"`
 	Retried  map[string]int64 `json:"retried"`
+	// Slow upstreams get no ordinary work; Stuck drains make no progress;
+	// Crashing are requests that crash upstreams; Stale is data that is too old,
+	// with its age.
+	Slow     []string `json:"slow"`
+	Stuck    []string `json:"stuck_drains"`
+	Crashing []string `json:"crashing"`
+	Stale    []string `json:"stale"`
+	// Store is the state of the store in words. Empty leaves it out.
+	Store string `json:"store,omitempty"`
+	// Lines are shown as curves on the page.
+	Lines []Line `json:"lines,omitempty"`
 	// Facts are further counts, such as requests run twice.
 	Facts []Fact `json:"facts"`
 }
@@ -39,6 +51,28 @@
 type Move struct {
 	What string `json:"what"`
 	Why  string `json:"why"`
+	// From, To and Amount say the same in parts. Empty where What says it all.
+	From   string `json:"from,omitempty"`
+	To     string `json:"to,omitempty"`
+	Amount string `json:"amount,omitempty"`
+}
+
+// Sentence is the move in one line.
+func (m Move) Sentence() string {
+	if m.From == "" {
+		return m.What
+	}
+	return m.What + ": " + m.Amount + " from " + m.From + " to " + m.To
+}
+
+// Line is a measured value over time.
+type Line struct {
+	Name string `json:"name"`
+	Unit string `json:"unit"`
+	// Every is the time between two points.
+	Every time.Duration `json:"every_ns"`
+	// Points are oldest first.
+	Points []float64 `json:"points"`
 }
 
 // Fact is a named count.
@@ -55,13 +89,25 @@
 	r.textRisks(&b)
 	section(&b, "MOVED", len(r.Moves))
 	for _, m := range r.Moves {
-		bullet(&b, m.What)
+		bullet(&b, m.Sentence())
 		indent(&b, "why: "+m.Why)
 	}
 	section(&b, "PLANNED", len(r.Planned))
 	for _, p := range r.Planned {
 		bullet(&b, p)
 	}
+	for _, l := range r.lists() {
+		if len(l.Items) == 0 {
+			continue
+		}
+		line(&b, "%s", strings.ToUpper(l.Title))
+		for _, item := range l.Items {
+			bullet(&b, item)
+		}
+	}
+	if r.Store != "" {
+		line(&b, "STORE: %s", r.Store)
+	}
 	line(&b, "ANSWERED %d", r.Answered)
 	counts(&b, "REFUSED", r.Refused)
 	counts(&b, "RETRIED", r.Retried)
@@ -71,6 +117,21 @@
 	return b.String()
 }
 
+// list is a titled list of sentences.
+type list struct {
+	Title string
+	Items []string
+}
+
+func (r *Report) lists() []list {
+	return []list{
+		{"Slow upstreams", r.Slow},
+		{"Stuck drains", r.Stuck},
+		{"Requests that crash upstreams", r.Crashing},
+		{"Stale data", r.Stale},
+	}
+}
+
 func (r *Report) textRisks(b *strings.Builder) {
 	if len(r.Risks) == 0 {
 		line(b, "AT RISK: no")
@@ -111,7 +172,7 @@
 
 // row puts a value at the right margin.
 func row(b *strings.Builder, name, value string) {
-	space := Width - len(name) - len(value)
+	space := Width - columns(name) - columns(value)
 	if space < 1 {
 		line(b, "%s", name)
 		line(b, "  %s", value)
@@ -120,6 +181,8 @@
 	b.WriteString(name + strings.Repeat(" ", space) + value + "\n")
 }
 
+func columns(s string) int { return utf8.RuneCountInString(s) }
+
 func line(b *strings.Builder, format string, args ...any) {
 	wrap(b, fmt.Sprintf(format, args...), "", "  ")
 }
@@ -132,18 +195,19 @@
 	current := first
 	empty := true
 	for _, word := range strings.Fields(text) {
-		for len(current)+len(word)+1 > Width {
+		for columns(current)+columns(word)+1 > Width {
 			if !empty {
 				b.WriteString(strings.TrimRight(current, " ") + "\n")
 				current, empty = rest, true
 				continue
 			}
-			room := Width - len(current)
-			if len(word) <= room {
+			room := Width - columns(current)
+			runes := []rune(word)
+			if len(runes) <= room {
 				break
 			}
-			b.WriteString(current + word[:room] + "\n")
-			word, current = word[room:], rest
+			b.WriteString(current + string(runes[:room]) + "\n")
+			word, current = string(runes[room:]), rest
 		}
 		if !empty {
 			current += " "
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 )
 
 // Guards against lines that a small screen breaks, and against lost words.
@@ -15,14 +16,18 @@
 		Planned: []string{strings.Repeat("word ", 30)},
 		Refused: map[string]int64{"key-in-progress": 2, strings.Repeat("long", 20): 1},
 		Facts:   []Fact{{"run twice", "0"}},
+		Slow:    []string{"proefbank-rotterdam-a-1: 9 in flight from this VM, slower than the others"},
+		Stuck:   []string{strings.Repeat("é", 90)},
+		Store:   "no answer for 34 s; the last configuration stays in force and changes are refused",
 	}
 	text := r.Text()
 	for _, l := range strings.Split(text, "\n") {
-		if len(l) > Width {
+		if utf8.RuneCountInString(l) > Width || !utf8.ValidString(l) {
 			t.Errorf("%d columns: %q", len(l), l)
 		}
 	}
-	if strings.Count(text, "word") != 30 || strings.Count(text, "x") < 100 || !strings.Contains(text, "AT RISK: YES") {
+	if strings.Count(text, "word") != 30 || strings.Count(text, "x") < 100 || strings.Count(text, "é") != 90 ||
+		!strings.Contains(text, "AT RISK: YES") || !strings.Contains(text, "SLOW UPSTREAMS") || !strings.Contains(text, "STORE: no answer") {
 		t.Errorf("words were lost:\n%s", text)
 	}
 }
