Read the index under the lock in the store stand-in

Cause: "go test -race ./control" reported a data race: a blocking query read the index of an entry after it had released the lock. Change: the comparison is made while the lock is held. Conclusion: "go test -race ./control ./store/..." passes.

--- a/store/standin/http.go
+++ b/store/standin/http.go
@@ -168,6 +168,7 @@
 		s.mu.Lock()
 		s.expire()
 		e := s.entries[key]
+		moved := e == nil || e.index != after
 		changed := s.changed
 		stuck := s.fault.StuckWatches
 		down := s.fault.Down
@@ -175,7 +176,7 @@
 		if down {
 			panic(http.ErrAbortHandler)
 		}
-		if !stuck && (e == nil || e.index != after) {
+		if !stuck && moved {
 			return
 		}
 		expired := timer.C
