Count the work of a drain on all VMs on request

Cause: an operator who waits for a drain needs the work in flight on all VMs, and /v1/drains knew only that of the VM that answered. Change: the Version call between VMs tells the drains that have not finished, and the version from which they come; /v1/drains asks all VMs while a drain is in effect and names those that do not answer. Conclusion: a drain counts as finished only when every VM has the version, the grace has passed and nothing is in flight.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -36,6 +36,8 @@
 	InForce(ctx context.Context, version uint64, report func(control.Progress)) control.Progress
 	// DrainProgress returns the drains in effect with this VM's work in flight.
 	DrainProgress() []drain.Progress
+	// DrainCounts asks all VMs. Those without the given version are missing.
+	DrainCounts(ctx context.Context, version uint64) DrainCounts
 	Report() *report.Report
 	// Explain says where callers at an address, or requests of a service, go.
 	Explain(caller netip.Addr, service string) (*Explanation, error)
@@ -45,6 +47,15 @@
 	State() any
 }
 
+// DrainCounts is the work in flight on drained targets over all VMs.
+type DrainCounts struct {
+	InFlight map[string]int
+	// Unfinished drains may still get new work somewhere, or have work in flight.
+	Unfinished map[string]bool
+	// Missing are the VMs that did not answer or have an older version.
+	Missing []string
+}
+
 // Health tells whether a VM takes callers.
 type Health struct {
 	Ready   bool `json:"ready"`
@@ -79,7 +90,7 @@
 	Backend Backend
 	// Log receives events. Nil means none.
 	Log *slog.Logger
-	// ReadTimeout bounds reads of the store. Zero means 3 s.
+	// ReadTimeout bounds reads of the store. Zero means 2 s.
 	ReadTimeout time.Duration
 	// ChangeTimeout bounds a change. Zero means 20 s.
 	ChangeTimeout time.Duration
@@ -92,7 +103,7 @@
 
 // Defaults of Options.
 const (
-	DefaultReadTimeout   = 3 * time.Second
+	DefaultReadTimeout   = 2 * time.Second
 	DefaultChangeTimeout = 20 * time.Second
 	DefaultMaxBody       = 1 << 20
 	DefaultMaxRegister   = 96 << 20
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -60,7 +60,11 @@
 	return p
 }
 
-func (f *fake) DrainProgress() []drain.Progress                  { return nil }
+func (f *fake) DrainProgress() []drain.Progress { return nil }
+func (f *fake) DrainCounts(context.Context, uint64) DrainCounts {
+	return DrainCounts{InFlight: map[string]int{"d1": 4}, Unfinished: map[string]bool{"d1": true}, Missing: f.lagging}
+}
+
 func (f *fake) Report() *report.Report                           { return &report.Report{Name: "test", At: time.Unix(0, 0)} }
 func (f *fake) Events(uint64) []event.Entry                      { return nil }
 func (f *fake) Health() Health                                   { return Health{Ready: true} }
@@ -222,6 +226,8 @@
 	b.want(b.do("GET", "/v1/changes/4/diff?from=1", ""), http.StatusOK, `"total":0`)
 	b.want(b.do("GET", "/v1/changes/99/progress", ""), http.StatusNotFound)
 	b.fake.lagging = []string{"vm-3"}
+	b.want(b.do("POST", "/v1/drains", drainOne, "If-Match", `"4"`, HeaderChangeID, "c-5"), http.StatusOK, `"version":5`)
+	b.want(b.do("GET", "/v1/drains", ""), http.StatusOK, `"state":"active","in_flight":4,"unknown":["vm-3"]`)
 	b.want(b.do("GET", "/v1/changes/4/progress", ""), http.StatusOK, "in force on 2 of 3", "lagging: vm-3")
 }
 
--- a/admin/read.go
+++ b/admin/read.go
@@ -10,7 +10,6 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 
-	"github.com/currantferry/currantferry/drain"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/register"
 	"github.com/currantferry/currantferry/report"
@@ -204,12 +203,17 @@
 	return nil
 }
 
-// DrainRow is a drain with its progress on this VM.
+// DrainRow is a drain with its progress over all VMs.
 type DrainRow struct {
 	rules.Drain
-	// State is planned, active or ended.
-	State    string          `json:"state"`
-	Progress *drain.Progress `json:"progress,omitempty"`
+	// State is planned, active, finished or ended. A finished drain is in effect
+	// and has no work in flight on any VM.
+	State    string `json:"state"`
+	InFlight int    `json:"in_flight"`
+	// Unknown names the VMs whose part of InFlight is not known.
+	Unknown []string `json:"unknown,omitempty"`
+	// Stuck means that this VM's part has not become less for 60 s.
+	Stuck bool `json:"stuck,omitempty"`
 }
 
 // Drains is the body of /v1/drains.
@@ -218,28 +222,34 @@
 	Drains  []DrainRow `json:"drains"`
 }
 
-func (a *API) getDrains(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) error {
+func (a *API) getDrains(w http.ResponseWriter, r *http.Request, _ httprouter.Params) error {
 	s, err := a.snapshot()
 	if err != nil {
 		return err
 	}
 	out := Drains{Version: s.Head.Version, Drains: []DrainRow{}}
-	progress := make(map[string]drain.Progress)
+	stuck := make(map[string]bool)
 	for _, p := range a.o.Backend.DrainProgress() {
-		progress[p.Drain] = p
+		stuck[p.Drain] = p.Stuck
 	}
 	now := a.now()
+	var counts *DrainCounts
 	for _, d := range s.Rules.Drains {
 		row := DrainRow{Drain: d, State: "planned"}
 		switch {
 		case d.Active(now):
+			if counts == nil {
+				asked := a.o.Backend.DrainCounts(r.Context(), s.Head.Version)
+				counts = &asked
+			}
 			row.State = "active"
+			if len(counts.Missing) == 0 && !counts.Unfinished[d.ID] {
+				row.State = "finished"
+			}
+			row.InFlight, row.Unknown, row.Stuck = counts.InFlight[d.ID], counts.Missing, stuck[d.ID]
 		case !now.Before(d.Start):
 			row.State = "ended"
 		}
-		if p, ok := progress[d.ID]; ok {
-			row.Progress = &p
-		}
 		out.Drains = append(out.Drains, row)
 	}
 	w.Header().Set("ETag", etag(s.Head.Version))
--- a/control/control.go
+++ b/control/control.go
@@ -66,6 +66,10 @@
 	// OnSection is called with a newer section of another VM.
 	OnSection func(member.Section)
 
+	// Draining returns the drains that have not finished here, and the version
+	// from which they come. Nil means none.
+	Draining func() ([]*peerpb.DrainState, uint64)
+
 	// OnCrashNotes is called with crash notes of other VMs, concurrently.
 	OnCrashNotes func([]*peerpb.CrashNote)
 	// Chunk returns further data by hash, for example the plan. Nil means none.
--- a/control/loop.go
+++ b/control/loop.go
@@ -250,10 +250,12 @@
 
 // Versions implements peer.Handler.
 func (c *Control) Versions(context.Context) *peerpb.VersionReply {
+	r := &peerpb.VersionReply{Id: c.opts.Self.ID, DataCentre: c.opts.Self.DataCentre, Region: c.opts.Self.Region}
+	if c.opts.Draining != nil {
+		r.Draining, r.DrainsVersion = c.opts.Draining()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &peerpb.VersionReply{
-		Id: c.opts.Self.ID, DataCentre: c.opts.Self.DataCentre, Region: c.opts.Self.Region,
-		Config: c.tracker.Version(), Plan: c.cluster.Doc(member.Plan).Version,
-	}
+	r.Config, r.Plan = c.tracker.Version(), c.cluster.Doc(member.Plan).Version
+	return r
 }
--- a/control/publish.go
+++ b/control/publish.go
@@ -146,3 +146,30 @@
 	}
 	calls.Wait()
 }
+
+// AskVersions asks all other VMs that are not gone what they have in force. It
+// also returns the IDs of those that did not answer.
+func (c *Control) AskVersions(ctx context.Context) (replies map[string]*peerpb.VersionReply, silent []string) {
+	replies = make(map[string]*peerpb.VersionReply)
+	var mu sync.Mutex
+	calls := pool.New().WithMaxGoroutines(inForceCalls)
+	for _, m := range c.Members() {
+		if m.State == member.Gone || m.Incarnation.Boot == 0 || m.ID == c.opts.Self.ID {
+			continue
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, inForceCall)
+			defer cancel()
+			v, err := c.opts.Pool.Version(ctx, m.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || v.Id != m.ID {
+				silent = append(silent, m.ID)
+				return
+			}
+			replies[m.ID] = v
+		})
+	}
+	calls.Wait()
+	return replies, silent
+}
--- a/node/node.go
+++ b/node/node.go
@@ -196,7 +196,7 @@
 		Seeds: n.resolveSeeds(), StoreTimeout: s.Store.Timeout, Log: n.log,
 		Member:     member.Options{Sections: sectionKinds(s.Once.Partitions)},
 		OnSnapshot: n.onSnapshot, OnReady: n.onReady, OnMember: n.onMember,
-		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk,
+		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk, Draining: n.draining,
 	})
 	if err != nil {
 		l.Close()
--- a/node/observe.go
+++ b/node/observe.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/currantferry/currantferry/admin"
 	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/drain"
+	"github.com/currantferry/currantferry/peer/peerpb"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/report"
 	"github.com/currantferry/currantferry/verdict"
@@ -111,17 +115,72 @@
 	n.mu.Lock()
 	total := 0
 	for _, p := range n.drains.Progress(now) {
-		sum := 0
-		for _, id := range n.drains.Covered(p.Drain) {
-			sum += stats[id].InFlight
-		}
-		n.drains.Observe(now, p.Drain, sum)
-		total += sum
+		count := inFlightOn(stats, n.drains.Covered(p.Drain))
+		n.drains.Observe(now, p.Drain, count)
+		total += count
 	}
 	n.mu.Unlock()
 	n.observed.point(now, 100*n.leastHeadroom(), float64(total))
 }
 
+func inFlightOn(stats map[string]balance.Stat, instances []string) int {
+	count := 0
+	for _, id := range instances {
+		count += stats[id].InFlight
+	}
+	return count
+}
+
+// draining returns the drains in effect that have not finished on this VM, and
+// the version from which they come.
+func (n *Node) draining() ([]*peerpb.DrainState, uint64) {
+	now := time.Now()
+	stats := n.instanceStats(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []*peerpb.DrainState
+	if n.snapshot == nil {
+		return nil, 0
+	}
+	for _, p := range n.drains.Progress(now) {
+		since := p.Since
+		if n.noticed.After(since) {
+			since = n.noticed
+		}
+		d := &peerpb.DrainState{
+			Id: p.Drain, InFlight: uint32(inFlightOn(stats, n.drains.Covered(p.Drain))),
+			Settling: now.Sub(since) < drain.DefaultGrace,
+		}
+		if d.InFlight > 0 || d.Settling {
+			out = append(out, d)
+		}
+	}
+	return out, n.snapshot.Head.Version
+}
+
+// DrainCounts implements admin.Backend.
+func (o operations) DrainCounts(ctx context.Context, version uint64) admin.DrainCounts {
+	out := admin.DrainCounts{InFlight: make(map[string]int), Unfinished: make(map[string]bool)}
+	add := func(id string, states []*peerpb.DrainState, of uint64) {
+		if of < version {
+			out.Missing = append(out.Missing, id)
+		}
+		for _, d := range states {
+			out.InFlight[d.GetId()] += int(d.GetInFlight())
+			out.Unfinished[d.GetId()] = true
+		}
+	}
+	replies, silent := o.n.control.AskVersions(ctx)
+	out.Missing = silent
+	for id, r := range replies {
+		add(id, r.GetDraining(), r.GetDrainsVersion())
+	}
+	states, of := o.n.draining()
+	add(o.n.self.ID, states, of)
+	slices.Sort(out.Missing)
+	return out
+}
+
 // leastHeadroom returns the smallest free fraction of a service's slots in a
 // region, as the plan in force has it. Without a plan it is 1.
 func (n *Node) leastHeadroom() float64 {
