Add the operators' commands against the administration API

Cause: the command could only check a register, import it straight into the store and run the demo. Change: register, drain, cap, changes, status, report, explain, config check, version and completion work against the admin listener of any VM, with -json, tables that fit the terminal, exit codes by kind of refusal, and -wait with a progress line. A change is sent again with the same change ID while the store or the VM does not answer. "register import -store" stays as the bootstrap.

--- /dev/null
+++ b/adminclient/client.go
@@ -0,0 +1,193 @@
+// Package adminclient calls the administration API of an entry VM.
+package adminclient
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/admin"
+)
+
+// Options of a Client.
+type Options struct {
+	// Address is IP:PORT, or a URL that starts with https://.
+	Address string
+	// Token of a team. Empty means none.
+	Token string
+	// CAFile verifies the server's certificate. Empty means the system's.
+	CAFile string
+	// Notice is told why a change is sent again. Nil means nobody.
+	Notice func(text string)
+}
+
+// Client calls one VM. It is safe for concurrent use.
+type Client struct {
+	o    Options
+	base string
+	http *http.Client
+}
+
+// maxAnswer bounds an answer; a register with 780,000 client blocks is smaller.
+const maxAnswer = 128 << 20
+
+// New returns a client.
+func New(o Options) (*Client, error) {
+	if o.Address == "" {
+		return nil, errors.New("no VM is named; set -admin IP:PORT or CURRANTFERRY_ADMIN")
+	}
+	c := &Client{o: o, base: strings.TrimSuffix(o.Address, "/"), http: new(http.Client)}
+	if !strings.Contains(c.base, "://") {
+		c.base = "http://" + c.base
+	}
+	if o.CAFile != "" {
+		pem, err := os.ReadFile(o.CAFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "certificate authority")
+		}
+		roots := x509.NewCertPool()
+		if !roots.AppendCertsFromPEM(pem) {
+			return nil, errors.Errorf("%s holds no certificate in PEM form", o.CAFile)
+		}
+		c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+	}
+	return c, nil
+}
+
+// UnreachableError means that the VM gave no answer.
+type UnreachableError struct {
+	Address string
+	Err     error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("no answer from %s: %v\nCheck the address, or use another VM: each one serves the same API.", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Change describes a change.
+type Change struct {
+	// ID makes resends safe. Empty means a new random one.
+	ID string
+	// Base is the version that the change is based on.
+	Base    uint64
+	By, Why string
+}
+
+// Get reads a path into v, or the raw body where v is a *[]byte. It returns the
+// version in ETag, or zero.
+func (c *Client) Get(ctx context.Context, path string, v any) (uint64, error) {
+	return c.do(ctx, http.MethodGet, path, nil, nil, v)
+}
+
+// Post sends a body that changes nothing, such as a preview.
+func (c *Client) Post(ctx context.Context, path string, body []byte, v any) error {
+	_, err := c.do(ctx, http.MethodPost, path, body, nil, v)
+	return err
+}
+
+// Waits between two sends of a change.
+const (
+	minResend = 500 * time.Millisecond
+	maxResend = 5 * time.Second
+)
+
+// Send makes a change. While the store or the VM gives no answer, it is sent
+// again with the same change ID until ctx ends; it takes effect at most once.
+func (c *Client) Send(ctx context.Context, method, path string, body []byte, ch Change) (admin.Accepted, error) {
+	if ch.ID == "" {
+		ch.ID = rand.Text()
+	}
+	for pause := minResend; ; pause = min(2*pause, maxResend) {
+		var out admin.Accepted
+		_, err := c.do(ctx, method, path, body, &ch, &out)
+		if err == nil || !temporary(err) {
+			return out, err
+		}
+		if c.o.Notice != nil {
+			first, _, _ := strings.Cut(err.Error(), "\n")
+			c.o.Notice(first + "; sending again with change ID " + ch.ID)
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return out, errors.WithMessagef(err, "gave up after several sends of change ID %s; use -change-id %s to send it again", ch.ID, ch.ID)
+		}
+	}
+}
+
+// temporary tells whether the same change may be accepted later.
+func temporary(err error) bool {
+	var p *admin.Problem
+	if errors.As(err, &p) {
+		return p.Status == http.StatusServiceUnavailable
+	}
+	var u *UnreachableError
+	return errors.As(err, &u)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, ch *Change, v any) (uint64, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	if c.o.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.o.Token)
+	}
+	if len(body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if ch != nil {
+		req.Header.Set("If-Match", `"`+strconv.FormatUint(ch.Base, 10)+`"`)
+		req.Header.Set(admin.HeaderChangeID, ch.ID)
+		req.Header.Set(admin.HeaderWhy, ch.Why)
+		req.Header.Set(admin.HeaderBy, ch.By)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, &UnreachableError{c.base, err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return 0, &UnreachableError{c.base, err}
+	}
+	if res.StatusCode != http.StatusOK && !isHealth(path, res.StatusCode) {
+		p := &admin.Problem{}
+		if json.Unmarshal(data, p) != nil || p.Text == "" {
+			p.Text = strings.TrimSpace(string(data))
+		}
+		p.Status = res.StatusCode
+		return 0, p
+	}
+	version, _ := strconv.ParseUint(strings.Trim(res.Header.Get("ETag"), `"`), 10, 64)
+	switch v := v.(type) {
+	case nil:
+	case *[]byte:
+		*v = data
+	default:
+		if err := json.Unmarshal(data, v); err != nil {
+			return 0, errors.Wrapf(err, "%s did not answer in the expected form; its release may differ from that of this command", c.base)
+		}
+	}
+	return version, nil
+}
+
+// isHealth tells whether a 503 is the answer itself and no refusal.
+func isHealth(path string, status int) bool {
+	return path == "/v1/health" && status == http.StatusServiceUnavailable
+}
--- a/cmd/currantferry/main.go
+++ b/cmd/currantferry/main.go
@@ -12,8 +12,17 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(new(demoCommand), "")
-	subcommands.Register(new(registerCommand), "")
+	for _, c := range commands() {
+		subcommands.Register(c, "")
+	}
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
+
+func commands() []subcommands.Command {
+	return []subcommands.Command{
+		registerCommand(), drainCommand(), capCommand(), changesCommand(),
+		statusCommand(), reportCommand(), explainCommand(), configCommand(),
+		new(demoCommand), versionCommand(), completionCommand(),
+	}
+}
--- a/cmd/currantferry/register.go
+++ b/cmd/currantferry/register.go
@@ -5,13 +5,14 @@
 	"crypto/rand"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/admin"
 	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/configstore"
 	"github.com/currantferry/currantferry/register"
@@ -20,80 +21,165 @@
 	"github.com/currantferry/currantferry/store/kvhttp"
 )
 
-// registerCommand imports an asset register.
-type registerCommand struct {
-	store    string
-	file     string
-	by, why  string
-	changeID string
-	timeout  time.Duration
+func registerCommand() *command {
+	return newCommand("register", "import, show, compare or check the asset register",
+		action{name: "check", synopsis: "check a file without a VM", setup: registerCheck},
+		action{name: "diff", synopsis: "what an import of a file would change", remote: true, setup: registerDiff},
+		action{
+			name: "import", remote: true, change: true, optional: true, setup: registerImport,
+			synopsis: "make a file the register in force; with -store into an empty store before any VM runs",
+		},
+		action{name: "show", synopsis: "print the register in force", remote: true, setup: registerShow},
+	)
 }
 
-func (*registerCommand) Name() string     { return "register" }
-func (*registerCommand) Synopsis() string { return "import or check an asset register" }
-func (*registerCommand) Usage() string {
-	return "register check  -file FILE\n" +
-		"register import -file FILE -store IP:PORT[,IP:PORT] -by NAME -why TEXT [-change-id ID]\n" +
-		"  The rules in force are kept. A repeated import with the same change ID has no further effect.\n"
+// readRegister reads and checks a register, and returns its bytes.
+func readRegister(file string) ([]byte, *register.Register, error) {
+	if file == "" {
+		return nil, nil, errors.Wrap(errUsage, "-file is needed")
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	parsed, err := register.Parse(data)
+	if err != nil {
+		return nil, nil, errors.Errorf("%s is not a valid register:\n%v\nCorrect these fields; docs/REGISTER.md describes them", file, err)
+	}
+	return data, parsed, nil
 }
 
-func (c *registerCommand) SetFlags(*flag.FlagSet) {}
+func fileFlag(f *flag.FlagSet) *string { return f.String("file", "", "asset register (JSON)") }
+
+func registerCheck(f *flag.FlagSet) runFunc {
+	file := fileFlag(f)
+	return func(_ context.Context, e *env, _ []string) error {
+		_, parsed, err := readRegister(*file)
+		if err != nil {
+			return err
+		}
+		if e.json {
+			return e.printJSON(map[string]any{"valid": true, "services": len(parsed.Services)})
+		}
+		fmt.Fprintf(e.out, "%s: valid, %d services\n", *file, len(parsed.Services))
+		return nil
+	}
+}
 
-func (c *registerCommand) flags(action string) *flag.FlagSet {
-	f := flag.NewFlagSet("register "+action, flag.ContinueOnError)
-	f.StringVar(&c.store, "store", "", "addresses of the platform's store")
-	f.StringVar(&c.file, "file", "", "asset register (JSON)")
-	f.StringVar(&c.by, "by", os.Getenv("USER"), "who makes the change")
-	f.StringVar(&c.why, "why", "", "reason of the change")
-	f.StringVar(&c.changeID, "change-id", rand.Text(), "identifies the change when it is repeated")
-	f.DurationVar(&c.timeout, "timeout", 10*time.Second, "bound on the import")
-	return f
+func registerDiff(f *flag.FlagSet) runFunc {
+	file := fileFlag(f)
+	return func(ctx context.Context, e *env, _ []string) error {
+		data, _, err := readRegister(*file)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := e.bounded(ctx)
+		defer cancel()
+		var impact admin.Impact
+		if err := e.client.Post(ctx, "/v1/register/preview", data, &impact); err != nil {
+			return err
+		}
+		if e.json {
+			return e.printJSON(impact)
+		}
+		e.printImpact(&impact)
+		return nil
+	}
 }
 
-func (c *registerCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	action := f.Arg(0)
-	if action != "import" && action != "check" {
-		fmt.Fprint(os.Stderr, c.Usage())
-		return subcommands.ExitUsageError
+func (e *env) printImpact(i *admin.Impact) {
+	if i.Total == 0 {
+		fmt.Fprintln(e.out, "no difference")
+		return
 	}
-	if err := c.flags(action).Parse(f.Args()[1:]); err != nil {
-		return subcommands.ExitUsageError
+	for _, d := range i.Diff {
+		e.paragraph(d.String())
 	}
-	data, err := os.ReadFile(c.file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "register:", err)
-		return subcommands.ExitFailure
+	if rest := i.Total - len(i.Diff); rest > 0 {
+		fmt.Fprintf(e.out, "and %d more\n", rest)
 	}
-	parsed, err := register.Parse(data)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s is not a valid register:\n%v\n", c.file, err)
-		return subcommands.ExitFailure
+	for _, m := range i.Moves {
+		e.paragraph("moves: " + m)
 	}
-	if action == "check" {
-		fmt.Printf("%s: valid, %d services\n", c.file, len(parsed.Services))
-		return subcommands.ExitSuccess
+	if i.BlocksMoved > 0 || i.BlocksBefore != i.BlocksAfter {
+		e.paragraph(fmt.Sprintf("client blocks: %d before, %d after, %d get another site", i.BlocksBefore, i.BlocksAfter, i.BlocksMoved))
 	}
-	version, err := c.publish(ctx, parsed)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "register import:", err)
-		return subcommands.ExitFailure
+	for _, d := range i.Dropped {
+		e.paragraph("needs -confirm: " + d)
 	}
-	fmt.Printf("accepted as version %d\n", version)
-	return subcommands.ExitSuccess
 }
 
-// publish writes the register as the next version, with the rules in force.
-func (c *registerCommand) publish(ctx context.Context, r *register.Register) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+func (e *env) paragraph(text string) {
+	for i, line := range wrap(text, e.width-2) {
+		if i > 0 {
+			line = "  " + line
+		}
+		fmt.Fprintln(e.out, line)
+	}
+}
+
+func registerShow(f *flag.FlagSet) runFunc {
+	blocks := f.Bool("blocks", true, "include the client blocks; without them the output is no complete register")
+	return func(ctx context.Context, e *env, _ []string) error {
+		path := "/v1/register"
+		if !*blocks {
+			path += "?blocks=false"
+		}
+		// The register is printed as JSON in both forms, ready for an import.
+		e.json = true
+		return e.get(ctx, path, new(register.Register), nil)
+	}
+}
+
+func registerImport(f *flag.FlagSet) runFunc {
+	file := fileFlag(f)
+	addresses := f.String("store", "", "addresses of the platform's store, for the first import into an empty store")
+	confirm := f.Bool("confirm", false, "accept an import that drops more than 20 % of the slots of a service or region, or of the client blocks")
+	return func(ctx context.Context, e *env, _ []string) error {
+		data, parsed, err := readRegister(*file)
+		if err != nil {
+			return err
+		}
+		if *addresses != "" {
+			return e.bootstrap(ctx, *addresses, parsed)
+		}
+		if e.client == nil {
+			return errors.Wrap(errUsage, "-admin IP:PORT is needed, or -store for the first import into an empty store")
+		}
+		path := "/v1/register"
+		if *confirm {
+			path += "?confirm=true"
+		}
+		return e.send(ctx, http.MethodPut, path, data)
+	}
+}
+
+// bootstrap writes the register straight into the store.
+func (e *env) bootstrap(ctx context.Context, addresses string, r *register.Register) error {
+	ctx, cancel := e.bounded(ctx)
 	defer cancel()
-	client, err := kvhttp.New(kvhttp.Options{Addresses: strings.Split(c.store, ",")})
+	client, err := kvhttp.New(kvhttp.Options{Addresses: strings.Split(addresses, ",")})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer client.Close()
-	return publishRegister(ctx, client, r, config.Meta{ChangeID: c.changeID, By: c.by, At: time.Now(), Why: c.why})
+	id := e.change.ID
+	if id == "" {
+		id = rand.Text()
+	}
+	version, err := publishRegister(ctx, client, r, config.Meta{ChangeID: id, By: e.change.By, At: time.Now(), Why: e.change.Why})
+	if err != nil {
+		return errors.WithMessagef(err, "import into the store; send it again with -change-id %s", id)
+	}
+	if e.json {
+		return e.printJSON(admin.Accepted{Version: version, ChangeID: id})
+	}
+	fmt.Fprintf(e.out, "accepted as version %d\n", version)
+	return nil
 }
 
+// publishRegister writes the register as the next version, with the rules in
+// force.
 func publishRegister(ctx context.Context, s store.Store, r *register.Register, m config.Meta) (uint64, error) {
 	publisher := configstore.New(s, configstore.Options{})
 	content := config.Content{Register: r, Rules: new(rules.Rules)}
