Put risk and store first on the report page

Cause: at 360 px the empty lists pushed the curves far down and the state of the store below the counts. Conclusion: looked at in Chromium at 360 px, light and dark; "go test ./report" passes.

--- a/node/observe.go
+++ b/node/observe.go
@@ -85,7 +85,7 @@
 	}
 	line("Latency p99 on this VM", "ms", o.latency)
 	line("Least headroom of a region", "%", o.headroom)
-	line("In flight on drained instances", "requests", o.draining)
+	line("In flight on drained instances from this VM", "requests", o.draining)
 	return lines, o.answered
 }
 
--- a/report/html.go
+++ b/report/html.go
@@ -5,6 +5,7 @@
 	_ "embed" // For the page's template.
 	"fmt"
 	"html/template"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,14 @@
 // Most returns the greatest value in words.
 func (l Line) Most() string { return number(l.most()) + " " + l.Unit }
 
+// Least returns the smallest value in words.
+func (l Line) Least() string {
+	if len(l.Points) == 0 {
+		return "no data"
+	}
+	return number(slices.Min(l.Points)) + " " + l.Unit
+}
+
 // Span returns how much time the points cover.
 func (l Line) Span() string { return (time.Duration(len(l.Points)) * l.Every).String() }
 
--- a/report/html_test.go
+++ b/report/html_test.go
@@ -50,7 +50,7 @@
 			t.Error("curve without a line")
 		}
 	}
-	for _, id := range []string{"risk", "moved", "planned", "refused", "trouble", "store", "lines"} {
+	for _, id := range []string{"risk", "store", "moved", "planned", "refused", "trouble", "lines"} {
 		if !ids[id] {
 			t.Errorf("no section %s", id)
 		}
--- a/report/report.go
+++ b/report/report.go
@@ -96,6 +96,9 @@
 	for _, p := range r.Planned {
 		bullet(&b, p)
 	}
+	if r.Store != "" {
+		line(&b, "STORE: %s", r.Store)
+	}
 	for _, l := range r.lists() {
 		if len(l.Items) == 0 {
 			continue
@@ -105,9 +108,6 @@
 			bullet(&b, item)
 		}
 	}
-	if r.Store != "" {
-		line(&b, "STORE: %s", r.Store)
-	}
 	line(&b, "ANSWERED %d", r.Answered)
 	counts(&b, "REFUSED", r.Refused)
 	counts(&b, "RETRIED", r.Retried)
