Let operators repair the store and set rules

Cause: no program called Publisher.Restore, so that a store that was set back refused every change for good, and teams could be set only with curl. Change: POST /v1/store/restore writes the version in force back; the version in If-Match must be that one. "config restore", "config rules" and "config set-rules" use the API. Conclusion: a test sets the store back, sees 503, restores and reads the version back; "go test ./admin ./cmd/currantferry" passes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -32,6 +32,9 @@
 	// known to have taken effect.
 	Publish(ctx context.Context, base uint64, c config.Content, m config.Meta) (configstore.Result, error)
 	RollForward(ctx context.Context, base, to uint64, m config.Meta) (configstore.Result, error)
+	// Restore writes the version in force here back to a store that holds an
+	// older one.
+	Restore(ctx context.Context) error
 	// InForce asks the other VMs for their versions.
 	InForce(ctx context.Context, version uint64, report func(control.Progress)) control.Progress
 	// DrainProgress returns the drains in effect with this VM's work in flight.
@@ -175,6 +178,7 @@
 		{http.MethodGet, "/v1/changes/:version/diff", a.getDiff},
 		{http.MethodGet, "/v1/changes/:version/progress", a.getProgress},
 		{http.MethodPost, "/v1/changes/:version/rollforward", a.postRollForward},
+		{http.MethodPost, "/v1/store/restore", a.postRestore},
 	}
 }
 
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -23,6 +23,7 @@
 	"github.com/currantferry/currantferry/register"
 	"github.com/currantferry/currantferry/report"
 	"github.com/currantferry/currantferry/rules"
+	"github.com/currantferry/currantferry/store"
 	"github.com/currantferry/currantferry/store/kvhttp"
 	"github.com/currantferry/currantferry/store/standin"
 )
@@ -48,6 +49,8 @@
 	return r, err
 }
 
+func (f *fake) Restore(ctx context.Context) error { return f.Publisher.Restore(ctx, f.Snapshot()) }
+
 func (f *fake) adopt(ctx context.Context, err error) {
 	if s, loadErr := f.Load(ctx); err == nil && loadErr == nil {
 		f.snapshot.Store(s)
@@ -96,23 +99,30 @@
 }
 
 type bench struct {
-	t     *testing.T
-	fake  *fake
-	store *standin.Server
-	api   http.Handler
+	t      *testing.T
+	fake   *fake
+	store  *standin.Server
+	client *kvhttp.Client
+	api    http.Handler
 }
 
 func newBench(t *testing.T, in []rules.Team) *bench {
 	t.Helper()
-	store := standin.New()
-	server := httptest.NewServer(store.Handler())
-	t.Cleanup(server.Close)
-	client, err := kvhttp.New(kvhttp.Options{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}})
+	server := standin.New()
+	listener := httptest.NewServer(server.Handler())
+	t.Cleanup(listener.Close)
+	client, err := kvhttp.New(kvhttp.Options{Addresses: []string{strings.TrimPrefix(listener.URL, "http://")}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(client.Close)
-	f := &fake{Publisher: configstore.New(client, configstore.Options{CallTimeout: 200 * time.Millisecond})}
+	f := new(fake)
+	f.Publisher = configstore.New(client, configstore.Options{CallTimeout: 200 * time.Millisecond, InForce: func() uint64 {
+		if s := f.Snapshot(); s != nil {
+			return s.Head.Version
+		}
+		return 0
+	}})
 	c := content()
 	c.Rules.Teams = in
 	if _, err := f.Publish(t.Context(), 0, c, config.Meta{ChangeID: "first", By: "test"}); err != nil {
@@ -120,7 +130,7 @@
 	}
 	router := httprouter.New()
 	New(Options{Backend: f, ReadTimeout: 300 * time.Millisecond, ChangeTimeout: time.Second, MaxBody: 4096}).Register(router)
-	return &bench{t: t, fake: f, store: store, api: router}
+	return &bench{t: t, fake: f, store: server, client: client, api: router}
 }
 
 // do sends a change; headers are pairs that replace the usual ones.
@@ -262,6 +272,27 @@
 	b.want(b.do("POST", "/v1/drains", drainOne), http.StatusOK, `"version":2`)
 }
 
+// Guards against a store that was set back and stays so, and against a change
+// that is based on it.
+func TestStoreSetBack(t *testing.T) {
+	b := newBench(t, nil)
+	old := b.fake.Snapshot()
+	b.want(b.do("POST", "/v1/drains", drainOne), http.StatusOK)
+	e, err := b.client.Get(t.Context(), configstore.HeadKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.client.CompareAndSwap(t.Context(), store.Write{Key: configstore.HeadKey, Value: old.HeadBytes, Index: e.Index}); err != nil {
+		t.Fatal(err)
+	}
+	b.want(b.do("PUT", "/v1/caps/proefbank", `{"step_percent":7}`, HeaderChangeID, "c-2", "If-Match", `"2"`), http.StatusServiceUnavailable, "older than the version in force", "config restore")
+	b.want(b.do("POST", "/v1/store/restore", "", HeaderChangeID, "c-3"), http.StatusPreconditionFailed, "Version 2 is in force")
+	b.want(b.do("POST", "/v1/store/restore", "", HeaderChangeID, "c-3", "If-Match", `"2"`), http.StatusOK, `"version":2`)
+	if s, err := b.fake.Load(t.Context()); err != nil || s.Head.Version != 2 {
+		t.Fatalf("the store was not repaired: %v", err)
+	}
+}
+
 // Guards against a description of the API that differs from its routes.
 func TestOpenAPIMatchesRoutes(t *testing.T) {
 	data, err := os.ReadFile("../docs/openapi.yaml")
--- a/admin/changes.go
+++ b/admin/changes.go
@@ -145,6 +145,29 @@
 	return nil
 }
 
+// postRestore repairs a store that was set back, for example from a backup. The
+// version in If-Match must be the one in force, so that nobody writes back a
+// version that is older than they believe.
+func (a *API) postRestore(w http.ResponseWriter, r *http.Request, _ httprouter.Params) error {
+	c, err := a.begin(w, r, a.o.MaxBody)
+	if err != nil {
+		return err
+	}
+	if !c.who.platform {
+		return problem(http.StatusForbidden, "Team "+c.who.name+" may not write to the store directly.", "Ask a platform team.")
+	}
+	if version := c.current.Head.Version; c.base != version {
+		return problem(http.StatusPreconditionFailed, "Version "+strconv.FormatUint(version, 10)+" is in force on this VM, not the one in If-Match.", nextReread)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), a.o.ChangeTimeout)
+	defer cancel()
+	if err := a.o.Backend.Restore(ctx); err != nil {
+		return err
+	}
+	a.accept(w, c, configstore.Result{Version: c.base, ChangeID: c.meta.ChangeID})
+	return nil
+}
+
 // Progress tells on how many VMs a version is in force.
 type Progress struct {
 	Version uint64 `json:"version"`
--- a/admin/problem.go
+++ b/admin/problem.go
@@ -93,7 +93,7 @@
 	case errors.Is(err, configstore.ErrStoreBehind):
 		return &Problem{
 			Status: http.StatusServiceUnavailable, cause: err,
-			Text: "The store's version is older than the version in force. Nothing was changed.", Next: "Restore the store first, see docs/OPERATIONS.md.",
+			Text: "The store's version is older than the version in force. Nothing was changed.", Next: "Restore the store first: currantferry config restore; see docs/OPERATIONS.md.",
 		}
 	case errors.Is(err, configstore.ErrOutcomeUnknown):
 		return &Problem{
--- a/cmd/currantferry/command_test.go
+++ b/cmd/currantferry/command_test.go
@@ -20,6 +20,7 @@
 	"github.com/currantferry/currantferry/admin"
 	"github.com/currantferry/currantferry/demo"
 	"github.com/currantferry/currantferry/report"
+	"github.com/currantferry/currantferry/rules"
 	storestandin "github.com/currantferry/currantferry/store/standin"
 )
 
@@ -106,6 +107,15 @@
 	expect(t, 7, []string{"drops service rolinname from 54 to 0 slots", "confirm=true"}, with("register", "import", "-file", file)...)
 	expect(t, 0, []string{"accepted as version 4"}, with("changes", "rollforward", "1")...)
 
+	expect(t, 0, []string{"accepted as version 4"}, with("config", "restore")...)
+	if err := os.WriteFile(file, []byte(`{"teams":[{"name":"ops","platform":true,"token_sha256":["`+rules.HashToken("t0")+`"]}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, 0, []string{"accepted as version 5"}, with("config", "set-rules", "-file", file)...)
+	expect(t, 3, []string{"CURRANTFERRY_TOKEN"}, with("cap", "set", "proefbank")...)
+	t.Setenv("CURRANTFERRY_TOKEN", "t0")
+	expect(t, 0, []string{"accepted as version 6"}, with("cap", "set", "proefbank")...)
+
 	fleet.Store.SetFault(storestandin.Fault{Down: true})
 	expect(t, 5, []string{"The store does not answer", "-change-id"}, with("cap", "set", "proefbank", "-timeout", "2500ms")...)
 }
--- a/cmd/currantferry/look.go
+++ b/cmd/currantferry/look.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"net/url"
 	"os"
 	"runtime/debug"
@@ -105,9 +106,37 @@
 }
 
 func configCommand() *command {
-	return newCommand("config", "check files without a VM", action{
-		name: "check", synopsis: "check a daemon's settings, rules or a register", setup: configCheck,
-	})
+	return newCommand("config", "check files; show and set rules; repair the store",
+		action{name: "check", synopsis: "check a daemon's settings, rules or a register without a VM", setup: configCheck},
+		action{name: "rules", synopsis: "print the rules in force", remote: true, setup: configRules},
+		action{name: "set-rules", synopsis: "make a file the rules in force, teams included", remote: true, change: true, setup: configSetRules},
+		action{name: "restore", synopsis: "write the version in force back to a store that holds an older one", remote: true, change: true, setup: configRestore},
+	)
+}
+
+func configRules(*flag.FlagSet) runFunc {
+	return func(ctx context.Context, e *env, _ []string) error {
+		// The rules are printed as JSON in both forms, ready for set-rules.
+		e.json = true
+		return e.get(ctx, "/v1/rules", new(rules.Rules), nil)
+	}
+}
+
+func configSetRules(f *flag.FlagSet) runFunc {
+	file := f.String("file", "", "rules (JSON)")
+	return func(ctx context.Context, e *env, _ []string) error {
+		data, err := os.ReadFile(*file)
+		if err != nil {
+			return err
+		}
+		return e.send(ctx, http.MethodPut, "/v1/rules", data)
+	}
+}
+
+func configRestore(*flag.FlagSet) runFunc {
+	return func(ctx context.Context, e *env, _ []string) error {
+		return e.send(ctx, http.MethodPost, "/v1/store/restore", nil)
+	}
 }
 
 func configCheck(f *flag.FlagSet) runFunc {
--- a/node/operate.go
+++ b/node/operate.go
@@ -41,6 +41,15 @@
 	return o.n.control.RollForward(ctx, base, to, m)
 }
 
+// Restore implements admin.Backend.
+func (o operations) Restore(ctx context.Context) error {
+	s := o.n.control.Snapshot()
+	if s == nil {
+		return configstore.ErrNoVersion
+	}
+	return o.n.control.Publisher().Restore(ctx, s)
+}
+
 // InForce implements admin.Backend.
 func (o operations) InForce(ctx context.Context, version uint64, report func(control.Progress)) control.Progress {
 	return o.n.control.InForce(ctx, version, report)
