Bound what readers and large changes cost a VM

Cause: a read without a token could ask all VMs as often as it liked, showing the register held all client blocks as values, and several large changes at a time could take several GB. Change: at most 8 reads ask all VMs at a time, a VM makes one change at a time, bodies have 30 s, and the register is written block by block. Conflicts that are shown to a team leave the hashes of tokens out. A small change still unpacks and packs all client blocks in package configstore.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -117,7 +117,10 @@
 
 // API serves the administration API.
 type API struct {
-	o Options
+	o      Options
+	asking chan struct{}
+	// changing holds the change that is being made.
+	changing chan struct{}
 
 	mu sync.Mutex
 	// accepted is when changes were accepted here, done their final progress.
@@ -142,7 +145,7 @@
 	if o.MaxRegister <= 0 {
 		o.MaxRegister = DefaultMaxRegister
 	}
-	return &API{o: o, accepted: make(map[uint64]time.Time), done: make(map[uint64]Progress)}
+	return &API{o: o, asking: make(chan struct{}, maxAsking), changing: make(chan struct{}, 1), accepted: make(map[uint64]time.Time), done: make(map[uint64]Progress)}
 }
 
 // Route is one operation of the API.
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -205,6 +205,16 @@
 	b.want(b.do("PUT", "/v1/register", string(data), authorise, asPress), http.StatusForbidden, "service rolinname")
 	b.want(b.do("PUT", "/v1/caps/proefbank", `{"step_percent":7}`, authorise, asPress), http.StatusOK)
 	b.want(b.do("DELETE", "/v1/caps/proefbank", "", authorise, asOps, "If-Match", `"2"`, HeaderChangeID, "c-2"), http.StatusOK)
+	more := append(teams(), rules.Team{Name: "rolls", TokenHashes: []string{rules.HashToken("rolls-token")}})
+	data, _ = json.Marshal(rules.Rules{Teams: more, Caps: []rules.Cap{{Service: "proefbank", StepPercent: 9}}})
+	b.want(b.do("PUT", "/v1/rules", string(data), authorise, asOps, "If-Match", `"3"`, HeaderChangeID, "c-3"), http.StatusOK)
+	w = b.do("PUT", "/v1/caps/proefbank", `{"step_percent":8}`, authorise, asPress, "If-Match", `"3"`, HeaderChangeID, "c-4")
+	b.want(w, http.StatusConflict, "step_percent")
+	for _, body := range []string{w.Body.String(), b.do("GET", "/v1/changes", "").Body.String(), b.do("GET", "/v1/changes/4/diff", "").Body.String()} {
+		if strings.Contains(body, rules.HashToken("rolls-token")) {
+			t.Errorf("the hash of a token is shown: %s", body)
+		}
+	}
 	if body := b.do("GET", "/v1/rules", "").Body.String(); strings.Contains(body, rules.HashToken("ops-token")) {
 		t.Error("hashes of tokens are shown without a token")
 	}
@@ -253,6 +263,18 @@
 		t.Fatalf("a refused import made version %d", v)
 	}
 	b.want(b.do("PUT", "/v1/register?confirm=true", string(data)), http.StatusOK, `"version":2`)
+	next.Sites = []register.Site{{Name: "werk", DataCentres: []string{"groningen-a"}}}
+	for _, p := range []string{"192.0.2.0/24", "198.51.100.0/24"} {
+		next.Blocks = append(next.Blocks, register.Block{Prefix: netip.MustParsePrefix(p), Site: "werk"})
+	}
+	data, _ = json.Marshal(next)
+	b.want(b.do("PUT", "/v1/register", string(data), "If-Match", `"2"`, HeaderChangeID, "c-2"), http.StatusOK, `"version":3`)
+	if shown := b.do("GET", "/v1/register", "").Body.String(); strings.TrimSpace(shown) != string(data) {
+		t.Errorf("shown register differs:\n%s\n%s", shown, data)
+	}
+	if shown := b.do("GET", "/v1/register?blocks=false", "").Body.String(); strings.Contains(shown, "blocks") {
+		t.Errorf("blocks are shown: %s", shown)
+	}
 	b.want(b.do("PUT", "/v1/register", `{"regions":[]}`, HeaderChangeID, "c-9"), http.StatusUnprocessableEntity, "at least one region")
 }
 
--- a/admin/change.go
+++ b/admin/change.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -45,6 +44,33 @@
 	meta    config.Meta
 	body    []byte
 	current *config.Snapshot
+	// end lets the next change begin.
+	end func()
+}
+
+// bodyTimeout bounds how long a client may take to send a body while others
+// wait.
+const bodyTimeout = 30 * time.Second
+
+// alone waits until no other change is being made on this VM. A change of a
+// register with 780,000 client blocks takes several 100 MB, so that two at a
+// time could end the process.
+func (a *API) alone(w http.ResponseWriter, r *http.Request) (end func(), err error) {
+	t := time.NewTimer(a.o.ChangeTimeout)
+	defer t.Stop()
+	select {
+	case a.changing <- struct{}{}:
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-t.C:
+		return nil, problem(http.StatusServiceUnavailable, "Another change is being made on this VM. Nothing was changed.", nextResend)
+	}
+	// Tests without a connection have no deadline.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	return func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		<-a.changing
+	}, nil
 }
 
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
@@ -75,10 +101,17 @@
 	if c.base, err = strconv.ParseUint(strings.Trim(match, `"`), 10, 64); err != nil || c.base == 0 {
 		return nil, problem(http.StatusBadRequest, "If-Match is not a version, for example \"17\".", "Send the ETag of the version that the change is based on.")
 	}
-	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit)); err != nil {
-		return nil, errors.Wrap(err, "body")
+	if c.end, err = a.alone(w, r); err != nil {
+		return nil, err
+	}
+	if c.body, err = readBody(w, r, limit); err == nil {
+		err = c.describe(r)
 	}
-	return c, c.describe(r)
+	if err != nil {
+		c.end()
+		return nil, err
+	}
+	return c, nil
 }
 
 // fingerprintBytes of the request follow the operator's change ID, so that an ID
@@ -172,7 +205,7 @@
 		ctx, cancel := context.WithTimeout(r.Context(), a.o.ChangeTimeout)
 		defer cancel()
 		if result, err = a.o.Backend.Publish(ctx, c.base, is, c.meta); err != nil {
-			return err
+			return hideConflict(c.who, err)
 		}
 	}
 	a.accept(w, c, result)
@@ -207,6 +240,37 @@
 	})
 }
 
+// hideConflict removes the hashes of tokens from a conflict that is shown to a
+// team.
+func hideConflict(who identity, err error) error {
+	var conflict *config.ConflictError
+	if who.platform || !errors.As(err, &conflict) {
+		return err
+	}
+	shown := *conflict
+	shown.MyDiff, shown.TheirDiff = hideDiff(conflict.MyDiff), hideDiff(conflict.TheirDiff)
+	shown.Theirs = slices.Clone(conflict.Theirs)
+	for i := range shown.Theirs {
+		shown.Theirs[i].What = hideWhat(shown.Theirs[i].What)
+	}
+	return &shown
+}
+
+func hideDiff(list []config.Difference) []config.Difference {
+	return slices.DeleteFunc(slices.Clone(list), func(d config.Difference) bool { return strings.HasPrefix(d.Path, teamsPath) })
+}
+
+// hideWhat cuts the lines of a change that show hashes of tokens.
+func hideWhat(what []string) []string {
+	out := slices.Clone(what)
+	for i, line := range out {
+		if before, _, ok := strings.Cut(line, teamsPath); ok {
+			out[i] = before + teamsPath
+		}
+	}
+	return out
+}
+
 // hideTokens returns the rules without the hashes of tokens.
 func hideTokens(in *rules.Rules) *rules.Rules {
 	c := *in
--- a/admin/changes.go
+++ b/admin/changes.go
@@ -51,12 +51,7 @@
 			break
 		}
 		if hide {
-			c.What = slices.Clone(c.What)
-			for i, line := range c.What {
-				if before, _, ok := strings.Cut(line, teamsPath); ok {
-					c.What[i] = before + teamsPath
-				}
-			}
+			c.What = hideWhat(c.What)
 		}
 		out.Changes = append(out.Changes, c)
 	}
@@ -93,6 +88,11 @@
 	if err != nil {
 		return err
 	}
+	end, err := a.alone(w, r)
+	if err != nil {
+		return err
+	}
+	defer end()
 	ctx, cancel := context.WithTimeout(r.Context(), a.o.ReadTimeout)
 	defer cancel()
 	var sides [2]config.Content
@@ -127,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	if !c.who.platform {
 		return problem(http.StatusForbidden, "Team "+c.who.name+" may not return to an earlier version, which undoes changes of all teams.", "Ask a platform team.")
 	}
@@ -153,6 +154,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	if !c.who.platform {
 		return problem(http.StatusForbidden, "Team "+c.who.name+" may not write to the store directly.", "Ask a platform team.")
 	}
@@ -203,6 +205,21 @@
 	return nil
 }
 
+// maxAsking bounds the reads that ask all VMs at the same time. They need no
+// token, and each costs as many calls as there are VMs.
+const maxAsking = 8
+
+func (a *API) enter() error {
+	select {
+	case a.asking <- struct{}{}:
+		return nil
+	default:
+		return problem(http.StatusServiceUnavailable, "This VM asks all others for too many readers already.", "Try again in a few seconds, or ask another VM.")
+	}
+}
+
+func (a *API) leave() { <-a.asking }
+
 // ask asks the VMs for at least one round.
 func (a *API) ask(ctx context.Context, version uint64, wait time.Duration) (Progress, error) {
 	s, err := a.snapshot()
@@ -213,6 +230,10 @@
 	if err != nil {
 		return Progress{}, err
 	}
+	if err := a.enter(); err != nil {
+		return Progress{}, err
+	}
+	defer a.leave()
 	out := Progress{Version: version}
 	ctx, cancel := context.WithTimeout(ctx, max(wait, a.o.ReadTimeout))
 	defer cancel()
--- a/admin/edit.go
+++ b/admin/edit.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	in, err := rules.Parse(c.body)
 	if err != nil {
 		return err
@@ -45,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	var limit rules.Cap
 	if err := decode(c.body, &limit); err != nil {
 		return err
@@ -77,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	return a.apply(w, r, c, func(content *config.Content) error {
 		i := capOf(content.Rules.Caps, p.ByName("service"))
 		if i < 0 {
@@ -92,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	var d rules.Drain
 	if err := decode(c.body, &d); err != nil {
 		return err
@@ -137,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	return a.apply(w, r, c, func(content *config.Content) error {
 		i := slices.IndexFunc(content.Rules.Drains, func(d rules.Drain) bool { return d.ID == p.ByName("id") })
 		if i < 0 {
@@ -152,6 +157,7 @@
 	if err != nil {
 		return err
 	}
+	defer c.end()
 	next, err := register.Parse(c.body)
 	if err != nil {
 		return err
@@ -185,6 +191,11 @@
 	if _, err := identify(r, s.Rules); err != nil {
 		return err // A large body costs work, so that strangers may not send one.
 	}
+	end, err := a.alone(w, r)
+	if err != nil {
+		return err
+	}
+	defer end()
 	body, err := readBody(w, r, a.o.MaxRegister)
 	if err != nil {
 		return err
--- a/admin/impact.go
+++ b/admin/impact.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Impact{Total: total, Diff: list, Slots: []SlotChange{}, Moves: []string{}, Dropped: []string{}}
+	out := &Impact{Total: total, Diff: append([]config.Difference{}, list...), Slots: []SlotChange{}, Moves: []string{}, Dropped: []string{}}
 	before, after := slotsOf(was.Register), slotsOf(next)
 	for _, k := range slotKeys(before, after) {
 		b, n := before[k], after[k]
--- a/admin/read.go
+++ b/admin/read.go
@@ -1,6 +1,8 @@
 package admin
 
 import (
+	"bufio"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
@@ -10,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/register"
 	"github.com/currantferry/currantferry/report"
@@ -41,8 +44,8 @@
 	out := a.o.Backend.Report()
 	if r.URL.Query().Get("format") == "text" {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		_, err := io.WriteString(w, out.Text())
-		return errors.Wrap(err, "report")
+		_, _ = io.WriteString(w, out.Text()) // The client is gone if this fails.
+		return nil
 	}
 	reply(w, http.StatusOK, out)
 	return nil
@@ -58,8 +61,8 @@
 	}
 	w.Header().Set("Content-Type", "text/html; charset=utf-8")
 	w.Header().Set("Content-Security-Policy", pagePolicy)
-	_, err = w.Write(page)
-	return errors.Wrap(err, "report")
+	_, _ = w.Write(page) // The client is gone if this fails.
+	return nil
 }
 
 // Events is the body of /v1/events.
@@ -239,7 +242,11 @@
 		switch {
 		case d.Active(now):
 			if counts == nil {
+				if err := a.enter(); err != nil {
+					return err
+				}
 				asked := a.o.Backend.DrainCounts(r.Context(), s.Head.Version)
+				a.leave()
 				counts = &asked
 			}
 			row.State = "active"
@@ -262,11 +269,39 @@
 	if err != nil {
 		return err
 	}
-	out := s.Register
-	if r.URL.Query().Get("blocks") != "false" {
-		out = s.Content().Register
-	}
 	w.Header().Set("ETag", etag(s.Head.Version))
-	reply(w, http.StatusOK, out)
+	if r.URL.Query().Get("blocks") == "false" {
+		reply(w, http.StatusOK, s.Register)
+		return nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return writeRegister(w, s)
+}
+
+// writeRegister writes the register with its client blocks one at a time, since
+// 780,000 of them as values would take more memory than a VM may spend on
+// control.
+func writeRegister(w io.Writer, s *config.Snapshot) error {
+	head, err := json.Marshal(s.Register)
+	if err != nil {
+		return errors.Wrap(err, "register")
+	}
+	out := bufio.NewWriter(w)
+	_, _ = out.Write(head[:len(head)-1])
+	separator := `,"blocks":[`
+	for b := range s.Blocks() {
+		row, err := json.Marshal(b)
+		if err != nil {
+			return errors.Wrap(err, "register")
+		}
+		_, _ = out.WriteString(separator)
+		_, _ = out.Write(row)
+		separator = ","
+	}
+	if separator == "," {
+		_ = out.WriteByte(']')
+	}
+	_, _ = out.WriteString("}\n")
+	_ = out.Flush() // The client is gone if this fails.
 	return nil
 }
