Keep stored client blocks in changes that leave them alone

Cause: adding a drain unpacked, compared and packed all client blocks, several times over. Change: Content can keep the blocks of a version in their stored form. Build takes over their chunks, Diff and Merge compare chunk references first, and the publisher and the administration API edit the bare content. The sites of kept blocks are checked where a site was removed.

--- a/admin/auth.go
+++ b/admin/auth.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"github.com/currantferry/currantferry/config"
@@ -70,7 +71,11 @@
 			return denied("service " + name)
 		}
 	}
-	if !same(frame(was.Register), frame(is.Register)) {
+	// A change of rules keeps the blocks, so that comparing them is no use.
+	if was.Kept == is.Kept && was.Kept != nil {
+		was.Kept, is.Kept = nil, nil
+	}
+	if !same(frame(was), frame(is)) {
 		return denied("regions, links, sites or client blocks")
 	}
 	for _, c := range changedCaps(was.Rules, is.Rules) {
@@ -92,11 +97,18 @@
 	return nil
 }
 
-// frame is the register without its services.
-func frame(r *register.Register) *register.Register {
-	c := *r
-	c.Services = nil
-	return &c
+// frame is the register without its services, its blocks in one order.
+func frame(c config.Content) *register.Register {
+	r := *c.Register
+	r.Services = nil
+	r.Blocks = slices.Clone(c.Blocks())
+	slices.SortFunc(r.Blocks, func(a, b register.Block) int {
+		if order := a.Prefix.Addr().Compare(b.Prefix.Addr()); order != 0 {
+			return order
+		}
+		return a.Prefix.Bits() - b.Prefix.Bits()
+	})
+	return &r
 }
 
 // same compares the JSON forms, in which absent and empty optional fields are
--- a/admin/change.go
+++ b/admin/change.go
@@ -167,7 +167,7 @@
 // content returns the content of the version that a change is based on.
 func (a *API) content(ctx context.Context, c *change) (config.Content, error) {
 	if c.base == c.current.Head.Version {
-		return c.current.Content(), nil
+		return c.current.Bare(), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.o.ReadTimeout)
 	defer cancel()
@@ -178,7 +178,7 @@
 	if err != nil {
 		return config.Content{}, readFailed(err)
 	}
-	return s.Content(), nil
+	return s.Bare(), nil
 }
 
 // apply edits the base version and publishes the result.
@@ -218,7 +218,7 @@
 	in.Caps = slices.Clone(in.Caps)
 	in.Drains = slices.Clone(in.Drains)
 	in.Teams = slices.Clone(in.Teams)
-	return config.Content{Register: &reg, Rules: &in}
+	return config.Content{Register: &reg, Rules: &in, Kept: c.Kept}
 }
 
 // maxAccepted bounds the versions whose times are remembered.
--- a/admin/changes.go
+++ b/admin/changes.go
@@ -103,7 +103,7 @@
 				return readFailed(err)
 			}
 		}
-		sides[i] = loaded.Content()
+		sides[i] = loaded.Bare()
 		if !seesTokens(r, s.Rules) {
 			sides[i].Rules = hideTokens(sides[i].Rules)
 		}
--- a/admin/edit.go
+++ b/admin/edit.go
@@ -177,7 +177,7 @@
 		if len(impact.Dropped) > 0 {
 			event.AdminConfirm.Log(a.o.Log, "change", c.meta.ChangeID, "by", c.meta.By, "dropped", impact.Dropped)
 		}
-		content.Register = next
+		content.Register, content.Kept = next, nil
 		return nil
 	})
 }
@@ -204,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	impact, err := impactOf(s.Content(), next)
+	impact, err := impactOf(s.Bare(), next)
 	if err != nil {
 		return err
 	}
--- a/admin/impact.go
+++ b/admin/impact.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 
 	"github.com/currantferry/currantferry/config"
@@ -81,7 +82,7 @@
 		}
 	}
 	out.Moves = moves(out.Slots)
-	out.countBlocks(was.Register.Blocks, next.Blocks)
+	out.countBlocks(was.Blocks(), next.Blocks)
 	return out, nil
 }
 
@@ -141,12 +142,12 @@
 
 func (i *Impact) countBlocks(was, is []register.Block) {
 	i.BlocksBefore, i.BlocksAfter = len(was), len(is)
-	sites := make(map[string]string, len(was))
+	sites := make(map[netip.Prefix]string, len(was))
 	for _, b := range was {
-		sites[b.Prefix.String()] = b.Site
+		sites[b.Prefix] = b.Site
 	}
 	for _, b := range is {
-		if old, ok := sites[b.Prefix.String()]; ok && old != b.Site {
+		if old, ok := sites[b.Prefix]; ok && old != b.Site {
 			i.BlocksMoved++
 		}
 	}
--- a/config/content.go
+++ b/config/content.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"iter"
 	"net/netip"
@@ -25,6 +26,17 @@
 type Content struct {
 	Register *register.Register
 	Rules    *rules.Rules
+	// Kept is the version whose client blocks the content has, in place of
+	// Register.Blocks. Nil means that Register.Blocks are all.
+	Kept *Snapshot
+}
+
+// Blocks returns the client blocks as values.
+func (c Content) Blocks() []register.Block {
+	if c.Kept == nil {
+		return c.Register.Blocks
+	}
+	return slices.Collect(c.Kept.Blocks())
 }
 
 // Validate returns the faults of the content.
@@ -32,15 +44,68 @@
 	if c.Register == nil || c.Rules == nil {
 		return errors.New("config: content without register or rules")
 	}
+	if c.Kept != nil && len(c.Register.Blocks) > 0 {
+		return errors.New("config: content with both kept and new client blocks")
+	}
 	if errs := c.Register.Validate(); len(errs) > 0 {
 		return errs
 	}
+	if err := c.checkKept(); err != nil {
+		return err
+	}
 	if errs := c.Rules.Validate(); len(errs) > 0 {
 		return errs
 	}
 	return nil
 }
 
+// checkKept checks that the sites of the kept blocks are there.
+func (c Content) checkKept() error {
+	if c.Kept == nil {
+		return nil
+	}
+	known := make(map[string]bool, len(c.Register.Sites))
+	for _, site := range c.Register.Sites {
+		known[site.Name] = true
+	}
+	removed := false
+	for _, site := range c.Kept.Register.Sites {
+		removed = removed || !known[site.Name]
+	}
+	if !removed {
+		return nil
+	}
+	for b := range c.Kept.Blocks() {
+		if !known[b.Site] {
+			return register.Errors{{Field: blockPath(b.Prefix) + ".site", Text: fmt.Sprintf("site %q is not in sites", b.Site)}}
+		}
+	}
+	return nil
+}
+
+// sameBlocks tells whether two contents keep the same stored blocks. False means
+// that they have to be compared.
+func sameBlocks(a, b Content) bool {
+	return a.Kept != nil && b.Kept != nil &&
+		slices.Equal(a.Kept.Head.Section(SectionBlocks), b.Kept.Head.Section(SectionBlocks))
+}
+
+// encodeBlocks returns the chunks of the blocks; kept ones are as stored.
+func (c Content) encodeBlocks() ([]Chunk, error) {
+	if c.Kept == nil {
+		return encodeBlocks(c.Register.Blocks)
+	}
+	var out []Chunk
+	for _, ref := range c.Kept.Head.Section(SectionBlocks) {
+		data, ok := c.Kept.Chunk(ref.Hash)
+		if !ok {
+			return nil, errors.Errorf("config: kept chunk %s is missing", ref.Hash)
+		}
+		out = append(out, Chunk{Ref: ref, Data: data})
+	}
+	return out, nil
+}
+
 // Built is a change that is ready to be written.
 type Built struct {
 	Head      *Head
@@ -70,7 +135,7 @@
 	history = history.add(Change{Version: h.Version, Meta: m, What: what})
 	encoders := []func() ([]Chunk, error){
 		func() ([]Chunk, error) { return encodeRegister(c.Register) },
-		func() ([]Chunk, error) { return encodeBlocks(c.Register.Blocks) },
+		c.encodeBlocks,
 		func() ([]Chunk, error) { return encodeJSON(SectionRules, c.Rules) },
 		history.encode,
 	}
@@ -182,6 +247,13 @@
 	}
 }
 
+// Bare returns the content with the client blocks as stored. Changes that leave
+// the blocks alone then cost neither their unpacking nor their packing.
+func (s *Snapshot) Bare() Content {
+	r := *s.Register
+	return Content{Register: &r, Rules: s.Rules, Kept: s}
+}
+
 // Content returns the content with all client blocks in memory, for editing.
 func (s *Snapshot) Content() Content {
 	r := *s.Register
--- a/config/diff.go
+++ b/config/diff.go
@@ -49,7 +49,9 @@
 		}
 	}
 	differ("", at, bt, add)
-	diffBlocks(a.Register.Blocks, b.Register.Blocks, add)
+	if !sameBlocks(a, b) {
+		diffBlocks(a.Blocks(), b.Blocks(), add)
+	}
 	return list, total, nil
 }
 
@@ -179,7 +181,14 @@
 	if merged, err = untree(combined); err != nil {
 		return Content{}, nil, err
 	}
-	merged.Register.Blocks = mergeBlocks(base.Register.Blocks, mine.Register.Blocks, theirs.Register.Blocks, &clashes)
+	switch {
+	case sameBlocks(base, mine):
+		merged.Kept, merged.Register.Blocks = theirs.Kept, theirs.Register.Blocks
+	case sameBlocks(base, theirs):
+		merged.Kept, merged.Register.Blocks = mine.Kept, mine.Register.Blocks
+	default:
+		merged.Register.Blocks = mergeBlocks(base.Blocks(), mine.Blocks(), theirs.Blocks(), &clashes)
+	}
 	return merged, clashes, nil
 }
 
--- a/configstore/publish.go
+++ b/configstore/publish.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return p.Publish(ctx, base, s.Content(), m)
+	return p.Publish(ctx, base, s.Bare(), m)
 }
 
 // attempt tries once. again is true when another change came in between.
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	theirs := now.Content()
+	theirs := now.Bare()
 	merged := base != c.head.Version
 	if merged {
 		if content, err = p.merge(ctx, c, history, base, content, theirs, m); err != nil {
@@ -157,7 +157,7 @@
 		}
 		return config.Content{}, err
 	}
-	was := old.Content()
+	was := old.Bare()
 	merged, clashes, err := config.Merge(was, mine, theirs)
 	if err != nil {
 		return config.Content{}, err
