--- a/node/selector.go
+++ b/node/selector.go
@@ -28,13 +28,17 @@
 	// queues hold the requests that wait for room in any region, by service.
 	queues map[string]*gateQueue
 
-	crash *crashNotes
+	crash    *crashNotes
+	observed *observations
 }
 
 type poolKey struct{ service, region string }
 
-func newSelector(gate *plan.Gate, crash *crashNotes) *selector {
-	return &selector{gate: gate, crash: crash, pools: make(map[poolKey]*pool), work: make(map[string]*workMeter), queues: make(map[string]*gateQueue)}
+func newSelector(gate *plan.Gate, crash *crashNotes, observed *observations) *selector {
+	return &selector{
+		gate: gate, crash: crash, observed: observed,
+		pools: make(map[poolKey]*pool), work: make(map[string]*workMeter), queues: make(map[string]*gateQueue),
+	}
 }
 
 func (s *selector) pool(service, region string) *pool {
@@ -223,6 +227,7 @@
 	c.s.crash.endTurn(c.turn)
 	c.s.release(c.q.Service.Name, &c.grant, o.AnswerBytes)
 	c.s.ended(c, o)
+	c.s.observed.done(o)
 }
 
 // workMeter adds up a service's work for the planner.
--- a/node/turn_test.go
+++ b/node/turn_test.go
@@ -18,7 +18,7 @@
 
 // newTestSelector returns a selector of one service with instances i-1 to i-N.
 func newTestSelector(instances, slots int) *selector {
-	s := newSelector(plan.NewGate(plan.GateConfig{VM: "vm-1"}), &crashNotes{guard: crashguard.New(crashguard.Config{VM: "vm-1"})})
+	s := newSelector(plan.NewGate(plan.GateConfig{VM: "vm-1"}), &crashNotes{guard: crashguard.New(crashguard.Config{VM: "vm-1"})}, new(observations))
 	p := newPool(balance.Config{}, 1)
 	var list []balance.Instance
 	addresses := make(map[string]string)
