Give each end-to-end run ports of its own

Cause: two runs of package e2e side by side probed the same ports from 21000 up; TestGracefulStop failed once with "address already in use". Change: the first port depends on the process ID.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -318,11 +318,12 @@
 	return v
 }
 
-// nextPort is below the range of ports that the system gives to connections, so
-// that tests side by side do not take one another's.
+// nextPort is below the range of ports that the system gives to connections, and
+// begins at a number of the process's own, so that tests side by side do not take
+// one another's.
 var nextPort atomic.Int32
 
-const firstPort = 21000
+var firstPort = int32(21000 + os.Getpid()%40*280)
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
