Stop an entry VM gracefully in the demo and hold the fleet on request

Change: after the other failures a VM replaces the one that died, and then vm-3 is stopped with node.Stop; a promise says that no request on its way at any time of the stop failed. demo -hold keeps the fleet up until Ctrl-C and prints the caller, DNS and admin addresses and the control page. Without the replacement, the stop of the second-last VM waits for its whole time-out (20 s), because package once finds no place for its partitions.

--- a/cmd/currantferry/load.go
+++ b/cmd/currantferry/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -54,9 +53,7 @@
 		return subcommands.ExitUsageError
 	}
 	if c.json {
-		encoder := json.NewEncoder(os.Stdout)
-		encoder.SetIndent("", "  ")
-		_ = encoder.Encode(result)
+		printJSON(result)
 	} else {
 		fmt.Print(result.Text())
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -24,6 +24,9 @@
 	Duration time.Duration
 	// Log receives the events of all VMs. Nil means none.
 	Log *slog.Logger
+	// Hold is called with the fleet and the result of the run, before the
+	// fleet is closed. Nil means that it is closed at once.
+	Hold func(*Fleet, *Result)
 }
 
 const (
@@ -34,6 +37,11 @@
 	inForceLimit = 8 * time.Second
 	// drainLimit is the bound for new work on a drained instance.
 	drainLimit = 2 * time.Second
+	// stopTimeout bounds the graceful stop, and calmTimeout the wait before it.
+	stopTimeout = 20 * time.Second
+	calmTimeout = 10 * time.Second
+	// calmTime without a failed request shows that the failures are over.
+	calmTime = time.Second
 )
 
 // Result is the report of a run and the promises that it broke.
@@ -71,15 +79,26 @@
 	client := caller.New(caller.Options{Bootstrap: fleet.Callers(), Seed: o.Seed})
 	defer client.Close()
 	t := newTraffic(client, fleet.Ledger, o.Seed)
-	sending, stop := context.WithTimeout(ctx, o.Duration)
+	// Traffic goes on until the last failure is over.
+	sending, stop := context.WithTimeout(ctx, o.Duration+calmTimeout+stopTimeout)
 	defer stop()
 	var group conc.WaitGroup
 	group.Go(func() { t.run(sending) })
 	r := &run{fleet: fleet, traffic: t}
+	end := time.Now().Add(o.Duration)
 	r.play(sending, o.Duration)
+	select {
+	case <-time.After(time.Until(end)):
+	case <-sending.Done():
+	}
+	stop()
 	group.Wait()
 	r.finish(t)
-	return &Result{Report: r.report, Broken: r.broken}, nil
+	result := &Result{Report: r.report, Broken: r.broken}
+	if o.Hold != nil {
+		o.Hold(fleet, result)
+	}
+	return result, nil
 }
 
 // play makes the failures, at fractions of the duration.
@@ -88,10 +107,12 @@
 		at   float64
 		step func(ctx context.Context)
 	}{
-		{0.15, r.drain},
-		{0.45, r.death},
-		{0.60, r.outage},
-		{0.80, r.recovery},
+		{0.12, r.drain},
+		{0.35, r.death},
+		{0.50, r.outage},
+		{0.65, r.recovery},
+		{0.70, r.replacement},
+		{0.75, r.stop},
 	}
 	start := time.Now()
 	for _, s := range steps {
@@ -172,6 +193,37 @@
 	r.moved("work back to "+serviceReads+"-rotterdam-a-1, by ramp", fmt.Sprintf("drain cancelled after the store came back; in force in %d ms", took.Milliseconds()))
 }
 
+// replacement starts a VM in the place of the one that died.
+func (r *run) replacement(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	start := time.Now()
+	if err := r.fleet.Replace(bounded, "vm-4", 1); err != nil {
+		r.fail("replacement of vm-2: %v", err)
+		return
+	}
+	r.moved("callers to vm-4", fmt.Sprintf("vm-4 replaces vm-2; it takes callers after %d ms", time.Since(start).Milliseconds()))
+}
+
+// stop ends an entry VM gracefully, once callers no longer feel the failures
+// before, and checks that they do not feel the stop.
+func (r *run) stop(ctx context.Context) {
+	if !r.traffic.waitCalm(ctx) {
+		r.fail("callers still felt the failures %s after the recovery", calmTimeout)
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	r.traffic.beginStop()
+	start := time.Now()
+	left, ok := r.fleet.Stop(bounded, "vm-3")
+	r.traffic.endStop()
+	if !ok || left > 0 || bounded.Err() != nil {
+		r.fail("graceful stop of vm-3: %d requests cut off after %s", left, time.Since(start))
+	}
+	r.moved("callers of vm-3 to vm-1 and vm-4", fmt.Sprintf("vm-3 stopped gracefully in %d ms", time.Since(start).Milliseconds()))
+}
+
 // finish adds the counts and the broken promises.
 func (r *run) finish(t *traffic) {
 	seen, broken := t.result()
@@ -194,6 +246,7 @@
 	r.report.Facts = []report.Fact{
 		{Name: "run twice", Value: fmt.Sprint(len(t.ledger.RunTwice(seen.orders)))},
 		{Name: "cut off by planned stops", Value: fmt.Sprint(seen.beforeDeath)},
+		{Name: "felt of the graceful stop", Value: fmt.Sprint(seen.duringStop)},
 		{Name: "upstream work cancelled", Value: fmt.Sprint(cut)},
 		{Name: "orders with unknown outcome", Value: fmt.Sprint(seen.unknown)},
 		{Name: "without any answer", Value: fmt.Sprint(seen.unanswered)},
@@ -206,6 +259,6 @@
 		r.report.Risks = append(r.report.Risks, report.Risk{What: "BROKEN: " + b})
 	}
 	if len(r.broken) == 0 {
-		r.report.Risks = append(r.report.Risks, report.Risk{What: "vm-2 is still in the platform's list; one VM fewer serves", Until: "it is replaced"})
+		r.report.Risks = append(r.report.Risks, report.Risk{What: "two VMs serve, one fewer than before", Until: "vm-3 is replaced"})
 	}
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -7,9 +7,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,8 +53,11 @@
 	client    *kvhttp.Client
 	server    *http.Server
 	address   string
-	version   uint64
-	log       *slog.Logger
+	// control is the listener of the stand-ins' control page.
+	control       net.Listener
+	controlServer *http.Server
+	version       uint64
+	log           *slog.Logger
 }
 
 // StartFleet starts everything and waits until all entry VMs take callers.
@@ -108,6 +113,21 @@
 		}
 	}
 	f.Register = f.register()
+	return f.startControl()
+}
+
+// startControl serves one control page for all upstreams.
+func (f *Fleet) startControl() error {
+	var err error
+	if f.control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	upstreams := make([]*standin.Upstream, 0, len(f.upstreams))
+	for _, u := range f.upstreams {
+		upstreams = append(upstreams, u)
+	}
+	f.controlServer = &http.Server{Handler: standin.ControlHandler(upstreams...), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = f.controlServer.Serve(f.control) }()
 	return nil
 }
 
@@ -123,7 +143,10 @@
 	for _, name := range []string{serviceReads, serviceOrders} {
 		s := register.Service{Name: name, TimeoutMillis: 5000}
 		if name == serviceOrders {
-			s.Routes = []register.Route{{Method: http.MethodPost, Prefix: "/", RequireKey: true, Class: "short"}}
+			s.Routes = []register.Route{
+				{Method: http.MethodPost, Prefix: "/order", RequireKey: true, Class: "short"},
+				{Method: http.MethodPost, Prefix: "/rollbook", Class: "long"},
+			}
 		}
 		for _, p := range places {
 			for i := range instancesPerPlace {
@@ -174,15 +197,26 @@
 // list tells the platform's list which VMs there are.
 func (f *Fleet) list() {
 	var vms []store.VM
-	for i, p := range places {
-		id := fmt.Sprintf("vm-%d", i+1)
-		if n := f.nodes[id]; n != nil {
-			vms = append(vms, store.VM{ID: id, DataCentre: p.dataCentre, Region: p.region, PeerAddress: n.PeerAddress()})
-		}
+	for _, id := range f.ids() {
+		m := f.nodes[id].Control().Self()
+		vms = append(vms, store.VM{ID: id, DataCentre: m.DataCentre, Region: m.Region, PeerAddress: f.nodes[id].PeerAddress()})
 	}
 	f.Store.SetVMs(vms)
 }
 
+// ids returns the VMs that run, in order.
+func (f *Fleet) ids() []string { return slices.Sorted(maps.Keys(f.nodes)) }
+
+// Replace starts a VM in the place of another one and waits until it takes
+// callers.
+func (f *Fleet) Replace(ctx context.Context, id string, of int) error {
+	if err := f.startNode(id, places[of]); err != nil {
+		return err
+	}
+	f.list()
+	return f.waitReady(ctx)
+}
+
 func (f *Fleet) waitReady(ctx context.Context) error {
 	for id, n := range f.nodes {
 		select {
@@ -197,10 +231,8 @@
 // Callers returns the caller addresses of the entry VMs that run.
 func (f *Fleet) Callers() []string {
 	var addresses []string
-	for i := range places {
-		if n := f.nodes[fmt.Sprintf("vm-%d", i+1)]; n != nil {
-			addresses = append(addresses, n.CallerAddress())
-		}
+	for _, id := range f.ids() {
+		addresses = append(addresses, f.nodes[id].CallerAddress())
 	}
 	return addresses
 }
@@ -229,10 +261,8 @@
 }
 
 func (f *Fleet) any() *node.Node {
-	for i := range places {
-		if n := f.nodes[fmt.Sprintf("vm-%d", i+1)]; n != nil {
-			return n
-		}
+	for _, id := range f.ids() {
+		return f.nodes[id]
 	}
 	return nil
 }
@@ -246,6 +276,45 @@
 	}
 }
 
+// Stop ends an entry VM gracefully and returns the requests that were cut off,
+// and whether the VM ran.
+func (f *Fleet) Stop(ctx context.Context, id string) (int, bool) {
+	n := f.nodes[id]
+	if n == nil {
+		return 0, false
+	}
+	delete(f.nodes, id)
+	left := n.Stop(ctx)
+	f.list()
+	return left, true
+}
+
+// Addresses of the fleet that is held.
+type Addresses struct {
+	// VMs by ID.
+	VMs map[string]VMAddresses `json:"vms"`
+	// Store is the address of the stand-in store, Control that of the control
+	// page of all stand-in upstreams.
+	Store   string `json:"store"`
+	Control string `json:"control"`
+}
+
+// VMAddresses are the listeners of one entry VM.
+type VMAddresses struct {
+	Caller string `json:"caller"`
+	DNS    string `json:"dns"`
+	Admin  string `json:"admin"`
+}
+
+// Addresses returns the listeners of the entry VMs that run and of the stand-ins.
+func (f *Fleet) Addresses() Addresses {
+	a := Addresses{VMs: make(map[string]VMAddresses), Store: f.address, Control: f.control.Addr().String()}
+	for id, n := range f.nodes {
+		a.VMs[id] = VMAddresses{Caller: n.CallerAddress(), DNS: n.DNSAddress(), Admin: n.AdminAddress()}
+	}
+	return a
+}
+
 // Close stops everything that was started.
 func (f *Fleet) Close() {
 	for id := range f.nodes {
@@ -257,6 +326,9 @@
 	if f.client != nil {
 		f.client.Close()
 	}
+	if f.controlServer != nil {
+		_ = f.controlServer.Close()
+	}
 	if f.server != nil {
 		_ = f.server.Close()
 	}
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -45,7 +45,12 @@
 	// beforeDeath counts requests without a whole answer until freeze.
 	beforeDeath int64
 	frozen      bool
-	errors      []string
+	// duringStop counts requests without a whole answer that were on their way
+	// at any time of the graceful stop.
+	duringStop          int64
+	stopBegan, stopDone time.Time
+	lastFailure         time.Time
+	errors              []string
 }
 
 const (
@@ -85,7 +90,7 @@
 	h.Set(standin.HeaderAnswerBytes, fmt.Sprint(size))
 	start := time.Now()
 	a, err := t.client.Do(context.Background(), caller.Request{Service: serviceReads, Method: http.MethodGet, Path: "/proof", Header: h, Idempotent: true})
-	t.note(id, false, size, a, err, time.Since(start))
+	t.note(id, false, size, a, err, start)
 }
 
 func (t *traffic) order(key string) {
@@ -95,19 +100,26 @@
 	a, err := t.client.Do(context.Background(), caller.Request{
 		Service: serviceOrders, Method: http.MethodPost, Path: "/order", Header: h, Body: bytes.Repeat([]byte("o"), orderBytes), Key: key,
 	})
-	t.note(key, true, 64, a, err, time.Since(start))
+	t.note(key, true, 64, a, err, start)
 }
 
 // note records the end of a request.
-func (t *traffic) note(id string, isOrder bool, size int, a *caller.Answer, err error, took time.Duration) {
+func (t *traffic) note(id string, isOrder bool, size int, a *caller.Answer, err error, start time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.tally.slowest = max(t.tally.slowest, took)
+	t.tally.slowest = max(t.tally.slowest, time.Since(start))
 	if isOrder {
 		t.tally.orders = append(t.tally.orders, id)
 	}
-	if !t.tally.frozen && !isWhole(a, err) {
-		t.tally.beforeDeath++
+	if !isWhole(a, err) {
+		t.tally.lastFailure = time.Now()
+		if !t.tally.frozen {
+			t.tally.beforeDeath++
+		}
+		if !t.tally.stopBegan.IsZero() && (t.tally.stopDone.IsZero() || start.Before(t.tally.stopDone)) {
+			t.tally.duringStop++
+			t.problem("%s failed during the graceful stop", id)
+		}
 	}
 	if err != nil {
 		t.tally.unanswered++
@@ -141,6 +153,39 @@
 	t.tally.frozen = true
 }
 
+func (t *traffic) beginStop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tally.stopBegan = time.Now()
+}
+
+func (t *traffic) endStop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tally.stopDone = time.Now()
+}
+
+// waitCalm waits until no request has failed for calmTime.
+func (t *traffic) waitCalm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, calmTimeout)
+	defer cancel()
+	ticker := time.NewTicker(calmTime / 20)
+	defer ticker.Stop()
+	for start := time.Now(); ; {
+		t.mu.Lock()
+		calm := time.Since(t.tally.lastFailure) >= calmTime && time.Since(start) >= calmTime
+		t.mu.Unlock()
+		if calm {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (t *traffic) problem(format string, args ...any) {
 	if len(t.tally.errors) < keepErrors {
 		t.tally.errors = append(t.tally.errors, fmt.Sprintf(format, args...))
@@ -160,6 +205,7 @@
 	twice := t.ledger.RunTwice(t.tally.orders)
 	check(len(twice) == 0, "%d orders ran twice: %v", len(twice), twice)
 	check(t.tally.beforeDeath == 0, "%d requests were cut off by a planned stop", t.tally.beforeDeath)
+	check(t.tally.duringStop == 0, "%d requests felt the graceful stop", t.tally.duringStop)
 	check(t.tally.wrong == 0, "%d answers were wrong", t.tally.wrong)
 	check(t.tally.unanswered == 0, "%d requests got no answer", t.tally.unanswered)
 	for _, key := range t.tally.notRun {
