Take the lock where a proxy test reads the claims

Cause: TestKeyedOrderOutlivesItsCaller read the fixture's map of claims while the handler wrote it. Change: the test takes the fixture's lock. Conclusion: the test is as strict as before.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -394,8 +394,11 @@
 	if _, err := f.server.Client().Do(req); err == nil {
 		t.Fatal("the caller was meant to go first")
 	}
+	f.mu.Lock()
+	done := f.claims["k"].done
+	f.mu.Unlock()
 	select {
-	case <-f.claims["k"].done:
+	case <-done:
 	case <-time.After(5 * time.Second):
 		t.Fatal("the order was not carried to its end")
 	}
