--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -25,9 +25,10 @@
 		return a.err
 	}
 	var kept []byte
-	if res.ContentLength >= 0 && res.ContentLength <= smallBody {
-		held, err := io.ReadAll(res.Body)
-		if err != nil {
+	if res.ContentLength >= 0 && res.ContentLength <= smallBody && x.r.Method != http.MethodHead {
+		held, free := x.holder(int(res.ContentLength))
+		defer free()
+		if _, err := io.ReadFull(res.Body, held); err != nil {
 			a.err = x.truncated(a, err)
 			a.fail()
 			return a.err
@@ -53,6 +54,16 @@
 	return nil
 }
 
+// holder returns memory for a body of n bytes, and what gives it back. Only a
+// claim keeps the body past the end of the request.
+func (x *exchange) holder(n int) (held []byte, free func()) {
+	if x.claim != nil || n > copyBufferBytes {
+		return make([]byte, n), func() {}
+	}
+	buffer, _ := copyBuffers.Get().(*[]byte)
+	return (*buffer)[:n], func() { copyBuffers.Put(buffer) }
+}
+
 // hasEnd tells whether the end of the answer can be recognised.
 func hasEnd(res *http.Response) bool {
 	chunked := len(res.TransferEncoding) > 0 && res.TransferEncoding[0] == "chunked"
@@ -75,7 +86,7 @@
 	// A refusal in the upstream's name is its own; this VM's verdict headers
 	// are set only on refusals of this VM.
 	h.Del(verdict.HeaderVerdict)
-	if res.ContentLength >= 0 {
+	if res.ContentLength >= 0 && len(h["Content-Length"]) != 1 {
 		h.Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	}
 	x.begun = true
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -92,7 +92,7 @@
 	}
 	remaining := time.Until(a.x.query.Deadline)
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
-	req.Header.Set("Via", "1.1 "+proxyName)
+	req.Header["Via"] = via
 	req.Header.Add("X-Forwarded-For", a.x.caller)
 	return req, nil
 }
@@ -213,7 +213,11 @@
 	return nil
 }
 
-// hopByHop are the headers of RFC 9110, section 7.6.1, that are not passed on.
+// via is shared by all requests and never changed.
+var via = []string{"1.1 " + proxyName}
+
+// hopByHop are the headers of RFC 9110, section 7.6.1, that are not passed on, in
+// canonical form.
 var hopByHop = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
 func removeHopByHop(h http.Header) {
@@ -223,6 +227,6 @@
 		}
 	}
 	for _, name := range hopByHop {
-		h.Del(name)
+		delete(h, name)
 	}
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -184,16 +184,18 @@
 	if r.ContentLength == 0 {
 		return b, nil
 	}
-	keep := int64(fingerprintBytes)
 	if r.ContentLength > 0 && r.ContentLength <= smallBody {
-		keep = r.ContentLength
+		b.prefix = make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, b.prefix)
+		return b, err
 	}
+	const keep = int64(fingerprintBytes)
 	prefix, err := io.ReadAll(io.LimitReader(r.Body, keep))
 	if err != nil {
 		return nil, err
 	}
 	b.prefix = prefix
-	if int64(len(prefix)) < keep || r.ContentLength == keep {
+	if int64(len(prefix)) < keep {
 		b.length = int64(len(prefix))
 		return b, nil
 	}
