Wait for a key on its way back before it counts as in progress

Cause: a VM that refuses an order as not run gives its key back without holding the refusal back. The caller's resend was faster: the owner still had the claim as granted and answered key-in-progress, may have run. Each such refusal in the logs follows a region-limit of another VM within 10 ms. Change: package caller sends once more after 150 ms, over one round trip between regions, when all sends before were refused as not run.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -187,6 +187,31 @@
 	}
 }
 
+// Guards against an order that ends as "may have run" because the VM that refused
+// it has not given its key back yet, and against a resend of an order whose send
+// before was lost.
+func TestKeyOnItsWayBackIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int64
+	inProgressOnce := func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) == 1 {
+			refuses(verdict.MayHaveRun, verdict.ReasonKeyInProgress)(w, r)
+			return
+		}
+		_, _ = io.WriteString(w, "two")
+	}
+	busy := refuses(verdict.NotRun, verdict.ReasonRegionLimit)
+	_, c := newFleet(t, busy, inProgressOnce)
+	if a := do(t, c, order); string(a.Body) != "two" {
+		t.Fatalf("status %d, answer %q", a.Status, a.Body)
+	}
+	asked.Store(0)
+	f, c := newFleet(t, cutsOff, inProgressOnce)
+	if v, _, refused := do(t, c, order).Refusal(); !refused || v != verdict.MayHaveRun || f.vms[1].asked.Load() != 1 {
+		t.Fatalf("refused %t, %s, after %d sends to the second VM", refused, v, f.vms[1].asked.Load())
+	}
+}
+
 // Guards against traffic that leaves a VM because one answer was cut.
 func TestCutAnswerMovesNoTraffic(t *testing.T) {
 	t.Parallel()
--- a/caller/do.go
+++ b/caller/do.go
@@ -12,6 +12,12 @@
 	"github.com/currantferry/currantferry/verdict"
 )
 
+// releasePause is the wait before a resend whose key is in progress, although
+// every send before was refused as not run: the VM that refused gives the key
+// back without holding its refusal back, which takes up to one round trip
+// between regions (110 ms).
+const releasePause = 150 * time.Millisecond
+
 // request is one request on its way through entry VMs.
 type request struct {
 	c   *Client
@@ -29,6 +35,10 @@
 	err     error
 	// uncertain is set when a send may have run without an answer.
 	uncertain bool
+	// lost is set when a send ended without a refusal that says not run.
+	lost bool
+	// pause before the next send.
+	pause time.Duration
 }
 
 // out is a send without a result.
@@ -52,6 +62,7 @@
 	defer cancel()
 	q := &request{c: c, ctx: ctx, r: &r, out: make(map[int]*out), results: make(chan result, c.options.MaxSends)}
 	for {
+		q.rest()
 		if err := q.send(); err != nil && len(q.out) == 0 {
 			if q.refused != nil {
 				return q.end(q.refused), nil
@@ -69,6 +80,20 @@
 	}
 }
 
+// rest waits for the pause before the next send.
+func (q *request) rest() {
+	if q.pause == 0 {
+		return
+	}
+	timer := time.NewTimer(q.pause)
+	defer timer.Stop()
+	q.pause = 0
+	select {
+	case <-timer.C:
+	case <-q.ctx.Done():
+	}
+}
+
 func (q *request) end(a *Answer) *Answer {
 	a.Sends, a.uncertain = q.sends, q.uncertain
 	return a
@@ -132,11 +157,11 @@
 	if res.err != nil {
 		q.err = res.err
 		if !isNotSent(res.err) {
-			q.uncertain = true
+			q.uncertain, q.lost = true, true
 		}
 		return q.isSafe() || isNotSent(res.err)
 	}
-	v, _, refused := res.answer.Refusal()
+	v, reason, refused := res.answer.Refusal()
 	if !refused {
 		return false
 	}
@@ -144,6 +169,11 @@
 	if v != verdict.NotRun {
 		q.uncertain = true
 	}
+	if reason == verdict.ReasonKeyInProgress && res.send > 0 && !q.lost && len(q.out) == 0 {
+		q.pause = releasePause
+		return true
+	}
+	q.lost = q.lost || v != verdict.NotRun
 	return res.answer.Status >= http.StatusInternalServerError && verdict.MayResend(v, q.r.Idempotent)
 }
 
