Ask again for a hedge that was refused for the moment

Cause: a slow read asked for a hedge once. When the budget or the free slots refused it at that moment, the read waited for its instance, at a frozen one until it thawed or the deadline. Change: the hedge is asked for again after 20 ms, doubling up to 160 ms.

--- /dev/null
+++ b/proxy/hedge_test.go
@@ -0,0 +1,54 @@
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/standin"
+)
+
+// scarceSelector refuses the first hedges, as an empty budget does.
+type scarceSelector struct {
+	*fixture
+	refusals atomic.Int64
+}
+
+type scarceSelection struct {
+	Selection
+	s *scarceSelector
+}
+
+func (s *scarceSelector) Select(ctx context.Context, q *Query) (Selection, error) {
+	selection, err := s.fixture.Select(ctx, q)
+	return scarceSelection{selection, s}, err
+}
+
+func (c scarceSelection) Hedge() (Selection, bool) {
+	if c.s.refusals.Add(-1) >= 0 {
+		return nil, false
+	}
+	return c.Selection.Hedge()
+}
+
+// Guards against a read that waits for a frozen instance until its deadline
+// because the hedge was refused at one moment.
+func TestHedgeIsAskedForAgain(t *testing.T) {
+	frozen := startUpstream(t, standin.UpstreamOptions{ID: "frozen", WorkTime: 20 * time.Second})
+	fast := startUpstream(t, standin.UpstreamOptions{ID: "fast"})
+	f := newFixture(t, frozen.Address(), fast.Address())
+	f.hedge = 5 * time.Millisecond
+	s := &scarceSelector{fixture: f}
+	s.refusals.Store(3)
+	f.handler.options.Selector = s
+	res, _, err := f.do(t, "GET", "/a", "", HeaderTimeout, "10000")
+	if err != nil || res.Header.Get(standin.HeaderInstance) != "fast" {
+		t.Fatalf("answer %v, %v", res, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.outcomes) != 2 {
+		t.Fatalf("outcomes %v", f.outcomes)
+	}
+}
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -117,6 +117,15 @@
 	return x.deliver(winner)
 }
 
+// A hedge may be refused for the moment, since the budget or the free slots are
+// used up. It is asked for again after hedgeAgain, which doubles up to
+// hedgeAgainMost: at an instance that froze, the request would otherwise wait
+// until its deadline.
+const (
+	hedgeAgain     = 20 * time.Millisecond
+	hedgeAgainMost = 160 * time.Millisecond
+)
+
 // run sends an attempt, and a hedge if the answer is late. It returns the first
 // attempt with an answer, or the last failure; all others have ended.
 func (x *exchange) run(first *attempt) *attempt {
@@ -131,14 +140,15 @@
 	group.Go(func() { first.send(); done <- first })
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	select {
-	case a := <-done:
-		return a
-	case <-timer.C:
-	}
-	second := x.hedge(first)
-	if second == nil {
-		return <-done
+	var second *attempt
+	for again := max(delay, hedgeAgain); second == nil; again = min(2*again, hedgeAgainMost) {
+		select {
+		case a := <-done:
+			return a
+		case <-timer.C:
+		}
+		second = x.hedge(first)
+		timer.Reset(again)
 	}
 	group.Go(func() { second.send(); done <- second })
 	winner := <-done
