Bound the stop of the VMs that local.sh starts

Cause: local.sh stops all VMs at once. None can hand its partitions over, and each waited for [node] stop_timeout, 10 min by default. Change: local.sh sets stop_timeout to 10 s. Conclusion: Ctrl-C ends local.sh within seconds again.

--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -102,6 +102,10 @@
 
 [lookup]
 zone = local.internal
+
+[node]
+# All VMs stop at once here, so that none can hand its partitions over.
+stop_timeout = 10s
 INI
 	start "vm-$n" "$work/currantferryd" run -config "$work/vm-$n.ini"
 	[ -n "$vms" ] && vms+=,
