--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -104,6 +104,10 @@
 
 [lookup]
 zone = local.internal
+
+[node]
+# All VMs stop at once here, so that none can hand its partitions over.
+stop_timeout = 10s
 INI
 	start "vm-$n" "$work/currantferryd" run -config "$work/vm-$n.ini"
 	[ -n "$vms" ] && vms+=,
