Log violated invariants and show their counts in the status

Event 1090 was in the catalogue, but no code wrote it, so a violation in a daemon went unseen. One hook serves all nodes of a process, because the checks are counted per process.

--- a/node/admin.go
+++ b/node/admin.go
@@ -7,6 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/currantferry/currantferry/crashguard"
+	"github.com/currantferry/currantferry/invariant"
 )
 
 // adminHandler serves health, metrics and state.
@@ -47,6 +48,8 @@
 	Members  []MemberStatus   `json:"members"`
 	Refusals map[string]int64 `json:"refusals"`
 	Retries  map[string]int64 `json:"retries"`
+	// Violations counts violated invariants by name, for the whole process.
+	Violations map[string]uint64 `json:"violations,omitempty"`
 	// Suspects are requests that broke the connection to an instance.
 	Suspects []crashguard.Row `json:"suspects,omitempty"`
 }
@@ -63,7 +66,7 @@
 	s := Status{
 		VM: n.self.ID, Ready: n.control.Ready(), Leaving: n.isLeaving(), Version: n.control.Version(),
 		Watching: n.control.Watching(), InFlight: n.proxy.InFlight(),
-		Suspects: n.crash.rows(),
+		Suspects: n.crash.rows(), Violations: violations(),
 		Refusals: make(map[string]int64), Retries: make(map[string]int64),
 	}
 	n.planner.mu.Lock()
@@ -83,3 +86,11 @@
 	}
 	return s
 }
+
+func violations() map[string]uint64 {
+	out := make(map[string]uint64)
+	for name, count := range invariant.Counts() {
+		out[string(name)] = count
+	}
+	return out
+}
--- a/node/node.go
+++ b/node/node.go
@@ -118,6 +118,7 @@
 		steering: steer.New(steer.Config{TTL: s.Lookup.TTL, DataCentre: s.VM.DataCentre}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.watchInvariants()
 	if err := n.open(o); err != nil {
 		n.Kill()
 		return nil, err
--- a/node/stop.go
+++ b/node/stop.go
@@ -78,5 +78,6 @@
 		}
 		n.group.Wait()
 		_ = n.metrics.Close()
+		n.unwatchInvariants()
 	})
 }
--- /dev/null
+++ b/node/violations_test.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/currantferry/currantferry/invariant"
+)
+
+// Guards against a violated invariant that neither the log nor the status shows,
+// and a hook that outlives the nodes that set it.
+func TestViolationsAreLogged(t *testing.T) {
+	invariant.Reset()
+	t.Cleanup(invariant.Reset)
+	var former int
+	defer invariant.OnViolation(func(invariant.Violation) { former++ })()
+	var out [2]bytes.Buffer
+	var nodes [2]*Node
+	for i := range nodes {
+		nodes[i] = &Node{log: slog.New(slog.NewTextHandler(&out[i], nil))}
+		nodes[i].watchInvariants()
+	}
+	nodes[0].unwatchInvariants()
+	invariant.Check(invariant.AtMostOnce, false, "key %d", 7)
+	nodes[1].unwatchInvariants()
+	nodes[1].unwatchInvariants()
+	if got := out[1].String(); !strings.Contains(got, "event=1090") || !strings.Contains(got, "key 7") {
+		t.Errorf("log of the running node: %q", got)
+	}
+	if out[0].Len() > 0 {
+		t.Errorf("log of the ended node: %q", out[0].String())
+	}
+	if got := violations(); got["at-most-once"] != 1 || len(got) != 1 {
+		t.Errorf("status: %v", got)
+	}
+	invariant.Check(invariant.AtMostOnce, false, "after the last node")
+	if former != 1 {
+		t.Errorf("the former hook saw %d violations, want 1", former)
+	}
+}
