--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -57,6 +57,9 @@
 	l      net.Listener
 	mu     sync.Mutex
 	cut    bool
+	// admit tells whether a connection passes, and returns what it read from it
+	// to find out. Nil admits all.
+	admit func(net.Conn) ([]byte, bool)
 	conns  map[net.Conn]bool
 }
 
@@ -95,9 +98,20 @@
 
 func (r *relay) serve(in net.Conn) {
 	defer in.Close()
+	r.mu.Lock()
+	admit := r.admit
+	r.mu.Unlock()
 	if !r.add(in) {
 		return
 	}
+	defer r.remove(in)
+	var sent []byte
+	if admit != nil {
+		var ok bool
+		if sent, ok = admit(in); !ok {
+			return
+		}
+	}
 	out, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
@@ -106,15 +120,21 @@
 	if !r.add(out) {
 		return
 	}
+	defer r.remove(out)
+	if _, err := out.Write(sent); err != nil {
+		return
+	}
 	done := make(chan struct{}, 2)
 	pass := func(dst, src net.Conn) { _, _ = io.Copy(dst, src); done <- struct{}{} }
 	go pass(out, in)
 	go pass(in, out)
 	<-done
+}
+
+func (r *relay) remove(c net.Conn) {
 	r.mu.Lock()
-	delete(r.conns, in)
-	delete(r.conns, out)
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
 }
 
 // setCut drops all connections and refuses new ones, or lets them pass again.
@@ -129,6 +149,16 @@
 	}
 }
 
+// setAdmit drops all connections and decides which new ones pass.
+func (r *relay) setAdmit(admit func(net.Conn) ([]byte, bool)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admit = admit
+	for c := range r.conns {
+		c.Close()
+	}
+}
+
 // syncBuffer is a buffer that is read while a process writes to it.
 type syncBuffer struct {
 	mu sync.Mutex
@@ -277,18 +307,25 @@
 	for _, p := range places {
 		for i := range perDC {
 			id := fmt.Sprintf("%s-%s-%d", service, p.dataCentre, i+1)
-			u, err := standin.StartUpstream(standin.UpstreamOptions{ID: id, Slots: 9, Ledger: c.ledger, CrashTime: 300 * time.Millisecond})
-			if err != nil {
-				c.t.Fatal(err)
-			}
-			c.t.Cleanup(func() { u.Close() })
-			c.upstreams[id] = u
+			u := c.startUpstream(id, "")
 			r.Services[0].Instances = append(r.Services[0].Instances, register.Instance{ID: id, Address: u.Address(), DataCentre: p.dataCentre, Slots: 9})
 		}
 	}
 	c.register = r
 }
 
+// startUpstream starts an instance, or starts it again at its address.
+func (c *cluster) startUpstream(id, address string) *standin.Upstream {
+	c.t.Helper()
+	u, err := standin.StartUpstream(standin.UpstreamOptions{ID: id, Address: address, Slots: 9, Ledger: c.ledger, CrashTime: 300 * time.Millisecond})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { u.Close() })
+	c.upstreams[id] = u
+	return u
+}
+
 func (c *cluster) publish(r rules.Rules) {
 	c.t.Helper()
 	publisher := configstore.New(c.client, configstore.Options{})
@@ -393,9 +430,12 @@
 }
 
 // caller returns a client that knows the VMs of the start.
-func (c *cluster) caller() *caller.Client {
+func (c *cluster) caller() *caller.Client { return c.callerOf(c.vms...) }
+
+// callerOf returns a client that knows only some VMs.
+func (c *cluster) callerOf(vms ...*vm) *caller.Client {
 	var bootstrap []string
-	for _, v := range c.vms {
+	for _, v := range vms {
 		bootstrap = append(bootstrap, v.address("caller"))
 	}
 	client := caller.New(caller.Options{Bootstrap: bootstrap, Seed: 1})
--- /dev/null
+++ b/e2e/region_test.go
@@ -0,0 +1,233 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/standin"
+	storestandin "github.com/currantferry/currantferry/store/standin"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// sendTimeout bounds one send of order.
+const sendTimeout = 6 * time.Second
+
+// outcome is what one send of an order came to.
+type outcome int
+
+const (
+	answered outcome = iota
+	notRun
+	unknown
+)
+
+// order sends an order once to one VM and checks its answer. A refusal that says
+// "not run" speaks of this send, so it is checked against the ledger only where
+// no earlier send of the key ran or may still run.
+func (c *cluster) order(v *vm, key string, mayHaveRun bool) (outcome, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	res, body, err := direct(ctx, v, http.MethodPost, key, map[string]string{standin.HeaderRequestID: key}, key)
+	if err != nil {
+		return unknown, err.Error()
+	}
+	said := res.Header.Get(verdict.HeaderVerdict)
+	reason := res.Header.Get(verdict.HeaderReason)
+	switch {
+	case said == verdict.NotRun.String():
+		if runs := c.ledger.Runs(key); len(runs) > 0 && !mayHaveRun {
+			c.t.Errorf("%s: %s said not run (%s), and it ran on %v", key, v.id, reason, runs)
+		}
+		return notRun, reason
+	case said != "":
+		return unknown, said + " " + reason
+	case res.StatusCode != http.StatusOK || !bytes.Equal(body, standin.AnswerBody(key, 64)):
+		c.t.Errorf("%s: %s answered with status %d and %d bytes, not the whole answer", key, v.id, res.StatusCode, len(body))
+	}
+	return answered, ""
+}
+
+// read sends a read once to one VM and returns the instance that answered.
+func (c *cluster) read(v *vm, id string) (instance, refusal string) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	res, body, err := direct(ctx, v, http.MethodGet, "", map[string]string{standin.HeaderRequestID: id}, "")
+	if err != nil {
+		return "", err.Error()
+	}
+	if said := res.Header.Get(verdict.HeaderVerdict); said != "" {
+		return "", said + " " + res.Header.Get(verdict.HeaderReason)
+	}
+	if res.StatusCode != http.StatusOK || !bytes.Equal(body, standin.AnswerBody(id, 64)) {
+		c.t.Errorf("%s: %s answered with status %d and %d bytes, not the whole answer", id, v.id, res.StatusCode, len(body))
+	}
+	return res.Header.Get(standin.HeaderInstance), ""
+}
+
+// Guards against callers who are left without an answer or with a wrong verdict
+// when a whole region is lost, and a region that does not come back.
+func TestRegionLost(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.waitOrders(5 * time.Second)
+	lost := c.vms[2]
+	addresses := make(map[string]string)
+	for id, u := range c.upstreams {
+		if strings.Contains(id, lost.place.dataCentre) {
+			addresses[id] = u.Address()
+			u.Close()
+		}
+	}
+	// Callers that still use the VM of the region: its upstreams are gone.
+	begun, elsewhere := time.Now(), 0
+	refusals := make(map[string]int)
+	var slowest time.Duration
+	var last string
+	for i := 0; time.Since(begun) < 3*time.Second; i++ {
+		sent := time.Now()
+		instance, refusal := c.read(lost, fmt.Sprintf("lost-%d", i))
+		slowest = max(slowest, time.Since(sent))
+		if last = refusal; refusal != "" {
+			refusals[refusal]++
+		} else if !strings.Contains(instance, lost.place.dataCentre) {
+			elsewhere++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("%d reads answered by the other region, refusals %v, slowest %s", elsewhere, refusals, slowest.Round(time.Millisecond))
+	for refusal := range refusals {
+		if !strings.HasPrefix(refusal, verdict.NotRun.String()) {
+			t.Errorf("refused as %s, want not-run", refusal)
+		}
+	}
+	if elsewhere == 0 || last != "" {
+		t.Errorf("the other region does not take over within 3 s: %q", last)
+	}
+	lost.kill()
+	l := c.startLoad()
+	time.Sleep(4 * time.Second)
+	l.finish(t)
+	if l.unknown > 0 {
+		t.Errorf("%d refusals do not say not-run", l.unknown)
+	}
+	if l.answered < 300 {
+		t.Errorf("the other region answered only %d requests", l.answered)
+	}
+	for id, address := range addresses {
+		c.startUpstream(id, address)
+	}
+	c.startVM(lost)
+	c.waitReady()
+	c.waitOrders(10 * time.Second)
+	c.eventually(10*time.Second, "the region answers with its own upstreams", func() bool {
+		instance, _ := c.read(lost, "back")
+		return strings.Contains(instance, lost.place.dataCentre)
+	})
+}
+
+// Guards against orders that run on both sides of a cut between regions, wrong
+// verdicts during it, and a side that serves no reads.
+func TestRegionsCut(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.waitOrders(5 * time.Second)
+	far := c.vms[2]
+	c.cutRegions(true)
+	far.store.setCut(true)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	keys := make([]string, 0, 300)
+	reads, refusals := make(map[string]int), make(map[string]int)
+	begun := time.Now()
+	for i := 0; time.Since(begun) < 6*time.Second; i++ {
+		key := fmt.Sprintf("cut-%d", i)
+		keys = append(keys, key)
+		sides := []*vm{c.vms[i%2], far}
+		if i%2 == 1 {
+			sides[0], sides[1] = sides[1], sides[0]
+		}
+		group.Go(func() {
+			sentBefore := false
+			for _, v := range sides {
+				o, why := c.order(v, key, sentBefore)
+				sentBefore = sentBefore || o != notRun
+				if o != answered {
+					mu.Lock()
+					refusals[v.id+" "+why]++
+					mu.Unlock()
+				}
+			}
+		})
+		group.Go(func() {
+			for _, v := range sides {
+				instance, why := c.read(v, fmt.Sprintf("read-%d", i))
+				mu.Lock()
+				if instance == "" {
+					reads[v.id+" "+why]++
+				}
+				mu.Unlock()
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	group.Wait()
+	t.Logf("%d orders on both sides, refusals %v", len(keys), refusals)
+	if len(reads) > 0 {
+		t.Errorf("reads were refused: %v", reads)
+	}
+	for _, v := range c.vms {
+		if s, err := c.status(v); err != nil || (v == far) != (stateOf(s.Members, c.vms[0].id) != "serving") {
+			t.Errorf("%s sees %+v, %v: the cut is not as meant", v.id, s.Members, err)
+		}
+	}
+	// The side that reaches the store takes the partitions over.
+	taken := 0
+	for i := range 48 {
+		if o, _ := c.order(c.vms[i%2], fmt.Sprintf("taken-%d", i), false); o == answered {
+			taken++
+		}
+	}
+	if taken < 48 {
+		t.Errorf("the side with the store answers %d of 48 orders after 6 s", taken)
+	}
+	c.cutRegions(false)
+	far.store.setCut(false)
+	c.waitReady()
+	c.waitOrders(10 * time.Second)
+	if twice := c.ledger.RunTwice(keys); len(twice) > 0 {
+		t.Errorf("orders ran twice: %v", twice)
+	}
+}
+
+// Guards against a VM that never takes callers, or takes them with an older
+// configuration, when it starts without the store and without one data centre.
+func TestStartWithoutStoreAndDataCentre(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.store.SetFault(storestandin.Fault{Down: true})
+	c.vms[1].peer.setCut(true)
+	added := c.newVM("vm-4", places[0])
+	begun := time.Now()
+	c.startVM(added)
+	c.eventually(10*time.Second, "the new VM takes callers", func() bool {
+		s, err := c.status(added)
+		return err == nil && s.Ready && s.Version == c.version
+	})
+	t.Logf("ready after %s", time.Since(begun).Round(time.Millisecond))
+	for i := range 20 {
+		if instance, why := c.read(added, fmt.Sprintf("new-%d", i)); instance == "" {
+			t.Errorf("read %d was refused: %s", i, why)
+		}
+	}
+	c.store.SetFault(storestandin.Fault{})
+	c.vms[1].peer.setCut(false)
+	c.vms = append(c.vms, added)
+	c.list()
+	c.waitReady()
+}
--- /dev/null
+++ b/e2e/source_test.go
@@ -0,0 +1,59 @@
+package e2e
+
+import (
+	"net"
+	"regexp"
+	"time"
+)
+
+// A relay serves all peers of one VM. To cut only some of them, it reads what a
+// connection sends first: heartbeats and at-most-once messages begin with the ID
+// of the sender.
+
+var idPattern = regexp.MustCompile(`vm-[0-9]+`)
+
+// Bounds of what is read to identify a connection. A VM that sends nothing for
+// that long, or another message first, is refused and connects again.
+const (
+	identifyBytes = 64 << 10
+	identifyTime  = 2 * time.Second
+)
+
+// identify returns the VM that opened the connection, or nil, and what it sent.
+func (c *cluster) identify(in net.Conn) (*vm, []byte) {
+	_ = in.SetReadDeadline(time.Now().Add(identifyTime))
+	defer func() { _ = in.SetReadDeadline(time.Time{}) }()
+	var sent []byte
+	buffer := make([]byte, 4<<10)
+	for len(sent) < identifyBytes {
+		n, err := in.Read(buffer)
+		sent = append(sent, buffer[:n]...)
+		if id := idPattern.Find(sent); id != nil {
+			for _, v := range c.vms {
+				if v.id == string(id) {
+					return v, sent
+				}
+			}
+			return nil, sent
+		}
+		if err != nil {
+			break
+		}
+	}
+	return nil, sent
+}
+
+// cutRegions lets VMs of different regions no longer reach one another, or heals
+// the cut.
+func (c *cluster) cutRegions(cut bool) {
+	for _, v := range c.vms {
+		var admit func(net.Conn) ([]byte, bool)
+		if cut {
+			admit = func(in net.Conn) ([]byte, bool) {
+				source, sent := c.identify(in)
+				return sent, source != nil && source.place.region == v.place.region
+			}
+		}
+		v.peer.setAdmit(admit)
+	}
+}
