--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,7 +59,7 @@
 	// admit tells whether a connection passes, and returns what it read from it
 	// to find out. Nil admits all.
 	admit func(net.Conn) ([]byte, bool)
-	conns  map[net.Conn]bool
+	conns map[net.Conn]bool
 }
 
 func newRelay(t *testing.T) *relay {
@@ -216,14 +215,6 @@
 	return p
 }
 
-func (p *process) address(name string) string {
-	m := regexp.MustCompile(name + `=(\S+)`).FindStringSubmatch(p.line)
-	if m == nil {
-		return ""
-	}
-	return m[1]
-}
-
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 func (p *process) logText() string { return p.log.String() }
@@ -246,6 +237,8 @@
 	peer  *relay
 	store *relay
 	file  string
+	// callerAddress and adminAddress stay the same over restarts.
+	callerAddress, adminAddress string
 }
 
 // cluster is a store, upstreams and entry VMs. The upstreams run in the test's
@@ -342,13 +335,14 @@
 	v := &vm{id: id, place: p, peer: newRelay(c.t), store: newRelay(c.t), file: filepath.Join(c.t.TempDir(), id+".ini")}
 	v.store.target = c.storeAddr
 	v.peer.target = freeAddress(c.t)
+	v.callerAddress, v.adminAddress = freeAddress(c.t), freeAddress(c.t)
 	var seeds []string
 	for _, other := range c.vms {
 		seeds = append(seeds, other.peer.address())
 	}
 	ini := fmt.Sprintf("[vm]\nid = %s\nregion = %s\ndata_centre = %s\n[listen]\ncaller = %s\npeer = %s\nadvertise_peer = %s\nadmin = %s\n"+
 		"[store]\naddresses = %s\ntimeout = 1s\nlease_ttl = 5s\n[peers]\nseeds = %s\n[lookup]\nttl = 1s\n[node]\nlookup_grace = 1500ms\nstop_timeout = 20s\n[log]\nlevel = debug\n",
-		id, p.region, p.dataCentre, freeAddress(c.t), v.peer.target, v.peer.address(), freeAddress(c.t), v.store.address(), strings.Join(seeds, ", "))
+		id, p.region, p.dataCentre, v.callerAddress, v.peer.target, v.peer.address(), v.adminAddress, v.store.address(), strings.Join(seeds, ", "))
 	if err := os.WriteFile(v.file, []byte(ini), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -356,10 +350,16 @@
 }
 
 // nextPort is below the range of ports that the system gives to connections, so
-// that tests side by side do not take one another's.
+// that tests side by side do not take one another's. Test processes side by side
+// begin at different ports.
 var nextPort atomic.Int32
 
-const firstPort = 21000
+const (
+	portRanges   = 40
+	portsInRange = 290
+)
+
+var firstPort = int32(21000 + os.Getpid()%portRanges*portsInRange)
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -391,7 +391,7 @@
 func (c *cluster) status(v *vm) (node.Status, error) {
 	var s node.Status
 	client := http.Client{Timeout: time.Second}
-	res, err := client.Get("http://" + v.address("admin") + "/v1/status")
+	res, err := client.Get("http://" + v.adminAddress + "/v1/status")
 	if err != nil {
 		return s, err
 	}
@@ -436,7 +436,7 @@
 func (c *cluster) callerOf(vms ...*vm) *caller.Client {
 	var bootstrap []string
 	for _, v := range vms {
-		bootstrap = append(bootstrap, v.address("caller"))
+		bootstrap = append(bootstrap, v.callerAddress)
 	}
 	client := caller.New(caller.Options{Bootstrap: bootstrap, Seed: 1})
 	c.t.Cleanup(client.Close)
@@ -449,7 +449,7 @@
 	if header[standin.HeaderCrash] != "" {
 		path = "/crash"
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.address("caller")+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/e2e/random_test.go
@@ -0,0 +1,329 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/config"
+	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/rules"
+)
+
+const (
+	defaultSeed   = 1
+	defaultRounds = 4
+	// repairLimit is the time after the last repair in which everything is
+	// answered again.
+	repairLimit = 10 * time.Second
+	resends     = 4
+)
+
+// run is one random run.
+type run struct {
+	t           *testing.T
+	c           *cluster
+	begun       time.Time
+	instances   map[string]string
+	instanceIDs []string
+
+	// cutMu guards cutOff, which admission at the relays reads.
+	cutMu  sync.Mutex
+	cutOff map[string]bool
+
+	mu       sync.Mutex
+	lines    []string
+	logs     []*syncBuffer
+	starts   map[string]int
+	keys     []string
+	outcomes map[string]int
+
+	percent float64
+	// pending are drains whose publication has an unknown outcome.
+	pending *config.Meta
+	wanted  rules.Rules
+}
+
+// Guards against promises that hold under each failure alone and break under
+// failures that overlap: at most once, truth of "not run", whole answers, versions
+// that never go back, and recovery within 10 s.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	seed, rounds := envInt(t, "CURRANTFERRY_SEED", defaultSeed), envInt(t, "CURRANTFERRY_ROUNDS", defaultRounds)
+	c := newCluster(t)
+	r := &run{t: t, c: c, instances: make(map[string]string), cutOff: make(map[string]bool), starts: make(map[string]int), outcomes: make(map[string]int), percent: 1}
+	for id, u := range c.upstreams {
+		r.instances[id] = u.Address()
+		r.instanceIDs = append(r.instanceIDs, id)
+	}
+	slices.Sort(r.instanceIDs)
+	for _, v := range c.vms {
+		r.logs = append(r.logs, v.log)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d, faults:\n%s", seed, strings.Join(r.lines, "\n"))
+			t.Logf("run again: CURRANTFERRY_SEED=%d CURRANTFERRY_ROUNDS=%d go test ./e2e -run 'TestRandomFaults$' -count=1 -v", seed, rounds)
+		}
+	})
+	c.waitOrders(10 * time.Second)
+	r.begun = time.Now()
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() { r.load(stop) })
+	load.Go(func() { r.watchVersions(stop) })
+	for _, e := range r.timeline(rand.New(rand.NewPCG(uint64(seed), 1)), rounds) {
+		time.Sleep(time.Until(r.begun.Add(e.at)))
+		if e.begin {
+			r.log("begin %s", e.fault.name)
+			e.fault.begin(r)
+		} else {
+			e.fault.end(r)
+			r.log("end %s", e.fault.name)
+		}
+	}
+	r.recover()
+	close(stop)
+	load.Wait()
+	r.check()
+}
+
+func envInt(t *testing.T, name string, def int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return def
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+func (r *run) log(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.lines = append(r.lines, fmt.Sprintf("%s %6.2fs %s", now.UTC().Format("15:04:05.000"), now.Sub(r.begun).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// endOf ends a VM's process.
+func (r *run) endOf(v *vm, s syscall.Signal) {
+	if s == syscall.SIGKILL {
+		v.kill()
+		return
+	}
+	v.signal(s)
+}
+
+func (r *run) restart(v *vm) {
+	select {
+	case <-v.done:
+	case <-time.After(25 * time.Second):
+		r.t.Errorf("%s did not stop within its bound", v.id)
+		v.kill()
+	}
+	r.c.startVM(v)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.logs = append(r.logs, v.log)
+	r.starts[v.id]++
+}
+
+func (r *run) applyCuts() {
+	for _, v := range r.c.vms {
+		v.peer.setAdmit(func(in net.Conn) ([]byte, bool) {
+			r.cutMu.Lock()
+			cuts, own := len(r.cutOff) > 0, r.cutOff[v.id]
+			r.cutMu.Unlock()
+			if own {
+				return nil, false
+			}
+			if !cuts {
+				return nil, true
+			}
+			source, sent := r.c.identify(in)
+			if source == nil {
+				return sent, false
+			}
+			r.cutMu.Lock()
+			defer r.cutMu.Unlock()
+			return sent, !r.cutOff[source.id]
+		})
+	}
+}
+
+// publish changes the drains. A change whose outcome is unknown is sent again with
+// the same ID before the next one, and at the end of the run.
+func (r *run) publish(drains []rules.Drain) {
+	r.resolve(time.Second)
+	if r.pending != nil {
+		r.log("no change: the last one is not resolved")
+		return
+	}
+	r.percent++
+	r.wanted = rules.Rules{RetryPercent: r.percent, Drains: drains}
+	m := meta(fmt.Sprintf("random-%g", r.percent), "random")
+	r.pending = &m
+	r.resolve(2 * time.Second)
+}
+
+func (r *run) resolve(limit time.Duration) {
+	if r.pending == nil {
+		return
+	}
+	publisher := configstore.New(r.c.client, configstore.Options{CallTimeout: time.Second, ChangeLimit: limit})
+	result, err := publisher.Publish(context.Background(), r.c.version, config.Content{Register: r.c.register, Rules: &r.wanted}, *r.pending)
+	switch {
+	case err == nil:
+		r.c.version, r.pending = result.Version, nil
+		r.log("version %d accepted", result.Version)
+	case !errors.Is(err, configstore.ErrOutcomeUnknown):
+		r.t.Errorf("publish: %v", err)
+		r.pending = nil
+	}
+}
+
+// recover repairs everything and waits until all is answered and in force.
+func (r *run) recover() {
+	repaired := time.Now()
+	r.resolve(repairLimit)
+	if r.wanted.Drains != nil {
+		r.publish(nil)
+	}
+	r.log("all repaired")
+	left := func() time.Duration { return time.Until(repaired.Add(repairLimit)) }
+	for _, v := range r.c.vms {
+		r.c.eventually(left(), "the last accepted version is in force on "+v.id, func() bool {
+			s, err := r.c.status(v)
+			return err == nil && s.Ready && s.Version == r.c.version
+		})
+	}
+	for _, v := range r.c.vms {
+		for i := range 20 {
+			r.c.eventually(left(), v.id+" answers reads", func() bool {
+				instance, _ := r.c.read(v, fmt.Sprintf("end-%d", i))
+				return instance != ""
+			})
+		}
+	}
+	r.c.waitOrders(left())
+	r.log("everything is answered %s after the last repair", time.Since(repaired).Round(time.Millisecond))
+}
+
+// load sends reads and orders until stop is closed.
+func (r *run) load(stop chan struct{}) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ticker := time.NewTicker(15 * time.Millisecond)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ticker.C:
+		case <-stop:
+			return
+		}
+		if i%3 == 0 {
+			group.Go(func() { r.oneOrder(i) })
+		} else {
+			group.Go(func() {
+				instance, why := r.c.read(r.c.vms[i%len(r.c.vms)], fmt.Sprintf("read-%d", i))
+				if instance != "" {
+					why = "answered"
+				}
+				r.count("read " + why)
+			})
+		}
+	}
+}
+
+func (r *run) count(what string) {
+	if strings.Contains(what, "Post ") || strings.Contains(what, "Get ") {
+		what = what[:strings.Index(what, " ")] + " no answer"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[what]++
+}
+
+// oneOrder sends an order, and again through the next VMs until it is answered.
+func (r *run) oneOrder(i int) {
+	key := fmt.Sprintf("order-%d", i)
+	r.mu.Lock()
+	r.keys = append(r.keys, key)
+	r.mu.Unlock()
+	mayHaveRun := false
+	for send := range resends {
+		o, why := r.c.order(r.c.vms[(i+send)%len(r.c.vms)], key, mayHaveRun)
+		if o == answered {
+			r.count("order answered")
+			return
+		}
+		mayHaveRun = mayHaveRun || o == unknown
+		r.count("order " + why)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (r *run) send(v *vm, method, key string, header map[string]string, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, _, _ = direct(ctx, v, method, key, header, body)
+}
+
+// watchVersions checks that no incarnation of a VM goes back to an older version.
+func (r *run) watchVersions(stop chan struct{}) {
+	newest := make(map[string]uint64)
+	for {
+		for _, v := range r.c.vms {
+			r.mu.Lock()
+			before := r.starts[v.id]
+			r.mu.Unlock()
+			s, err := r.c.status(v)
+			r.mu.Lock()
+			after := r.starts[v.id]
+			r.mu.Unlock()
+			if err != nil || before != after || s.Version == 0 {
+				continue
+			}
+			incarnation := fmt.Sprintf("%s/%d", v.id, before)
+			if s.Version < newest[incarnation] {
+				r.t.Errorf("%s went from version %d back to %d", incarnation, newest[incarnation], s.Version)
+			}
+			newest[incarnation] = s.Version
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (r *run) check() {
+	r.t.Logf("%d orders, outcomes %v", len(r.keys), r.outcomes)
+	if twice := r.c.ledger.RunTwice(r.keys); len(twice) > 0 {
+		r.t.Errorf("orders ran twice: %v", twice)
+	}
+	for _, log := range r.logs {
+		for line := range strings.Lines(log.String()) {
+			if strings.Contains(line, "event=1090") || strings.Contains(line, "panic: ") {
+				r.t.Errorf("invariant violated: %s", strings.TrimSpace(line))
+			}
+		}
+	}
+	if r.outcomes["order answered"] == 0 || r.outcomes["read answered"] == 0 {
+		r.t.Error("no order or no read was answered")
+	}
+}
