Leave a region whose instances all refuse connections

Cause: the balancer avoids a minority of failed instances only, so with all instances of a region gone every request tried one, needed a retry, and was refused by the retry budget until the probes reported the region as down, about 2 s later. The plan's failover allowance for the region came into effect only then. Ruled out: the caps and shares (the same requests pass once the region counts as down) and a slow answer (the slowest read took 11 ms).

A pool now notes which instances refused the last connection. When all do, the region counts as without upstreams, and one request per 200 ms tries it.

--- a/e2e/region_test.go
+++ b/e2e/region_test.go
@@ -87,14 +87,14 @@
 	// Callers that still use the VM of the region: its upstreams are gone.
 	begun, elsewhere := time.Now(), 0
 	refusals := make(map[string]int)
-	var slowest time.Duration
-	var last string
+	var slowest, lastRefusal time.Duration
 	for i := 0; time.Since(begun) < 3*time.Second; i++ {
 		sent := time.Now()
 		instance, refusal := c.read(lost, fmt.Sprintf("lost-%d", i))
 		slowest = max(slowest, time.Since(sent))
-		if last = refusal; refusal != "" {
+		if refusal != "" {
 			refusals[refusal]++
+			lastRefusal = time.Since(begun)
 		} else if !strings.Contains(instance, lost.place.dataCentre) {
 			elsewhere++
 		}
@@ -106,8 +106,10 @@
 			t.Errorf("refused as %s, want not-run", refusal)
 		}
 	}
-	if elsewhere == 0 || last != "" {
-		t.Errorf("the other region does not take over within 3 s: %q", last)
+	// The allowances apply at once; a second leaves room for the first requests
+	// that find the instances gone, and for a busy machine.
+	if elsewhere == 0 || lastRefusal > time.Second {
+		t.Errorf("the other region took over after %s", lastRefusal.Round(time.Millisecond))
 	}
 	lost.kill()
 	l := c.startLoad()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -273,7 +273,7 @@
 		switch {
 		case !alive[region]:
 			state = plan.RegionUnreachable
-		case n.prober.isRegionDown(region) || n.isDrained(now, region):
+		case n.prober.isRegionDown(region) || n.isDrained(now, region) || n.selector.isRegionRefusing(now, region):
 			state = plan.RegionNoUpstreams
 		}
 		n.selector.gate.Observe(now, region, state)
--- a/node/pool.go
+++ b/node/pool.go
@@ -19,6 +19,7 @@
 	balancer  *balance.Balancer
 	addresses map[string]string
 	waiters   map[uint64]chan balance.Event
+	refusing  refusing
 }
 
 func newPool(cfg balance.Config, seed uint64) *pool {
@@ -26,6 +27,7 @@
 		balancer:  balance.New(cfg, seed),
 		addresses: make(map[string]string),
 		waiters:   make(map[uint64]chan balance.Event),
+		refusing:  refusing{instances: make(map[string]time.Time)},
 	}
 }
 
@@ -33,6 +35,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.addresses = addresses
+	p.refusing.keep(addresses)
 	p.balancer.SetInstances(now, instances)
 	p.tick(now)
 }
@@ -46,6 +49,10 @@
 // pick returns a ticket with an instance, waiting for a slot if need be.
 func (p *pool) pick(ctx context.Context, r balance.Request) (balance.Ticket, error) {
 	p.mu.Lock()
+	if !p.refusing.admit(time.Now(), len(p.addresses)) {
+		p.mu.Unlock()
+		return balance.Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, time.Second)
+	}
 	ticket, err := p.balancer.Pick(time.Now(), r)
 	if err != nil || !ticket.Waiting() {
 		p.mu.Unlock()
@@ -94,6 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.refusing.note(now, t.Instance, o)
 	p.balancer.Done(now, t, o)
 	p.tick(now)
 }
