--- a/e2e/random_test.go
+++ b/e2e/random_test.go
@@ -260,6 +260,9 @@
 // oneOrder sends an order, and again through the next VMs until it is answered.
 func (r *run) oneOrder(i int) {
 	key := fmt.Sprintf("order-%d", i)
+	if i%4 == 0 {
+		key = longOrder + key
+	}
 	r.mu.Lock()
 	r.keys = append(r.keys, key)
 	r.mu.Unlock()
--- a/e2e/region_test.go
+++ b/e2e/region_test.go
@@ -18,6 +18,10 @@
 // sendTimeout bounds one send of order.
 const sendTimeout = 6 * time.Second
 
+// longOrder is the prefix of keys whose orders run for 400 ms, so that failures hit
+// them while they run.
+const longOrder = "long-"
+
 // outcome is what one send of an order came to.
 type outcome int
 
@@ -33,7 +37,11 @@
 func (c *cluster) order(v *vm, key string, mayHaveRun bool) (outcome, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
-	res, body, err := direct(ctx, v, http.MethodPost, key, map[string]string{standin.HeaderRequestID: key}, key)
+	header := map[string]string{standin.HeaderRequestID: key}
+	if strings.HasPrefix(key, longOrder) {
+		header[standin.HeaderWorkMillis] = "400"
+	}
+	res, body, err := direct(ctx, v, http.MethodPost, key, header, key)
 	if err != nil {
 		return unknown, err.Error()
 	}
