--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,7 +56,10 @@
 	l      net.Listener
 	mu     sync.Mutex
 	cut    bool
-	conns  map[net.Conn]bool
+	// admit tells whether a connection passes, and returns what it read from it
+	// to find out. Nil admits all.
+	admit func(net.Conn) ([]byte, bool)
+	conns map[net.Conn]bool
 }
 
 func newRelay(t *testing.T) *relay {
@@ -95,9 +97,20 @@
 
 func (r *relay) serve(in net.Conn) {
 	defer in.Close()
+	r.mu.Lock()
+	admit := r.admit
+	r.mu.Unlock()
 	if !r.add(in) {
 		return
 	}
+	defer r.remove(in)
+	var sent []byte
+	if admit != nil {
+		var ok bool
+		if sent, ok = admit(in); !ok {
+			return
+		}
+	}
 	out, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
@@ -106,15 +119,21 @@
 	if !r.add(out) {
 		return
 	}
+	defer r.remove(out)
+	if _, err := out.Write(sent); err != nil {
+		return
+	}
 	done := make(chan struct{}, 2)
 	pass := func(dst, src net.Conn) { _, _ = io.Copy(dst, src); done <- struct{}{} }
 	go pass(out, in)
 	go pass(in, out)
 	<-done
+}
+
+func (r *relay) remove(c net.Conn) {
 	r.mu.Lock()
-	delete(r.conns, in)
-	delete(r.conns, out)
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
 }
 
 // setCut drops all connections and refuses new ones, or lets them pass again.
@@ -129,6 +148,16 @@
 	}
 }
 
+// setAdmit drops all connections and decides which new ones pass.
+func (r *relay) setAdmit(admit func(net.Conn) ([]byte, bool)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.admit = admit
+	for c := range r.conns {
+		c.Close()
+	}
+}
+
 // syncBuffer is a buffer that is read while a process writes to it.
 type syncBuffer struct {
 	mu sync.Mutex
@@ -186,14 +215,6 @@
 	return p
 }
 
-func (p *process) address(name string) string {
-	m := regexp.MustCompile(name + `=(\S+)`).FindStringSubmatch(p.line)
-	if m == nil {
-		return ""
-	}
-	return m[1]
-}
-
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 func (p *process) logText() string { return p.log.String() }
@@ -216,6 +237,8 @@
 	peer  *relay
 	store *relay
 	file  string
+	// callerAddress and adminAddress stay the same over restarts.
+	callerAddress, adminAddress string
 }
 
 // cluster is a store, upstreams and entry VMs. The upstreams run in the test's
@@ -277,18 +300,25 @@
 	for _, p := range places {
 		for i := range perDC {
 			id := fmt.Sprintf("%s-%s-%d", service, p.dataCentre, i+1)
-			u, err := standin.StartUpstream(standin.UpstreamOptions{ID: id, Slots: 9, Ledger: c.ledger, CrashTime: 300 * time.Millisecond})
-			if err != nil {
-				c.t.Fatal(err)
-			}
-			c.t.Cleanup(func() { u.Close() })
-			c.upstreams[id] = u
+			u := c.startUpstream(id, "")
 			r.Services[0].Instances = append(r.Services[0].Instances, register.Instance{ID: id, Address: u.Address(), DataCentre: p.dataCentre, Slots: 9})
 		}
 	}
 	c.register = r
 }
 
+// startUpstream starts an instance, or starts it again at its address.
+func (c *cluster) startUpstream(id, address string) *standin.Upstream {
+	c.t.Helper()
+	u, err := standin.StartUpstream(standin.UpstreamOptions{ID: id, Address: address, Slots: 9, Ledger: c.ledger, CrashTime: 300 * time.Millisecond})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { u.Close() })
+	c.upstreams[id] = u
+	return u
+}
+
 func (c *cluster) publish(r rules.Rules) {
 	c.t.Helper()
 	publisher := configstore.New(c.client, configstore.Options{})
@@ -305,25 +335,31 @@
 	v := &vm{id: id, place: p, peer: newRelay(c.t), store: newRelay(c.t), file: filepath.Join(c.t.TempDir(), id+".ini")}
 	v.store.target = c.storeAddr
 	v.peer.target = freeAddress(c.t)
+	v.callerAddress, v.adminAddress = freeAddress(c.t), freeAddress(c.t)
 	var seeds []string
 	for _, other := range c.vms {
 		seeds = append(seeds, other.peer.address())
 	}
 	ini := fmt.Sprintf("[vm]\nid = %s\nregion = %s\ndata_centre = %s\n[listen]\ncaller = %s\npeer = %s\nadvertise_peer = %s\nadmin = %s\n"+
 		"[store]\naddresses = %s\ntimeout = 1s\nlease_ttl = 5s\n[peers]\nseeds = %s\n[lookup]\nttl = 1s\n[node]\nlookup_grace = 1500ms\nstop_timeout = 20s\n[log]\nlevel = debug\n",
-		id, p.region, p.dataCentre, freeAddress(c.t), v.peer.target, v.peer.address(), freeAddress(c.t), v.store.address(), strings.Join(seeds, ", "))
+		id, p.region, p.dataCentre, v.callerAddress, v.peer.target, v.peer.address(), v.adminAddress, v.store.address(), strings.Join(seeds, ", "))
 	if err := os.WriteFile(v.file, []byte(ini), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
 	return v
 }
 
-// nextPort is below the range of ports that the system gives to connections, and
-// begins at a number of the process's own, so that tests side by side do not take
-// one another's.
+// nextPort is below the range of ports that the system gives to connections, so
+// that tests side by side do not take one another's. Test processes side by side
+// begin at different ports.
 var nextPort atomic.Int32
 
-var firstPort = int32(21000 + os.Getpid()%40*280)
+const (
+	portRanges   = 40
+	portsInRange = 290
+)
+
+var firstPort = int32(21000 + os.Getpid()%portRanges*portsInRange)
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -355,7 +391,7 @@
 func (c *cluster) status(v *vm) (node.Status, error) {
 	var s node.Status
 	client := http.Client{Timeout: time.Second}
-	res, err := client.Get("http://" + v.address("admin") + "/v1/status")
+	res, err := client.Get("http://" + v.adminAddress + "/v1/status")
 	if err != nil {
 		return s, err
 	}
@@ -394,10 +430,13 @@
 }
 
 // caller returns a client that knows the VMs of the start.
-func (c *cluster) caller() *caller.Client {
+func (c *cluster) caller() *caller.Client { return c.callerOf(c.vms...) }
+
+// callerOf returns a client that knows only some VMs.
+func (c *cluster) callerOf(vms ...*vm) *caller.Client {
 	var bootstrap []string
-	for _, v := range c.vms {
-		bootstrap = append(bootstrap, v.address("caller"))
+	for _, v := range vms {
+		bootstrap = append(bootstrap, v.callerAddress)
 	}
 	client := caller.New(caller.Options{Bootstrap: bootstrap, Seed: 1})
 	c.t.Cleanup(client.Close)
@@ -410,7 +449,7 @@
 	if header[standin.HeaderCrash] != "" {
 		path = "/crash"
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.address("caller")+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return nil, nil, err
 	}
