--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -5,15 +5,23 @@
 #
 #   scripts/local.sh              run until Ctrl-C
 #   scripts/local.sh --for 20     run for 20 seconds
+#   scripts/local.sh --idle 12    12 entry VMs: print processor time and bytes to
+#                                 and from other VMs, per VM and second, and stop
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 # The VMs take ports from this one on.
 base=${CURRANTFERRY_PORT:-20100}
 seconds=0
-if [ "${1:-}" = --for ]; then
-	seconds=${2:?--for needs a number of seconds}
-fi
+count=3
+idle=0
+case "${1:-}" in
+--for) seconds=${2:?--for needs a number of seconds} ;;
+--idle)
+	idle=20
+	count=${2:?--idle needs a number of entry VMs}
+	;;
+esac
 
 work=$(mktemp -d)
 pids=()
@@ -81,7 +89,10 @@
 
 vms=""
 n=0
-for place in randstad/rotterdam-a randstad/amsterdam-b noord/groningen-a; do
+places=(randstad/rotterdam-a randstad/amsterdam-b noord/groningen-a)
+daemons=()
+while [ "$n" -lt "$count" ]; do
+	place=${places[$((n % 3))]}
 	n=$((n + 1))
 	port=$((base + n * 10))
 	cat >"$work/vm-$n.ini" <<INI
@@ -110,11 +121,29 @@
 stop_timeout = 10s
 INI
 	start "vm-$n" "$work/currantferryd" run -config "$work/vm-$n.ini"
+	daemons+=("${pids[-1]}")
 	[ -n "$vms" ] && vms+=,
 	vms+="{\"ID\":\"vm-$n\",\"DataCentre\":\"${place#*/}\",\"Region\":\"${place%/*}\",\"PeerAddress\":\"127.0.0.1:$((port + 1))\"}"
 done
 "$work/standin" vms -store "$store" -list "[$vms]"
 
+if [ "$idle" -gt 0 ]; then
+	# ticks of 10 ms and bytes both ways, summed over all entry VMs.
+	ticks() { for pid in "${daemons[@]}"; do awk '{print $14 + $15}' "/proc/$pid/stat"; done | awk '{s += $1} END {print s}'; }
+	bytes() {
+		for i in $(seq "$count"); do curl -s "http://127.0.0.1:$((base + i * 10 + 2))/metrics"; done |
+			awk '/^currantferry_peer_bytes_(in|out)/ {s += $2} END {printf "%d", s}'
+	}
+	sleep 20
+	t0=$(ticks) b0=$(bytes)
+	sleep "$idle"
+	t1=$(ticks) b1=$(bytes)
+	awk -v t=$((t1 - t0)) -v b=$((b1 - b0)) -v n="$count" -v s="$idle" 'BEGIN {
+		printf "idle: %d entry VMs, cpu-%%/node %.2f, bytes/s/node %.0f (in and out)\n", n, t / n / s, b / n / s }'
+	for pid in "${daemons[@]}"; do kill -KILL "$pid"; done
+	exit 0
+fi
+
 echo
 echo "lookup:  curl 'http://127.0.0.1:$((base + 10))/v1/lookup?service=proefbank'"
 echo "request: curl -H 'Host: proefbank' http://127.0.0.1:$((base + 10))/any/path"
