Keep the spare above a VM's part for its usual work

Change: the spare is open only while the VM's mean work of about 15 s is at least 80 % of its part, so that uneven callers still get it.

--- a/plan/admit.go
+++ b/plan/admit.go
@@ -124,6 +124,7 @@
 		return refuseRegion
 	}
 	if t == g.own {
+		s.noteUse(now, t)
 		if limit := g.localLimit(s); s.inFlight[t] >= limit {
 			return refuseRegion
 		}
@@ -143,12 +144,29 @@
 	return -1
 }
 
+const (
+	// usualOver is several times longer than a lost region goes unnoticed.
+	usualOver = 15 * time.Second
+	// usualFrom is the part of its limit that a VM with more than an even share
+	// of the callers uses on average.
+	usualFrom = 0.8
+)
+
+// noteUse follows the mean work in the own region. It is called before the work
+// changes.
+func (s *gateService) noteUse(now time.Time, own int) {
+	if dt := now.Sub(s.usualAt); !s.usualAt.IsZero() && dt > 0 {
+		s.usual += (float64(s.inFlight[own]) - s.usual) * min(1, float64(dt)/float64(usualOver))
+	}
+	s.usualAt = now
+}
+
 // localLimit bounds the VM's work in its own region. Callers never spread evenly
-// over VMs, so without pressure a VM may use more than its part. One standard
-// deviation more keeps the region near its slots when another one is lost, until
-// that is noticed.
+// over VMs, so without pressure a VM whose usual work is near its part may use one
+// standard deviation more. Work that arrives suddenly may not, as it can come from
+// the callers of a lost region before the loss is noticed.
 func (g *Gate) localLimit(s *gateService) int64 {
-	if s.strict {
+	if s.strict || s.usual < usualFrom*float64(s.limits[g.own]) {
 		return s.limits[g.own]
 	}
 	return s.limits[g.own] + s.spare
@@ -220,6 +238,9 @@
 	if t < 0 {
 		return
 	}
+	if t == g.own {
+		r.service.noteUse(now, t)
+	}
 	r.service.inFlight[t]--
 	if t != g.own {
 		g.links[t].settle(now, r.answer, answerBytes)
--- a/plan/gate.go
+++ b/plan/gate.go
@@ -83,9 +83,11 @@
 	limits    []int64 // on concurrent work by target
 	inFlight  []int64
 	// strict applies the own region's limit exactly; otherwise it is exceeded by
-	// at most spare.
+	// at most spare while the VM's usual work needs it.
 	strict   bool
 	spare    int64
+	usual    float64 // mean work in the own region over about usualOver
+	usualAt  time.Time
 	pressure bool
 	answer   float64 // mean bytes of an answer
 	refusals [3]*verdict.Error
--- a/plan/gate_test.go
+++ b/plan/gate_test.go
@@ -84,6 +84,23 @@
 	}
 }
 
+// TestSpareIsForUsualWork guards against a VM that exceeds its part of its own
+// region for work that arrives suddenly, and one that refuses the work of more
+// than an even share of the callers.
+func TestSpareIsForUsualWork(t *testing.T) {
+	g := testGate(t, testInput(start, 60, 60, 60))
+	if got, _ := admitAll(g, start, 100); got["a"] != 50 {
+		t.Errorf("%d requests at once; the VM has 50 of 100 slots", got["a"])
+	}
+	if got, _ := admitAll(g, start.Add(4*time.Second), 100); got["a"] != 0 {
+		t.Errorf("%d requests beyond the VM's part after 4 s", got["a"])
+	}
+	late := start.Add(4 * usualOver)
+	if got, _ := admitAll(g, late, 100); got["a"] != 8 {
+		t.Errorf("%d requests beyond the VM's part of usual work, not 8", got["a"])
+	}
+}
+
 // TestHedge guards against hedges that exceed the VM's part of its region.
 func TestHedge(t *testing.T) {
 	g := testGate(t, testInput(start, 60, 60, 60))
