Loop inside the benchmarks of nanoseconds

Cause: with -benchtime 1x they reported the first, cold call: BenchmarkPick 2903 ns and 1 allocation, sorted-arrays of BenchmarkBlocks 4027 ns. Change: benchloop.Run makes thousands of calls in each iteration and reports ns/op, B/op and allocs/op of one. BenchmarkPick, Claim, Tick, Blocks and Lookup use it under their present names.

--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/currantferry/currantferry/internal/benchloop"
 )
 
 // BenchmarkPick measures one decision and its end with 32 instances of 9 slots,
@@ -21,9 +23,7 @@
 		}
 		held = append(held, t)
 	}
-	b.ReportAllocs()
-	b.ResetTimer()
-	for i := range b.N {
+	benchloop.Run(b, 200_000, func(i int) {
 		now = now.Add(time.Millisecond)
 		t, err := l.Pick(now, Request{Class: Short, Idempotent: true})
 		if err != nil || t.Waiting() {
@@ -31,7 +31,7 @@
 		}
 		l.Done(now, held[i%len(held)], Answered)
 		held[i%len(held)] = t
-	}
+	})
 }
 
 func testInstances(n, slots int) []Instance {
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/currantferry/currantferry/internal/benchloop"
 )
 
 // trio is an entry VM, an owner and two witnesses that exchange messages at once.
@@ -82,12 +84,8 @@
 				run(i)
 			}
 			tr.sent = 0
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := 0; i < b.N; i++ {
-				run(held + i)
-			}
-			b.ReportMetric(float64(tr.sent)/float64(b.N), "messages/claim")
+			n := benchloop.Run(b, 4096, func(i int) { run(held + i) })
+			b.ReportMetric(float64(tr.sent)/float64(n), "messages/claim")
 			claims, bytes := tr.by["w1"].Usage()
 			b.ReportMetric(float64(bytes)/float64(claims), "bytes/held")
 		})
@@ -99,9 +97,5 @@
 func BenchmarkTick(b *testing.B) {
 	f := settledFleet(b, Config{Partitions: 16})
 	m, now := f.nodes[0].m, f.now
-	b.ReportAllocs()
-	b.ResetTimer()
-	for i := 0; i < b.N; i++ {
-		m.Tick(now)
-	}
+	benchloop.Run(b, 4096, func(int) { m.Tick(now) })
 }
--- a/steer/bench_test.go
+++ b/steer/bench_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/gaissmai/bart"
 
+	"github.com/currantferry/currantferry/internal/benchloop"
 	"github.com/currantferry/currantferry/register"
 )
 
@@ -180,17 +181,14 @@
 	build(func() {})
 	took := time.Since(start)
 	runtime.KeepAlive(next)
-	b.ReportAllocs()
-	b.ResetTimer()
-	i, hits := 0, 0
-	for b.Loop() {
+	hits := 0
+	n := benchloop.Run(b, 1<<20, func(i int) {
 		if lookup(table, addrs[i&(len(addrs)-1)]) {
 			hits++
 		}
-		i++
-	}
-	if hits != i {
-		b.Fatalf("%d of %d callers in no block", i-hits, i)
+	})
+	if hits != n {
+		b.Fatalf("%d of %d callers in no block", n-hits, n)
 	}
 	b.ReportMetric(float64(size)/benchBlocks, "bytes/block")
 	b.ReportMetric(float64(took.Milliseconds()), "build-ms")
@@ -216,22 +214,18 @@
 	}
 	addrs := callers(rand.New(rand.NewPCG(2, 2)), blocks)
 	b.Run("lookup", func(b *testing.B) {
-		b.ReportAllocs()
-		i := 0
-		for b.Loop() {
+		benchloop.Run(b, 1<<18, func(i int) {
 			a, err := s.Lookup(addrs[i&(len(addrs)-1)], "proefbank")
 			if err != nil || len(a.Targets()) != defaultSet {
 				b.Fatal(a, err)
 			}
-			i++
-		}
+		})
 	})
 	b.Run("snapshot", func(b *testing.B) {
-		b.ReportAllocs()
-		for b.Loop() {
+		benchloop.Run(b, 64, func(int) {
 			if _, err := builder.Build(start, in); err != nil {
 				b.Fatal(err)
 			}
-		}
+		})
 	})
 }
