--- a/balance/hedge.go
+++ b/balance/hedge.go
@@ -17,6 +17,9 @@
 	// A probe is hedged after this many mean service times, as the instance is
 	// known to have been slow.
 	hedgeProbe = 1.5
+	// A borrowed slot may be one that its VM uses too, so that the work waits at the
+	// instance. At twice the mean, such hedges use up the budget.
+	hedgeBorrowed = 3
 )
 
 // HedgeAfter returns how long after its start a request should be hedged with
@@ -32,6 +35,9 @@
 		return 0, false
 	}
 	x := b.hedgeAt
+	if f.borrowed {
+		x = min(x, hedgeBorrowed)
+	}
 	if f.probe {
 		x = min(x, hedgeProbe)
 	}
