Try instances again that failed while drained; keep work off failed ones

Cause: an instance suspected when it was drained was never probed again, because the time of the next probe only counts active instances and its return did not restore it. An instance that refuses connections drew the waiting work once more than half of the instances were suspected, since suspicions are ignored then. Change: the next probe is found anew when the instances change; a failed instance gets no ordinary work while another one does not fail.

--- a/balance/failed_test.go
+++ b/balance/failed_test.go
@@ -50,3 +50,57 @@
 		t.Errorf("%d requests on a suspected instance, %d on one that fails", slow, failed)
 	}
 }
+
+// TestFailedWhileDraining guards against an instance that is suspected when it is
+// drained and is never tried again after it returns.
+func TestFailedWhileDraining(t *testing.T) {
+	b := New(Config{}, 1)
+	list := []Instance{{ID: "a", Slots: 9}, {ID: "b", Slots: 9}}
+	b.SetInstances(start, list)
+	b.SetPeers(1, 0)
+	picked := 0
+	for k := range 8000 {
+		now := start.Add(time.Duration(k) * 5 * time.Millisecond)
+		if k == 230 || k == 900 {
+			list[0].Draining = k == 230
+			b.SetInstances(now, list)
+		}
+		b.Tick(now)
+		ticket, err := b.Pick(now, Request{Class: Short, Idempotent: true})
+		if err != nil || ticket.Waiting() {
+			t.Fatal(ticket, err)
+		}
+		if ticket.Instance == "a" && k >= 200 && k < 800 {
+			b.Done(now, ticket, ConnectFailed)
+			continue
+		}
+		if ticket.Instance == "a" && k >= 6000 {
+			picked++
+		}
+		b.Done(now.Add(4*time.Millisecond), ticket, Answered)
+	}
+	if picked < 500 {
+		t.Errorf("the returned instance got %d of 2000 requests", picked)
+	}
+}
+
+// TestFailedAmongSuspects guards against an instance that refuses connections and
+// draws the work once the others are suspected to be slow.
+func TestFailedAmongSuspects(t *testing.T) {
+	b := newTest(1, 0, 4, 3)
+	for k := range b.instances {
+		b.instances[k].failed = k == 0
+		b.learn(&b.instances[k], 0, maxScore)
+	}
+	fill(t, b, start, Short)
+	if n := b.instances[0].total(); n != 0 {
+		t.Errorf("%d requests on the instance that fails", n)
+	}
+	for k := range b.instances {
+		b.instances[k].failed = true
+	}
+	fill(t, b, start, Short)
+	if n := b.instances[0].total(); n == 0 {
+		t.Error("nothing is tried when all instances fail")
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -72,17 +72,31 @@
 // instances are suspected, the cause is not a few of them, and avoiding them
 // would only overload the rest.
 func (b *Balancer) slow(in *instance, t int64) bool {
-	if 2*b.suspects > len(b.active) || b.pressed && !in.failed {
+	if in.suspect && in.failed {
+		// One that fails at once would draw all work that waits for a slot.
+		return !b.allFailed()
+	}
+	if 2*b.suspects > len(b.active) || b.pressed {
 		return false
 	}
 	e := b.evidence(in, t)
 	return in.suspect || e > suspectAt && e > in.threshold(in.total())
 }
 
+// allFailed tells whether no active instance is left that does not fail.
+func (b *Balancer) allFailed() bool {
+	for _, i := range b.active {
+		if in := &b.instances[i]; !in.suspect || !in.failed {
+			return false
+		}
+	}
+	return true
+}
+
 // SetPressed tells that requests wait outside for room, or are about to, so that
-// every slot is needed. No hedges start meanwhile. Instances that are only suspected to be slow then get work like others:
-// near saturation most suspicions are long requests, and avoiding the instances
-// makes the remaining ones slow too.
+// every slot is needed. No hedges start meanwhile. Instances that are only
+// suspected to be slow then get work like others: near saturation most suspicions
+// are long requests, and avoiding the instances makes the remaining ones slow too.
 func (b *Balancer) SetPressed(on bool) { b.pressed = on }
 
 // learn adds to the score of an instance.
@@ -122,6 +136,17 @@
 	}
 }
 
+// scheduleProbe finds the next probe among the active instances, some of which
+// may have been suspected while they were not active.
+func (b *Balancer) scheduleProbe() {
+	b.nextProbe = never
+	for _, i := range b.active {
+		if in := &b.instances[i]; in.suspect && !in.probing {
+			b.nextProbe = min(b.nextProbe, in.probeAt)
+		}
+	}
+}
+
 // probe returns a suspected instance that is due for a trial request, or none.
 // Every VM probes an instance with one request at a time.
 func (b *Balancer) probe(t int64) int32 {
--- a/balance/instance.go
+++ b/balance/instance.go
@@ -81,6 +81,8 @@
 		}
 	}
 	b.deal()
+	b.countSuspects()
+	b.scheduleProbe()
 }
 
 func (b *Balancer) setInstance(t int64, s *Instance) {
