--- a/node/planner.go
+++ b/node/planner.go
@@ -24,10 +24,18 @@
 	// planRefresh is the longest time between two plans whose measurements
 	// differ but which shift nothing.
 	planRefresh = time.Minute
-	planKey     = "plan/current"
-	planLock    = "plan/lease"
+	// planRefreshPerVM is added for each VM, since a plan grows with the VMs and
+	// reaches each of them: 740 VMs get one of 116 KB every 6 min.
+	planRefreshPerVM = 400 * time.Millisecond
+	planKey          = "plan/current"
+	planLock         = "plan/lease"
 )
 
+// refreshAfter is the longest time between two plans in a fleet.
+func refreshAfter(vms int) time.Duration {
+	return planRefresh + time.Duration(vms)*planRefreshPerVM
+}
+
 // planner holds the plan in force and, on the VM that has the lease, makes the
 // next one.
 type planner struct {
@@ -137,7 +145,7 @@
 		return err
 	}
 	signature := p.sign(in)
-	if len(moves) == 0 && signature == p.signature && now.Sub(p.published) < planRefresh {
+	if len(moves) == 0 && signature == p.signature && now.Sub(p.published) < refreshAfter(len(in.VMs)) {
 		return nil
 	}
 	next.Recent = recent(now, in.Previous, moves)
--- a/node/report.go
+++ b/node/report.go
@@ -18,9 +18,9 @@
 	// storeQuiet is the silence of the store from which it counts as down. VMs
 	// that watch hear from it at least every 2.5 s.
 	storeQuiet = 10 * time.Second
-	// planQuiet is the age of a plan from which it is stale: the planner makes
-	// one at least every minute.
-	planQuiet = 3 * planRefresh
+	// planQuiet is how many times the planner's longest interval a plan may be
+	// old before it is stale.
+	planQuiet = 3
 )
 
 // Report returns the report as this VM sees it.
@@ -133,7 +133,7 @@
 			Amount: fmt.Sprintf("%.1f %%", m.Percent), Why: m.Text + ", at " + utc(m.At),
 		})
 	}
-	if age := now.Sub(current.At); age > planQuiet {
+	if age := now.Sub(current.At); age > planQuiet*refreshAfter(len(n.control.Members())) {
 		r.Stale = append(r.Stale, "plan "+fmt.Sprint(current.Version)+": "+age.Round(time.Second).String()+" old")
 	}
 	for _, s := range current.Services {
--- a/node/stop.go
+++ b/node/stop.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/invariant"
 	"github.com/currantferry/currantferry/member"
 )
 
@@ -43,6 +44,7 @@
 	handover.Wait()
 	if left > 0 {
 		event.StopTimedOut.Log(n.log, "in_flight", left)
+		invariant.Check(invariant.NothingCutOff, false, "%d requests in flight at the stop bound", left)
 	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer cancel()
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/invariant"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -47,6 +48,9 @@
 		event.AnswerAborted.Log(x.h.options.Log, "service", x.query.Service.Name, "bytes", n, "error", err)
 		panic(http.ErrAbortHandler)
 	}
+	if res.ContentLength >= 0 && n != res.ContentLength && x.callerStays() && x.r.Method != http.MethodHead {
+		invariant.Check(invariant.AnswerWhole, false, "%d of %d bytes passed on as whole", n, res.ContentLength)
+	}
 	a.finish(Outcome{Verdict: verdict.Ran, AnswerBytes: n})
 	if x.claim != nil {
 		x.claim.Done(&Answer{Status: res.StatusCode, Header: res.Header, Body: kept})
@@ -64,6 +68,9 @@
 	return (*buffer)[:n], func() { copyBuffers.Put(buffer) }
 }
 
+// callerStays tells whether the caller still listens.
+func (x *exchange) callerStays() bool { return x.r.Context().Err() == nil }
+
 // hasEnd tells whether the end of the answer can be recognised.
 func hasEnd(res *http.Response) bool {
 	chunked := len(res.TransferEncoding) > 0 && res.TransferEncoding[0] == "chunked"
