Keep waiting claims apart from heartbeats between VMs

Cause: heartbeats, pings and claims shared one limit of 16 calls at a time to a peer. An owner holds a claim for up to 3 s while a witness is silent, so about 30 orders/s after the death of a VM filled the limit within a second. Heartbeats and pings then failed as busy, the VMs that lived suspected each other, and sealed partitions that they could still serve (view changes failed with "too few VMs"). Ruled out: a busy machine (both VMs went on ticking every 25 ms and answered all reads) and the relays of the test (callers' load through the same process did not stall).

Claims, other at-most-once messages and heartbeats now have pools of their own.

--- /dev/null
+++ b/e2e/silence_test.go
@@ -0,0 +1,42 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against claims that wait for a dead witness and keep the VMs that live
+// from hearing one another, so that they suspect each other and give up the
+// partitions that they could still serve.
+func TestClaimsDoNotSilencePeers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.waitOrders(5 * time.Second)
+	c.vms[2].kill()
+	var group sync.WaitGroup
+	for i := range 300 {
+		group.Go(func() { c.order(c.vms[i%2], fmt.Sprintf("burst-%d", i), false) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	group.Wait()
+	for _, v := range c.vms[:2] {
+		for line := range strings.Lines(v.logText()) {
+			if strings.Contains(line, "event=1501") && strings.Contains(line, "state=suspected") && !strings.Contains(line, "peer=vm-3") {
+				t.Errorf("a VM that lives was suspected: %s", strings.TrimSpace(line))
+			}
+		}
+	}
+	c.eventually(3*time.Second, "both VMs see each other serving", func() bool {
+		a, errA := c.status(c.vms[0])
+		b, errB := c.status(c.vms[1])
+		return errA == nil && errB == nil && stateOf(a.Members, "vm-2") == "serving" && stateOf(b.Members, "vm-1") == "serving"
+	})
+	for i := range 48 {
+		if o, why := c.order(c.vms[i%2], fmt.Sprintf("after-%d", i), false); o != answered {
+			t.Errorf("order %d after the view change: %s", i, why)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -58,21 +58,23 @@
 	metrics  *metric.Set
 	counters *peer.Counters
 
-	control  *control.Control
-	pool     *peer.Pool
-	peers    *peer.Server
-	runner   *oncerpc.Runner
-	proxy    *proxy.Handler
-	lookups  *lookup.Core
-	dns      *lookup.DNSServer
-	selector *selector
-	crash    *crashNotes
-	planner  *planner
-	prober   *prober
-	servers  []*http.Server
-	caller   net.Listener
-	admin    net.Listener
-	tls      tlsKeepers
+	control *control.Control
+	pool    *peer.Pool
+	// claims and records carry the at-most-once messages, see conn.
+	claims, records *peer.Pool
+	peers           *peer.Server
+	runner          *oncerpc.Runner
+	proxy           *proxy.Handler
+	lookups         *lookup.Core
+	dns             *lookup.DNSServer
+	selector        *selector
+	crash           *crashNotes
+	planner         *planner
+	prober          *prober
+	servers         []*http.Server
+	caller          net.Listener
+	admin           net.Listener
+	tls             tlsKeepers
 
 	boot    uint64
 	self    member.Info
@@ -184,6 +186,9 @@
 		server.TLS = n.tls.peer.PeerServer
 	}
 	n.pool = peer.NewPool(pool)
+	n.records = peer.NewPool(pool)
+	pool.PerPeer = claimsPerPeer
+	n.claims = peer.NewPool(pool)
 	n.control, err = control.New(control.Options{
 		Self: n.self, Store: o.Store, Lister: o.Lister, Pool: n.pool, Seed: xxhash.Sum64String(s.VM.ID),
 		Seeds: n.resolveSeeds(), StoreTimeout: s.Store.Timeout, Log: n.log,
@@ -210,13 +215,23 @@
 	return n.peers.Register(oncerpc.NewServer(n.runner), oncepb.DRPCOnceDescription{})
 }
 
-// conn returns a connection to a VM by its ID.
-func (n *Node) conn(vm string) (drpc.Conn, error) {
+// claimsPerPeer bounds the claims that wait for one owner at a time. An owner
+// holds the answer for up to 3 s while a witness is silent.
+const claimsPerPeer = 128
+
+// conn returns a connection to a VM by its ID. Claims, other at-most-once
+// messages and heartbeats use pools of their own, each with its own limit of calls
+// to one peer: claims that wait for a dead witness must not keep the heartbeats
+// and pings of the VMs that live from one another.
+func (n *Node) conn(vm string, kind once.Kind) (drpc.Conn, error) {
 	m, ok := n.control.Member(vm)
 	if !ok || m.Address == "" {
 		return nil, errors.Errorf("VM %s is not known", vm)
 	}
-	return n.pool.Conn(m.Address), nil
+	if kind == once.KindClaim {
+		return n.claims.Conn(m.Address), nil
+	}
+	return n.records.Conn(m.Address), nil
 }
 
 func (n *Node) openRequestPath() {
--- a/node/stop.go
+++ b/node/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/peer"
 )
 
 // handoverTimeout bounds the move of at-most-once partitions to other VMs beyond
@@ -73,8 +74,10 @@
 		if n.control != nil {
 			n.control.Close()
 		}
-		if n.pool != nil {
-			_ = n.pool.Close()
+		for _, p := range []*peer.Pool{n.pool, n.records, n.claims} {
+			if p != nil {
+				_ = p.Close()
+			}
 		}
 		n.group.Wait()
 		_ = n.metrics.Close()
--- a/once/oncerpc/runner_test.go
+++ b/once/oncerpc/runner_test.go
@@ -106,7 +106,7 @@
 		member := once.Member{VM: name, Incarnation: 1}
 		dir.VMs = append(dir.VMs, once.VM{Member: member, DataCentre: "dc-" + name, Region: "r", State: once.VMServing})
 		pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{})
-		tr := NewDRPC(name, func(to string) (drpc.Conn, error) {
+		tr := NewDRPC(name, func(to string, _ once.Kind) (drpc.Conn, error) {
 			return pool.Get(context.Background(), to, func(ctx context.Context, to string) (drpcpool.Conn, error) {
 				c, err := new(net.Dialer).DialContext(ctx, "tcp", addrs[to])
 				if err != nil {
--- a/once/oncerpc/transport.go
+++ b/once/oncerpc/transport.go
@@ -22,20 +22,20 @@
 // DRPC is a Transport over drpc connections.
 type DRPC struct {
 	self string
-	conn func(vm string) (drpc.Conn, error)
+	conn func(vm string, kind once.Kind) (drpc.Conn, error)
 }
 
 var _ Transport = (*DRPC)(nil)
 
 // NewDRPC returns a transport for the VM self. conn returns a connection to a
-// VM that accepts concurrent calls, such as one of drpcpool. Its owner closes it.
-func NewDRPC(self string, conn func(vm string) (drpc.Conn, error)) *DRPC {
+// VM for messages of a kind, zero for kept answers, that accepts concurrent calls, such as one of drpcpool. Its owner closes it.
+func NewDRPC(self string, conn func(vm string, kind once.Kind) (drpc.Conn, error)) *DRPC {
 	return &DRPC{self: self, conn: conn}
 }
 
 // Call implements Transport.
 func (t *DRPC) Call(ctx context.Context, vm string, m *once.Message) (*once.Message, error) {
-	conn, err := t.conn(vm)
+	conn, err := t.conn(vm, m.Kind)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +70,7 @@
 
 // Answer implements Transport.
 func (t *DRPC) Answer(ctx context.Context, vm string, incarnation uint64, key once.Key) (*Answer, error) {
-	conn, err := t.conn(vm)
+	conn, err := t.conn(vm, 0)
 	if err != nil {
 		return nil, err
 	}
