--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -62,19 +63,22 @@
 	pool    *peer.Pool
 	// claims and records carry the at-most-once messages, see conn.
 	claims, records *peer.Pool
-	peers           *peer.Server
-	runner          *oncerpc.Runner
-	proxy           *proxy.Handler
-	lookups         *lookup.Core
-	dns             *lookup.DNSServer
-	selector        *selector
-	crash           *crashNotes
-	planner         *planner
-	prober          *prober
-	servers         []*http.Server
-	caller          net.Listener
-	admin           net.Listener
-	tls             tlsKeepers
+
+	peers    *peer.Server
+	runner   *oncerpc.Runner
+	proxy    *proxy.Handler
+	lookups  *lookup.Core
+	dns      *lookup.DNSServer
+	selector *selector
+	crash    *crashNotes
+	planner  *planner
+	prober   *prober
+	observed *observations
+	events   *event.Ring
+	servers  []*http.Server
+	caller   net.Listener
+	admin    net.Listener
+	tls      tlsKeepers
 
 	boot    uint64
 	self    member.Info
@@ -101,6 +105,9 @@
 // tlsKeepers hold the certificates of the listeners; nil ones mean plain TCP.
 type tlsKeepers struct{ caller, peer, admin *certs.Keeper }
 
+// maxEvents bounds the log events that the administration API shows.
+const maxEvents = 512
+
 // Start listens and joins the other VMs. The node takes callers once its
 // configuration is confirmed, see Ready.
 func Start(o Options) (*Node, error) {
@@ -111,7 +118,10 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	s := o.Settings
+	events := event.NewRing(maxEvents)
+	o.Log = slog.New(events.Handler(o.Log.Handler()))
 	n := &Node{
+		events: events, observed: new(observations),
 		settings: s, log: o.Log.With("vm", s.VM.ID), store: o.Store,
 		metrics: metric.New(), started: time.Now(), ready: make(chan struct{}),
 		services: make(map[string]*register.Service),
@@ -192,9 +202,9 @@
 	n.control, err = control.New(control.Options{
 		Self: n.self, Store: o.Store, Lister: o.Lister, Pool: n.pool, Seed: xxhash.Sum64String(s.VM.ID),
 		Seeds: n.resolveSeeds(), StoreTimeout: s.Store.Timeout, Log: n.log,
-		Member:     member.Options{Sections: sectionKinds(s.Once.Partitions)},
+		Member:     member.Options{Sections: sectionKinds(s.Once.Partitions), OwnInterval: s.Peers.Heartbeat},
 		OnSnapshot: n.onSnapshot, OnReady: n.onReady, OnMember: n.onMember,
-		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk,
+		OnPlan: n.onPlan, OnSection: n.onSection, OnCrashNotes: n.onCrashNotes, Chunk: n.planChunk, Draining: n.draining,
 	})
 	if err != nil {
 		l.Close()
@@ -210,11 +220,28 @@
 			Partitions: s.Once.Partitions, MaxClaims: s.Once.MaxClaims, Retention: s.Once.Retention,
 		},
 		Transport: oncerpc.NewDRPC(s.VM.ID, n.conn), Store: o.Store, Logger: n.log,
-		Scope: n.metrics.Scope(), OnRecord: n.onRecord,
+		Scope: n.metrics.Scope(), OnRecord: n.onRecord, KeptBytes: keptBytes(s.Request.KeepAnswersBytes),
 	})
 	return n.peers.Register(oncerpc.NewServer(n.runner), oncepb.DRPCOnceDescription{})
 }
 
+// keptBytes turns the zero of the settings, which keeps nothing, into that of the
+// runner.
+func keptBytes(bytes int64) int {
+	if bytes == 0 {
+		return -1
+	}
+	return int(bytes)
+}
+
+// noLimit turns the zero of the settings into a limit that nothing reaches.
+func noLimit(bytes int64) int64 {
+	if bytes == 0 {
+		return math.MaxInt64
+	}
+	return bytes
+}
+
 // claimsPerPeer bounds the claims that wait for one owner at a time. An owner
 // holds the answer for up to 3 s while a witness is silent.
 const claimsPerPeer = 128
@@ -238,13 +265,13 @@
 	s := n.settings
 	gate := plan.NewGate(plan.GateConfig{VM: s.VM.ID, Incarnation: n.boot, Region: s.VM.Region})
 	n.crash = &crashNotes{guard: crashguard.New(crashguard.Config{VM: s.VM.ID}), broadcast: n.broadcast}
-	n.selector = newSelector(gate, n.crash)
+	n.selector = newSelector(gate, n.crash, n.observed)
 	n.planner = &planner{n: n}
 	n.prober = newProber(n)
 	n.proxy = proxy.New(proxy.Options{
 		Services: n, Selector: n.selector, Claimer: &claimer{n.runner}, Budget: n,
 		Metrics: n.metrics, Log: n.log, Zone: s.Lookup.Zone,
-		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: s.Request.MaxBody,
+		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: noLimit(s.Request.MaxBody), DefaultTimeout: s.Request.DefaultTimeout,
 	})
 }
 
