--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -62,13 +62,13 @@
 	conns map[net.Conn]bool
 }
 
-func newRelay(t *testing.T) *relay {
+func newRelay(t *testing.T, target string) *relay {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &relay{l: l, conns: make(map[net.Conn]bool)}
+	r := &relay{target: target, l: l, conns: make(map[net.Conn]bool)}
 	t.Cleanup(func() { l.Close(); r.setCut(true) })
 	go func() {
 		for {
@@ -87,7 +87,7 @@
 func (r *relay) add(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cut || r.target == "" {
+	if r.cut {
 		c.Close()
 		return false
 	}
@@ -332,9 +332,7 @@
 
 // newVM writes the settings of a VM; it listens on ports that the system gives.
 func (c *cluster) newVM(id string, p place) *vm {
-	v := &vm{id: id, place: p, peer: newRelay(c.t), store: newRelay(c.t), file: filepath.Join(c.t.TempDir(), id+".ini")}
-	v.store.target = c.storeAddr
-	v.peer.target = freeAddress(c.t)
+	v := &vm{id: id, place: p, peer: newRelay(c.t, freeAddress(c.t)), store: newRelay(c.t, c.storeAddr), file: filepath.Join(c.t.TempDir(), id+".ini")}
 	v.callerAddress, v.adminAddress = freeAddress(c.t), freeAddress(c.t)
 	var seeds []string
 	for _, other := range c.vms {
