--- a/e2e/vm_test.go
+++ b/e2e/vm_test.go
@@ -86,7 +86,7 @@
 		return named
 	}
 	c.eventually(time.Until(inForce.Add(2*time.Second)), "lookups no longer name the drained VM", func() bool { return !names() })
-	for range 30 {
+	for range 100 {
 		if names() {
 			t.Fatal("a lookup names the drained VM again")
 		}
