--- a/node/node.go
+++ b/node/node.go
@@ -365,7 +365,7 @@
 		every time.Duration
 		step  func(now time.Time)
 	}{
-		{5 * time.Millisecond, n.pollPools},
+		{10 * time.Millisecond, n.pollPools},
 		{200 * time.Millisecond, n.refresh},
 		{time.Second, n.everySecond},
 		{planInterval, n.planner.step},
--- a/once/oncerpc/runner.go
+++ b/once/oncerpc/runner.go
@@ -19,7 +19,7 @@
 
 const (
 	// tickInterval bounds how late a timeout is noticed.
-	tickInterval = 25 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	// storeTimeout bounds a store call. It is longer than a call takes when the
 	// store is slow (5 s), so that view changes go on then.
 	storeTimeout = 6 * time.Second
