Answer a change once it is in force on the VM that took it

Cause: "accepted" was answered after the compare-and-swap, but the VM put the version in force a moment later, so the next request to the same VM was judged by the former rules: a change without a token was accepted right after teams were set. Ruled out: the store and the other VMs; the version was in the store and in force elsewhere at most some ms later. Change: Publish and RollForward wait for their version here, for 1 s at most.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards against a change that is accepted on a VM and not yet in force there:
+// the next request to it would be judged by the former rules.
+func TestAcceptedChangeIsInForceHere(t *testing.T) {
+	t.Parallel()
+	f := running(t, 3)
+	for v := uint64(2); v < 12; v++ {
+		m := config.Meta{ChangeID: fmt.Sprint("c", v), By: "anna", At: time.Now()}
+		r, err := f.nodes[0].Publish(t.Context(), v-1, content(m.ChangeID), m)
+		if here := f.nodes[0].Version(); err != nil || r.Version != v || here != v {
+			t.Fatalf("accepted as version %d with %v, in force here %d", r.Version, err, here)
+		}
+	}
+}
+
 // Guards against a VM that cannot start while the store is down, and against one
 // that accepts callers although nobody confirmed its version.
 func TestStartWithoutStore(t *testing.T) {
--- a/control/publish.go
+++ b/control/publish.go
@@ -38,10 +38,27 @@
 	defer cancel()
 	if e, err := c.opts.Store.Get(ctx, configstore.HeadKey); err == nil {
 		c.storeAnswered(e, nil, 0, true)
+		c.awaitVersion(ctx, r.Version)
 	}
 	return nil
 }
 
+// Limits of awaitVersion.
+const (
+	awaitLimit = time.Second
+	awaitPause = 2 * time.Millisecond
+)
+
+// awaitVersion waits until a version is in force here, so that what follows an
+// accepted change on this VM sees it.
+func (c *Control) awaitVersion(ctx context.Context, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, awaitLimit)
+	defer cancel()
+	for c.Version() < version && ctx.Err() == nil {
+		time.Sleep(awaitPause)
+	}
+}
+
 // Progress tells on how many VMs a version is in force.
 type Progress struct {
 	Version uint64
