--- a/node/fleet.go
+++ b/node/fleet.go
@@ -120,6 +120,12 @@
 		}
 		return
 	}
+	if s.Kind == sectionLoads {
+		if l, ok := decodeSection[loads](s); ok {
+			n.onLoads(l)
+		}
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sections.init()
--- /dev/null
+++ b/node/loads.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/member"
+	"github.com/currantferry/currantferry/register"
+)
+
+const (
+	// loadsInterval is how often a VM spreads the load reports that it read.
+	loadsInterval = 10 * time.Second
+	// loadsDelay is the age that a report from another VM has on average when it
+	// arrives. The balancer counts reports for less the older they are.
+	loadsDelay = 3 * time.Second
+	// maxLoads bounds the reports of one section, and maxLoadsBytes its size, which
+	// is what other VMs accept.
+	maxLoads      = 10
+	maxLoadsBytes = 512
+	// maxLoadsVMs is the size of a region's fleet above which reports are not
+	// spread: they would exceed the allowance for sections and arrive too late
+	// to be of use.
+	maxLoadsVMs = 32
+)
+
+// loads are the load reports of the instances that a VM probes.
+type loads struct {
+	// Instances give the requests that run and those that wait.
+	Instances map[string][2]int `json:"i"`
+}
+
+// noteLoad keeps a report that this VM read, to be spread.
+func (p *prober) noteLoad(instance string, r loadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.loads == nil {
+		p.loads = make(map[string][2]int)
+	}
+	if _, known := p.loads[instance]; known || len(p.loads) < maxLoads {
+		p.loads[instance] = [2]int{r.Running, r.Waiting}
+	}
+}
+
+// shareLoads spreads the reports of the last probes within the region.
+func (p *prober) shareLoads(now time.Time) {
+	if now.Sub(p.loadsAt) < loadsInterval || p.regionVMs() > maxLoadsVMs {
+		return
+	}
+	p.loadsAt = now
+	p.mu.Lock()
+	l := loads{Instances: p.loads}
+	p.loads = nil
+	p.mu.Unlock()
+	if l.trim(); len(l.Instances) > 0 {
+		p.n.setSection(sectionLoads, l)
+	}
+}
+
+// trim drops reports until the rest fits a section. Instances have long names
+// where that happens, and each report is only a hint.
+func (l *loads) trim() {
+	for id := range l.Instances {
+		data, err := json.Marshal(l)
+		if err != nil || len(data) <= maxLoadsBytes {
+			return
+		}
+		delete(l.Instances, id)
+	}
+}
+
+func (p *prober) regionVMs() int {
+	count := 0
+	for _, m := range p.n.control.Members() {
+		if m.Region == p.n.self.Region && m.State != member.Gone {
+			count++
+		}
+	}
+	return count
+}
+
+// onLoads gives the reports of another VM to the pools. They never replace what
+// this VM probes itself, which is newer.
+func (n *Node) onLoads(l loads) {
+	n.mu.Lock()
+	snapshot := n.snapshot
+	n.mu.Unlock()
+	if snapshot == nil {
+		return
+	}
+	at := time.Now().Add(-loadsDelay)
+	for i := range snapshot.Register.Services {
+		service := &snapshot.Register.Services[i]
+		for j := range service.Instances {
+			instance := &service.Instances[j]
+			if report, ok := l.Instances[instance.ID]; ok {
+				n.reportLoad(service.Name, snapshot.Register, instance, balance.LoadReport{At: at, Running: report[0], Queued: report[1]})
+			}
+		}
+	}
+}
+
+func (n *Node) reportLoad(service string, r *register.Register, instance *register.Instance, l balance.LoadReport) {
+	if pool := n.selector.pool(service, r.RegionOf(instance.DataCentre)); pool != nil {
+		pool.report(instance.ID, l)
+	}
+}
--- a/node/prober.go
+++ b/node/prober.go
@@ -39,6 +39,10 @@
 	down    map[string]bool
 	started map[string]time.Time
 	regions map[string]bool
+	// loads are the newest reports that were not spread yet.
+	loads map[string][2]int
+	// loadsAt is when reports were last spread. Only step uses it.
+	loadsAt time.Time
 }
 
 func newProber(n *Node) *prober {
@@ -89,6 +93,7 @@
 	}
 	group.Wait()
 	p.share()
+	p.shareLoads(now)
 	p.combine(now, snapshot.Register, probers)
 }
 
@@ -155,7 +160,11 @@
 		p.failures[instance.ID] = 0
 	}
 	p.mu.Unlock()
-	if pool := p.n.selector.pool(service, region); err == nil && pool != nil {
+	if err != nil {
+		return
+	}
+	p.noteLoad(instance.ID, report)
+	if pool := p.n.selector.pool(service, region); pool != nil {
 		pool.report(instance.ID, balance.LoadReport{At: at, Running: report.Running, Queued: report.Waiting})
 	}
 }
--- a/node/sections.go
+++ b/node/sections.go
@@ -14,6 +14,7 @@
 	sectionMeasure  uint8 = 2
 	sectionDown     uint8 = 3
 	sectionPlanner  uint8 = 4
+	sectionLoads    uint8 = 5
 	// sectionRecord and the numbers above it carry partition records.
 	sectionRecord uint8 = 16
 )
@@ -25,6 +26,7 @@
 		sectionEndpoint: {Lasting: true},
 		sectionMeasure:  {Collected: true},
 		sectionPlanner:  {Lasting: true, Urgent: true},
+		sectionLoads:    {SameRegion: true},
 		sectionDown:     {Lasting: true, Urgent: true},
 	}
 	for p := range partitions {
