--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -11,7 +11,7 @@
 PATH="$bin:$PATH"
 export PATH
 
-command -v protoc >/dev/null || apt-get install -y protobuf-compiler
+command -v protoc >/dev/null || { apt-get update -qq && apt-get install -y -qq protobuf-compiler; }
 protoc-gen-go --version 2>/dev/null | grep -q "$PROTOC_GEN_GO\$" ||
 	go install "google.golang.org/protobuf/cmd/protoc-gen-go@$PROTOC_GEN_GO"
 go version -m "$bin/protoc-gen-go-drpc" 2>/dev/null | grep -q "storj.io/drpc.*$PROTOC_GEN_GO_DRPC" ||
