--- a/node/inventory.go
+++ b/node/inventory.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/netip"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -69,37 +70,54 @@
 // the same.
 func (n *Node) blocksOf(s *config.Snapshot) *steer.Blocks {
 	n.mu.Lock()
-	before, blocks := n.snapshot, n.blocks
+	before, blocks, counts := n.snapshot, n.blocks, n.blockCounts
 	n.mu.Unlock()
 	if before != nil && blocks != nil && slices.Equal(before.Head.Section(config.SectionBlocks), s.Head.Section(config.SectionBlocks)) {
 		return blocks
 	}
 	var err error
-	lowmem.Run(func() { blocks, err = buildBlocks(s) })
+	lowmem.Run(func() { blocks, counts, err = buildBlocks(s, counts) })
+	n.mu.Lock()
+	n.blockCounts = counts
+	n.mu.Unlock()
 	if err != nil {
 		event.SteerFailed.Log(n.log, "error", err)
 	}
 	return blocks
 }
 
-// buildBlocks builds the table of client blocks from a configuration. The blocks
-// are counted first, because a table that grows takes twice its memory meanwhile.
-func buildBlocks(s *config.Snapshot) (*steer.Blocks, error) {
-	v4, v6 := 0, 0
-	for b := range s.Blocks() {
-		if b.Prefix.Addr().Is4() {
-			v4++
-		} else {
-			v6++
+// blockCounts are the blocks of a table by family.
+type blockCounts struct{ v4, v6 int }
+
+// blockSlack is room for blocks that a change adds.
+const blockSlack = 1024
+
+// buildBlocks builds the table of client blocks from a configuration, with room
+// for as many as the former table had: a table that grows takes twice its memory
+// meanwhile, and counting first would unpack every chunk twice.
+func buildBlocks(s *config.Snapshot, former blockCounts) (*steer.Blocks, blockCounts, error) {
+	var counts blockCounts
+	if former == counts {
+		for b := range s.Blocks() {
+			former.count(b.Prefix)
 		}
 	}
-	builder := steer.NewBlocksBuilder(v4, v6)
+	builder := steer.NewBlocksBuilder(former.v4+blockSlack, former.v6+blockSlack)
 	for b := range s.Blocks() {
+		counts.count(b.Prefix)
 		if err := builder.Add(b.Prefix, b.Site); err != nil {
-			return nil, err
+			return nil, counts, err
 		}
 	}
-	return builder.Build(), nil
+	return builder.Build(), counts, nil
+}
+
+func (c *blockCounts) count(p netip.Prefix) {
+	if p.Addr().Is4() {
+		c.v4++
+	} else {
+		c.v6++
+	}
 }
 
 func (n *Node) onReady() {
--- a/node/node.go
+++ b/node/node.go
@@ -93,13 +93,15 @@
 	leaving  bool
 	snapshot *config.Snapshot
 	blocks   *steer.Blocks
-	services map[string]*register.Service
-	drains   *drain.Tracker
-	noticed  time.Time
-	steering *steer.Builder
-	sections sectionSet
-	budgetMu sync.Mutex
-	budget   *budget.Retry
+	// blockCounts are those of blocks.
+	blockCounts blockCounts
+	services    map[string]*register.Service
+	drains      *drain.Tracker
+	noticed     time.Time
+	steering    *steer.Builder
+	sections    sectionSet
+	budgetMu    sync.Mutex
+	budget      *budget.Retry
 }
 
 // tlsKeepers hold the certificates of the listeners; nil ones mean plain TCP.
