--- a/node/inventory.go
+++ b/node/inventory.go
@@ -186,13 +186,7 @@
 		}
 	}
 	n.mu.Unlock()
-	n.selector.mu.Lock()
-	pools := make(map[poolKey]*pool, len(n.selector.pools))
-	for key, p := range n.selector.pools {
-		pools[key] = p
-	}
-	n.selector.mu.Unlock()
-	for key, p := range pools {
+	for key, p := range n.selector.allPools() {
 		l := lists[key]
 		if l == nil {
 			l = new(list)
@@ -203,13 +197,7 @@
 
 func (n *Node) pollPools(now time.Time) {
 	pressed := n.selector.pressed()
-	n.selector.mu.Lock()
-	pools := make(map[poolKey]*pool, len(n.selector.pools))
-	for key, p := range n.selector.pools {
-		pools[key] = p
-	}
-	n.selector.mu.Unlock()
-	for key, p := range pools {
+	for key, p := range n.selector.allPools() {
 		p.poll(now, pressed[key.service])
 	}
 }
--- a/node/selector.go
+++ b/node/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -47,6 +48,13 @@
 	return s.pools[poolKey{service, region}]
 }
 
+// allPools returns a copy, so that the pools can be locked one at a time.
+func (s *selector) allPools() map[poolKey]*pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.pools)
+}
+
 // Select implements proxy.Selector. A suspect of the crash guard waits for its
 // turn before it takes up a place.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
