Send requests over connections that this project keeps itself

Cause: the standard transport hides whether bytes left, sends a request again by itself on a dead connection, and cannot skip an answer to an earlier request.

The proxy now takes a Protocol (headers) and a Router (routes), both with the native one as default, so that one request path serves the daemon and the platform. Ruled out: keeping http.Transport with a trace per connection, which cannot skip answers.

--- a/event/proxy.go
+++ b/event/proxy.go
@@ -4,7 +4,8 @@
 
 // Request path, 1600 to 1699.
 var (
-	RequestRefused = define(1601, slog.LevelDebug, "request refused", "see the counter refusals by reason")
-	RequestRetried = define(1602, slog.LevelDebug, "request retried", "see the counter retries by reason")
-	AnswerAborted  = define(1603, slog.LevelWarn, "answer ended early, connection to the caller aborted", "look at the instance that answered")
+	RequestRefused  = define(1601, slog.LevelDebug, "request refused", "see the counter refusals by reason")
+	RequestRetried  = define(1602, slog.LevelDebug, "request retried", "see the counter retries by reason")
+	AnswerAborted   = define(1603, slog.LevelWarn, "answer ended early, connection to the caller aborted", "look at the instance that answered")
+	RequestAnswered = define(1604, slog.LevelDebug, "request answered", "")
 )
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -4,7 +4,7 @@
 type Description struct {
 	// Name as on the page, without "currantferry_".
 	Name string
-	// Kind is "counter" or "gauge".
+	// Kind is "counter", "gauge" or "histogram".
 	Kind string
 	// Labels in the order of the docs, each with its values where they are few.
 	Labels  string
@@ -16,6 +16,8 @@
 func Describe() []Description {
 	return []Description{
 		{"lookups", "counter", "`protocol` (`http`, `dns`), `outcome` (`answered`, `truncated`, `no-data` or why not)", "lookups of entry VMs; `truncated` ones come again over TCP"},
+		{"answers", "counter", "`service`, `status`", "answers of instances that were passed on"},
+		{"answer_seconds", "histogram", "`service`, `status`", "time from the arrival of a request to the end of its answer"},
 		{"peer_calls", "counter", "`call`", "calls to other VMs, and with `-served` those of other VMs; `connect` counts connections"},
 		{"peer_refusals", "counter", "`reason`", "calls and connections between VMs that were refused or given up on, by the bound or fault"},
 		{"peer_bytes_in", "counter", "", "bytes received from other VMs"},
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -20,20 +20,33 @@
 func (x *exchange) deliver(a *attempt) *verdict.Error {
 	res := a.res
 	defer res.Body.Close()
-	if !hasEnd(res) {
+	if !hasEnd(res) && !x.h.options.AcceptUnframed {
 		a.err = verdict.Wrap(errors.New("answer without length or chunks"), verdict.MayHaveRun, verdict.ReasonTruncated)
 		a.fail()
 		return a.err
 	}
 	var kept []byte
-	if res.ContentLength >= 0 && res.ContentLength <= smallBody && x.r.Method != http.MethodHead {
+	switch {
+	case x.r.Method == http.MethodHead:
+	case res.ContentLength >= 0 && res.ContentLength <= x.h.options.HoldBytes:
 		held, free := x.holder(int(res.ContentLength))
 		defer free()
 		if _, err := io.ReadFull(res.Body, held); err != nil {
-			a.err = x.truncated(a, err)
-			a.fail()
-			return a.err
+			return x.cutShort(a, err)
 		}
+		// Reads the end, which frees the connection.
+		_, _ = res.Body.Read(make([]byte, 1))
+		kept = held
+	case res.ContentLength < 0 && x.h.options.AcceptUnframed:
+		held, err := io.ReadAll(io.LimitReader(res.Body, x.h.options.HoldBytes+1))
+		if err != nil {
+			return x.cutShort(a, err)
+		}
+		if int64(len(held)) > x.h.options.HoldBytes {
+			res.Body = rejoined{io.MultiReader(bytes.NewReader(held), res.Body), res.Body}
+			break
+		}
+		res.ContentLength = int64(len(held))
 		kept = held
 	}
 	x.writeHeader(res)
@@ -45,19 +58,36 @@
 			x.claim.Forget()
 		}
 		x.h.options.Metrics.Refused(a.err.Reason)
-		event.AnswerAborted.Log(x.h.options.Log, "service", x.query.Service.Name, "bytes", n, "error", err)
+		event.AnswerAborted.Log(x.h.options.Log, append(x.attrs(), "instance", a.selection.Instance().ID, "bytes", n, "error", err)...)
 		panic(http.ErrAbortHandler)
 	}
 	if res.ContentLength >= 0 && n != res.ContentLength && x.callerStays() && x.r.Method != http.MethodHead {
 		invariant.Check(invariant.AnswerWhole, false, "%d of %d bytes passed on as whole", n, res.ContentLength)
 	}
 	a.finish(Outcome{Verdict: verdict.Ran, AnswerBytes: n})
+	x.h.meters.answered(x.query.Service.Name, res.StatusCode, x.h.options.Now().Sub(x.received))
+	event.RequestAnswered.Log(x.h.options.Log, append(append(x.attrs(), explain(a.selection)...),
+		"status", res.StatusCode, "instance_ms", a.latency.Milliseconds(), "bytes", n)...)
 	if x.claim != nil {
 		x.claim.Done(&Answer{Status: res.StatusCode, Header: res.Header, Body: kept})
 	}
 	return nil
 }
 
+// rejoined is a body whose beginning was read ahead.
+type rejoined struct {
+	io.Reader
+	io.Closer
+}
+
+// cutShort ends an attempt whose answer ended early before any of it was passed
+// on.
+func (x *exchange) cutShort(a *attempt, err error) *verdict.Error {
+	a.err = x.truncated(a, err)
+	a.fail()
+	return a.err
+}
+
 // holder returns memory for a body of n bytes, and what gives it back. Only a
 // claim keeps the body past the end of the request.
 func (x *exchange) holder(n int) (held []byte, free func()) {
@@ -93,6 +123,10 @@
 	// A refusal in the upstream's name is its own; this VM's verdict headers
 	// are set only on refusals of this VM.
 	h.Del(verdict.HeaderVerdict)
+	if _, ok := h["Content-Type"]; !ok {
+		// Keeps the library from guessing one.
+		h["Content-Type"] = nil
+	}
 	if res.ContentLength >= 0 && len(h["Content-Length"]) != 1 {
 		h.Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	}
@@ -112,10 +146,10 @@
 	var out io.Writer = flushWriter{x.w, http.NewResponseController(x.w)}
 	var keep bytes.Buffer
 	if x.claim != nil {
-		out = &keepWriter{out: out, keep: &keep}
+		out = &keepWriter{out: out, keep: &keep, limit: x.h.options.HoldBytes}
 	}
 	n, err := io.CopyBuffer(out, a.res.Body, *buffer)
-	if x.claim != nil && keep.Len() == int(n) && n <= smallBody {
+	if x.claim != nil && keep.Len() == int(n) && n <= x.h.options.HoldBytes {
 		*kept = append([]byte{}, keep.Bytes()...)
 	}
 	return n, err
@@ -144,11 +178,13 @@
 type keepWriter struct {
 	out  io.Writer
 	keep *bytes.Buffer
-	gone bool
+	// limit of the bytes that are kept.
+	limit int64
+	gone  bool
 }
 
 func (k *keepWriter) Write(p []byte) (int, error) {
-	if k.keep.Len()+len(p) <= smallBody {
+	if int64(k.keep.Len()+len(p)) <= k.limit {
 		k.keep.Write(p)
 	}
 	if !k.gone {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -23,7 +23,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	received    time.Time
+	meta        Meta
 	query       Query
+	maxAttempts int
 	caller      string
 	key         string
 	fingerprint [32]byte
@@ -34,83 +37,76 @@
 	begun bool
 }
 
-func (h *Handler) newExchange(w http.ResponseWriter, r *http.Request) (*exchange, error) {
-	service := h.service(r)
-	if service == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnknownService, 0)
-	}
-	timeout, err := h.timeoutOf(r, service)
+// open reads the request up to the point at which it can be sent.
+func (x *exchange) open() error {
+	o := &x.h.options
+	var err error
+	if x.meta, err = o.Protocol.Caller(x.r); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+	}
+	routed, err := o.Router.Route(x.r)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+		return err
 	}
-	if r.ContentLength > h.options.MaxBody {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, 0)
+	x.key, x.caller = x.meta.Key, x.meta.Caller
+	x.setQuery(&routed)
+	if x.r.ContentLength > o.MaxBody {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, 0)
 	}
-	x := &exchange{h: h, w: w, r: r, key: r.Header.Get(HeaderKey), caller: callerOf(r)}
-	route := routeOf(service, r)
-	x.query = Query{
-		Service:    service,
-		Route:      route,
-		Idempotent: isIdempotent(route, r.Method),
-		Method:     r.Method,
-		Path:       r.URL.Path,
-		Bytes:      r.ContentLength,
-		Deadline:   h.options.Now().Add(timeout),
-	}
-	if route.RequireKey && x.key == "" {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonKeyRequired, 0)
-	}
-	parent := r.Context()
-	if x.isClaimed() {
+	if routed.Route.RequireKey && x.key == "" {
+		return verdict.New(verdict.NotRun, verdict.ReasonKeyRequired, 0)
+	}
+	parent := x.r.Context()
+	if x.isClaimed() || (o.FinishUnkeyed && !x.query.Idempotent) {
 		// A request that must not run twice is carried to its end even when
 		// the caller goes, so that a resend gets its answer.
 		parent = context.WithoutCancel(parent)
 	}
-	x.ctx, x.cancel = context.WithDeadline(parent, x.query.Deadline)
-	x.body, err = readBody(r, h.options.MaxBody)
+	x.ctx, x.cancel = context.WithDeadline(parent, x.query.Deadline.Add(o.DeadlineGrace))
+	x.body, err = readBody(x.r, o.HoldBytes, o.MaxBody)
 	if err != nil {
 		x.cancel()
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 	}
 	x.fingerprint = x.sum()
 	x.query.Fingerprint = x.fingerprint
-	return x, nil
+	return nil
 }
 
-// isClaimed tells whether the request needs a claim: it is not idempotent and
-// carries a key.
-func (x *exchange) isClaimed() bool { return x.key != "" && !x.query.Idempotent }
-
-func (h *Handler) service(r *http.Request) *register.Service {
-	name := r.Header.Get(HeaderService)
-	if name == "" {
-		name = strings.ToLower(r.Host)
-		if host, _, err := net.SplitHostPort(name); err == nil {
-			name = host
-		}
-		name = strings.TrimSuffix(name, ".")
-		if h.options.Zone != "" {
-			name = strings.TrimSuffix(name, "."+h.options.Zone)
-		}
+func (x *exchange) setQuery(routed *Routed) {
+	timeout := routed.Default
+	if x.meta.Timeout > 0 {
+		timeout = x.meta.Timeout
 	}
-	return h.options.Services.Service(name)
-}
-
-func (h *Handler) timeoutOf(r *http.Request, s *register.Service) (time.Duration, error) {
-	text := r.Header.Get(HeaderTimeout)
-	if text == "" {
-		if s.TimeoutMillis == 0 && h.options.DefaultTimeout > 0 {
-			return h.options.DefaultTimeout, nil
-		}
-		return s.Timeout(), nil
+	if routed.Timeout > 0 && (timeout <= 0 || routed.Timeout < timeout) {
+		timeout = routed.Timeout
 	}
-	ms, err := strconv.ParseUint(text, 10, 32)
-	if err != nil {
-		return 0, err
+	x.maxAttempts = routed.MaxAttempts
+	if x.maxAttempts <= 0 {
+		x.maxAttempts = x.h.options.MaxAttempts
+	}
+	x.query = Query{
+		Service:    routed.Service,
+		Route:      routed.Route,
+		Idempotent: isIdempotent(routed.Route, x.r.Method),
+		Method:     x.r.Method,
+		Path:       x.r.URL.Path,
+		Bytes:      x.r.ContentLength,
+		Deadline:   x.received.Add(timeout),
+		Regions:    routed.Regions,
+		Target:     routed.Target,
+		Priority:   routed.Priority,
+		Attrs:      routed.Attrs,
+	}
+	if routed.Sticky {
+		x.query.AffinityKey = x.meta.AffinityKey
 	}
-	return time.Duration(min(ms, register.MaxTimeoutMillis)) * time.Millisecond, nil
 }
 
+// isClaimed tells whether the request needs a claim: it is not idempotent and
+// carries a key.
+func (x *exchange) isClaimed() bool { return x.key != "" && !x.query.Idempotent }
+
 // callerOf returns the caller's address without its port.
 func callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -165,7 +161,7 @@
 	field([]byte(x.r.Method))
 	field([]byte(x.r.URL.RequestURI()))
 	field([]byte(strconv.FormatInt(x.r.ContentLength, 10)))
-	field(x.body.prefix)
+	field(x.body.prefix[:min(len(x.body.prefix), fingerprintBytes)])
 	var out [32]byte
 	s.Sum(out[:0])
 	return out
@@ -182,24 +178,27 @@
 	taken bool
 }
 
-func readBody(r *http.Request, limit int64) (*body, error) {
+// readBody holds a body of up to hold bytes. Of a longer one it holds a prefix.
+func readBody(r *http.Request, hold, limit int64) (*body, error) {
 	b := &body{length: r.ContentLength}
 	if r.ContentLength == 0 {
 		return b, nil
 	}
-	if r.ContentLength > 0 && r.ContentLength <= smallBody {
+	keep := hold
+	if r.ContentLength > hold {
+		keep = fingerprintBytes
+	}
+	var err error
+	if r.ContentLength > 0 && r.ContentLength <= hold {
 		b.prefix = make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, b.prefix)
+		_, err = io.ReadFull(r.Body, b.prefix)
 		return b, err
 	}
-	const keep = int64(fingerprintBytes)
-	prefix, err := io.ReadAll(io.LimitReader(r.Body, keep))
-	if err != nil {
+	if b.prefix, err = io.ReadAll(io.LimitReader(r.Body, keep)); err != nil {
 		return nil, err
 	}
-	b.prefix = prefix
-	if int64(len(prefix)) < keep {
-		b.length = int64(len(prefix))
+	if int64(len(b.prefix)) < keep {
+		b.length = int64(len(b.prefix))
 		return b, nil
 	}
 	b.rest = http.MaxBytesReader(nil, r.Body, limit-keep)
--- /dev/null
+++ b/proxy/protocol.go
@@ -0,0 +1,156 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Meta is what the headers of a caller's request say.
+type Meta struct {
+	// ID names this send of the request. Empty means that it has none.
+	ID string
+	// Timeout is how long the caller waits. Zero means that it does not say.
+	Timeout time.Duration
+	// AffinityKey names the object that the request is about, or is empty.
+	AffinityKey string
+	// Caller is the caller's address without its port.
+	Caller string
+	// Key is the idempotency key, or empty.
+	Key string
+}
+
+// Protocol says how callers and instances spell what this package needs.
+// Implementations keep no state.
+type Protocol interface {
+	// Caller reads the headers of a caller's request.
+	Caller(r *http.Request) (Meta, error)
+	// Outgoing sets the headers of the request to an instance, which starts
+	// with those of the caller less the hop-by-hop ones.
+	Outgoing(h http.Header, m *Meta, i Instance, remaining time.Duration)
+	// Belongs tells whether an answer is the one to this request.
+	Belongs(m *Meta, res *http.Response) bool
+	// NotRun tells whether the instance says that it did not run the request,
+	// and when to come back, or zero.
+	NotRun(res *http.Response) (retryAfter time.Duration, ok bool)
+	// Load reads the load report of an answer.
+	Load(h http.Header) (Load, bool)
+	// Refusal sets the headers of an answer of this VM's own and returns its
+	// status.
+	Refusal(h http.Header, m *Meta, e *verdict.Error) (status int)
+}
+
+// Routed is the route of a request.
+type Routed struct {
+	// Service is never nil.
+	Service *register.Service
+	Route   register.Route
+	// Timeout bounds the whole request. Zero means only the caller's.
+	Timeout time.Duration
+	// Default is the time limit where neither caller nor route states one.
+	Default time.Duration
+	// MaxAttempts bounds the instances to which the request is sent. Zero
+	// means the handler's bound.
+	MaxAttempts int
+	// Regions, Target and Priority are those of Query.
+	Regions  []string
+	Target   time.Duration
+	Priority int
+	// Sticky tells whether affinity keys count on this route.
+	Sticky bool
+	// Attrs are further fields of log lines, such as the version in force.
+	Attrs []any
+}
+
+// Router finds the route of a request, or refuses with a *verdict.Error.
+type Router interface {
+	Route(r *http.Request) (Routed, error)
+}
+
+// native is the protocol of the product's own callers and instances.
+type native struct{}
+
+var _ Protocol = native{}
+
+func (native) Caller(r *http.Request) (Meta, error) {
+	m := Meta{ID: r.Header.Get(HeaderRequestID), Caller: callerOf(r), Key: r.Header.Get(HeaderKey)}
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return m, errors.Wrap(err, HeaderTimeout)
+		}
+		// Zero would mean that the caller states no limit.
+		m.Timeout = time.Duration(min(max(ms, 1), register.MaxTimeoutMillis)) * time.Millisecond
+	}
+	return m, nil
+}
+
+func (native) Outgoing(h http.Header, m *Meta, _ Instance, remaining time.Duration) {
+	h.Set(HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	h["Via"] = via
+	h.Add("X-Forwarded-For", m.Caller)
+}
+
+func (native) Belongs(m *Meta, res *http.Response) bool {
+	got := res.Header.Get(HeaderRequestID)
+	return m.ID == "" || got == "" || m.ID == got
+}
+
+func (native) NotRun(res *http.Response) (time.Duration, bool) {
+	if res.StatusCode < 400 || res.Header.Get(verdict.HeaderVerdict) != verdict.NotRun.String() {
+		return 0, false
+	}
+	s, err := strconv.Atoi(res.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0, true
+	}
+	return time.Duration(s) * time.Second, true
+}
+
+func (native) Load(http.Header) (Load, bool) { return Load{}, false }
+
+func (native) Refusal(h http.Header, _ *Meta, e *verdict.Error) int {
+	e.WriteHeaders(h, proxyName)
+	return e.Reason.Status()
+}
+
+// serviceRouter finds routes by the services of the asset register.
+type serviceRouter struct {
+	services       Services
+	zone           string
+	defaultTimeout time.Duration
+}
+
+func (s *serviceRouter) Route(r *http.Request) (Routed, error) {
+	service := s.service(r)
+	if service == nil {
+		return Routed{}, verdict.New(verdict.NotRun, verdict.ReasonUnknownService, 0)
+	}
+	out := Routed{Service: service, Route: routeOf(service, r), Default: service.Timeout()}
+	if service.TimeoutMillis == 0 && s.defaultTimeout > 0 {
+		out.Default = s.defaultTimeout
+	}
+	return out, nil
+}
+
+func (s *serviceRouter) service(r *http.Request) *register.Service {
+	name := r.Header.Get(HeaderService)
+	if name == "" {
+		name = strings.ToLower(r.Host)
+		if host, _, err := net.SplitHostPort(name); err == nil {
+			name = host
+		}
+		name = strings.TrimSuffix(name, ".")
+		if s.zone != "" {
+			name = strings.TrimSuffix(name, "."+s.zone)
+		}
+	}
+	return s.services.Service(name)
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/currantferry/currantferry/invariant"
 	"github.com/currantferry/currantferry/metric"
 	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -52,6 +53,17 @@
 	IsRetry bool
 	// Fingerprint identifies the request and its resends.
 	Fingerprint [32]byte
+	// AffinityKey names the object that the request is about, or is empty.
+	// Requests with equal keys are best served by the same instance.
+	AffinityKey string
+	// Regions are those that may serve the request. Empty means all.
+	Regions []string
+	// Target is the response time that is aimed at. Zero means none.
+	Target time.Duration
+	// Priority orders requests when room is short, 0 first.
+	Priority int
+	// Attrs are further fields of the log lines about the request.
+	Attrs []any
 }
 
 // Instance is the target of an attempt.
@@ -72,6 +84,20 @@
 	Cancelled bool
 	// AnswerBytes is the length of the answer that was passed on.
 	AnswerBytes int64
+	// Status of the instance's answer, or zero.
+	Status int
+	// Load is what the instance reported with its answer, or nil.
+	Load *Load
+	// Answered is when the header of the answer arrived, or zero.
+	Answered time.Time
+}
+
+// Load is the report of an instance about itself.
+type Load struct {
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes at the moment, 100 as usual. Zero
+	// means that the instance does not tell.
+	WorkPercent int
 }
 
 // Selection is an instance that was chosen, with the place that it takes up.
@@ -85,6 +111,20 @@
 	Done(o Outcome)
 }
 
+// explainer is implemented by selections that can say what decided.
+type explainer interface {
+	// LogAttrs returns fields for log lines about the attempt.
+	LogAttrs() []any
+}
+
+// explain returns the log fields of a selection, the instance at least.
+func explain(s Selection) []any {
+	if e, ok := s.(explainer); ok {
+		return e.LogAttrs()
+	}
+	return []any{"instance", s.Instance().ID}
+}
+
 // Selector chooses instances. Select may wait until a place is free, and refuses
 // with a *verdict.Error that says not run.
 type Selector interface {
@@ -131,7 +171,12 @@
 
 // Options configures a Handler.
 type Options struct {
+	// Services are those of the native routing. Not used with a Router.
 	Services Services
+	// Router finds the route of a request. Nil means by Services.
+	Router Router
+	// Protocol is what callers and instances speak. Nil means the native one.
+	Protocol Protocol
 	Selector Selector
 	Claimer  Claimer
 	Budget   RetryBudget
@@ -152,6 +197,25 @@
 	// MaxConnections bounds the connections to one instance from this VM.
 	// Zero means 100.
 	MaxConnections int
+	// HoldBytes is the size up to which bodies are held in memory, so that a
+	// request can be sent again and an answer checked before it is passed on.
+	// Zero means 64 KiB.
+	HoldBytes int64
+	// DeadlineGrace is how long after the deadline an answer is still waited
+	// for, since an instance that stops at the deadline says so then. Zero
+	// means not at all.
+	DeadlineGrace time.Duration
+	// RetryAdvice is what callers are told when no better advice is known.
+	// Zero means 1 s.
+	RetryAdvice time.Duration
+	// AcceptUnframed takes the clean end of a connection as the end of an
+	// answer without length. False fails such answers.
+	AcceptUnframed bool
+	// FinishUnkeyed carries every request that is not idempotent to its end
+	// when its caller has gone. False does so for keyed ones only.
+	FinishUnkeyed bool
+	// Upstream configures the connections to instances.
+	Upstream upstream.Options
 	// Now is for tests. Nil means time.Now.
 	Now func() time.Time
 }
@@ -161,21 +225,18 @@
 	defaultMaxBody        = 1 << 30
 	defaultMaxAttempts    = 3
 	defaultMaxConnections = 100
-	// smallBody is the size up to which bodies are held in memory, so that a
-	// request can be sent again and an answer checked before it is passed on.
-	smallBody = 64 << 10
+	defaultHoldBytes      = 64 << 10
+	defaultRetryAdvice    = time.Second
 	// fingerprintBytes of a larger body go into its fingerprint.
 	fingerprintBytes = 4 << 10
-	// retryAdvice is what callers are told when no better advice is known.
-	retryAdvice = time.Second
-	dialTimeout = 500 * time.Millisecond
 )
 
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
-	options   Options
-	transport *http.Transport
-	gate      gate
+	options Options
+	client  *upstream.Client
+	meters  *meters
+	gate    gate
 }
 
 // New returns a handler.
@@ -195,9 +256,29 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Handler{options: o, transport: newTransport(o.MaxConnections), gate: gate{limit: o.MaxConcurrent}}
+	if o.HoldBytes <= 0 {
+		o.HoldBytes = defaultHoldBytes
+	}
+	if o.RetryAdvice <= 0 {
+		o.RetryAdvice = defaultRetryAdvice
+	}
+	if o.Protocol == nil {
+		o.Protocol = native{}
+	}
+	if o.Router == nil {
+		o.Router = &serviceRouter{services: o.Services, zone: o.Zone, defaultTimeout: o.DefaultTimeout}
+	}
+	o.Upstream.MaxConnections = o.MaxConnections
+	h := &Handler{options: o, client: upstream.New(o.Upstream), gate: gate{limit: o.MaxConcurrent}}
+	if o.Metrics != nil {
+		h.meters = &meters{scope: o.Metrics.Scope(), answers: make(map[answerKey]answerMeter)}
+	}
+	return h
 }
 
+// Client returns the connections to instances.
+func (h *Handler) Client() *upstream.Client { return h.client }
+
 // SetReady lets callers in, or refuses them with "not-ready".
 func (h *Handler) SetReady(ready bool) { h.gate.setReady(ready) }
 
@@ -206,7 +287,7 @@
 func (h *Handler) Stop(ctx context.Context) int {
 	left := h.gate.stop(ctx)
 	invariant.Check(invariant.NothingCutOff, left == 0, "%d requests in flight at the bound of the stop", left)
-	h.transport.CloseIdleConnections()
+	h.client.CloseIdle()
 	return left
 }
 
@@ -214,14 +295,15 @@
 func (h *Handler) InFlight() int { return h.gate.inFlight() }
 
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{h: h, w: w, r: r, received: h.options.Now()}
 	if err := h.gate.enter(); err != nil {
-		h.refuse(w, err)
+		x.meta, _ = h.options.Protocol.Caller(r)
+		x.refuse(err)
 		return
 	}
 	defer h.gate.leave()
-	x, err := h.newExchange(w, r)
-	if err != nil {
-		h.refuse(w, err)
+	if err := x.open(); err != nil {
+		x.refuse(err)
 		return
 	}
 	defer x.cancel()
@@ -229,14 +311,26 @@
 }
 
 // refuse writes the final answer of a request that this VM gives up on.
-func (h *Handler) refuse(w http.ResponseWriter, err error) {
-	e := asError(err)
-	if e.RetryAfter == 0 && e.Verdict == verdict.NotRun && e.Reason.Status() >= http.StatusInternalServerError {
-		e.RetryAfter = retryAdvice
+func (x *exchange) refuse(err error) {
+	e := *asError(err)
+	o := &x.h.options
+	status := o.Protocol.Refusal(x.w.Header(), &x.meta, &e)
+	if e.RetryAfter == 0 && e.Verdict == verdict.NotRun && status >= http.StatusInternalServerError {
+		e.RetryAfter = o.RetryAdvice
+		status = o.Protocol.Refusal(x.w.Header(), &x.meta, &e)
 	}
-	h.options.Metrics.Refused(e.Reason)
-	event.RequestRefused.Log(h.options.Log, "reason", string(e.Reason), "verdict", e.Verdict.String(), "error", e.Err)
-	e.WriteHeaders(w.Header(), proxyName)
+	o.Metrics.Refused(e.Reason)
+	event.RequestRefused.Log(o.Log, append(x.attrs(), "reason", string(e.Reason), "verdict", e.Verdict.String(),
+		"status", status, "retry_after_ms", e.RetryAfter.Milliseconds(), "error", e.Err)...)
 	// The cause stays in the log, since it may name internal addresses.
-	http.Error(w, fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Reason.Text()), e.Reason.Status())
+	http.Error(x.w, fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Reason.Text()), status)
+}
+
+// attrs are the fields of every log line about the request.
+func (x *exchange) attrs() []any {
+	out := []any{"request", x.meta.ID, "attempts", x.attempts, "took_ms", x.h.options.Now().Sub(x.received).Milliseconds()}
+	if x.query.Service != nil {
+		out = append(out, "service", x.query.Service.Name, "route", x.query.Route.Prefix, "left_ms", time.Until(x.query.Deadline).Milliseconds())
+	}
+	return append(out, x.query.Attrs...)
 }
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,215 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// conn is one connection to an instance. It carries one request at a time.
+type conn struct {
+	client  *Client
+	address string
+	raw     net.Conn
+	reader  *bufio.Reader
+	// lastUsed and idleFor are guarded by the client's lock while idle.
+	lastUsed time.Time
+	idleFor  time.Duration
+
+	closeOnce sync.Once
+}
+
+func (n *conn) close() {
+	n.closeOnce.Do(func() {
+		n.raw.Close()
+		n.client.release(n.address)
+	})
+}
+
+// isQuiet tells whether an idle connection is open and holds no bytes.
+func (n *conn) isQuiet() bool { return n.reader.Buffered() == 0 && !hasPending(n.raw) }
+
+// inlineBytes is the size up to which a request is written before its answer is
+// read. An instance may answer a longer one early, and stop reading.
+const inlineBytes = 4 << 10
+
+// exchange writes the request and reads the header of its answer. A cancelled
+// context closes the connection at any time until the body of the answer ends.
+func (n *conn) exchange(ctx context.Context, x *Exchange) (*http.Response, error) {
+	e := &running{n: n, x: x}
+	e.unwatch = context.AfterFunc(ctx, n.close)
+	length := x.Request.ContentLength
+	if length >= 0 && length <= inlineBytes {
+		if err := e.write(); err != nil {
+			return nil, e.fail(err)
+		}
+	} else {
+		e.writer.Go(func() {
+			if err := e.write(); err != nil {
+				// The answer may already be here; if not, reading it fails.
+				e.writeFailed.Store(true)
+			}
+		})
+	}
+	res, err := e.readHeader()
+	if err != nil {
+		return nil, e.fail(err)
+	}
+	res.Body = &answerBody{body: res.Body, e: e, res: res}
+	return res, nil
+}
+
+// running is an exchange on a connection.
+type running struct {
+	n       *conn
+	x       *Exchange
+	unwatch func() bool
+	writer  conc.WaitGroup
+
+	// sent counts the bytes that were handed to the kernel.
+	sent        atomic.Int64
+	written     atomic.Bool
+	writeFailed atomic.Bool
+	answered    bool
+	stray       int
+}
+
+func (e *running) write() error {
+	w := bufio.NewWriterSize(countingWriter{e}, bufferBytes)
+	if err := e.x.Request.Write(w); err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	e.written.Store(true)
+	return nil
+}
+
+// countingWriter counts what the kernel took: a write that failed as a whole
+// proves that the instance got nothing.
+type countingWriter struct{ e *running }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	k, err := w.e.n.raw.Write(p)
+	w.e.sent.Add(int64(k))
+	return k, err
+}
+
+// readHeader returns the header of the answer to this request. Interim answers
+// and answers to other requests are skipped.
+func (e *running) readHeader() (*http.Response, error) {
+	for {
+		if _, err := e.n.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		e.answered = true
+		res, err := http.ReadResponse(e.n.reader, e.x.Request)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("upstream: unexpected switch of protocols")
+		case res.StatusCode < http.StatusOK:
+		case e.x.Matches == nil || e.x.Matches(res):
+			return res, nil
+		default:
+			if e.stray++; e.stray > maxStrayAnswers || res.Close || !isFramed(res) {
+				return nil, errors.New("upstream: answer to another request")
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// isFramed tells whether the end of the answer is known without the end of its
+// connection.
+func isFramed(res *http.Response) bool {
+	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.StatusCode == http.StatusNoContent || res.StatusCode == http.StatusNotModified {
+		return true
+	}
+	return res.Request != nil && res.Request.Method == http.MethodHead
+}
+
+func (e *running) fail(err error) *Error {
+	e.end(false)
+	return &Error{Written: e.sent.Load() > 0, Answered: e.answered, Stray: e.stray, Err: err}
+}
+
+// end gives the connection back, or closes it.
+func (e *running) end(reuse bool) {
+	// After a false result the connection is being closed by the context.
+	reuse = e.unwatch() && reuse && e.written.Load() && !e.writeFailed.Load()
+	if !reuse {
+		e.n.close()
+	}
+	e.writer.Wait()
+	if reuse {
+		e.n.client.keep(e.n)
+	}
+}
+
+// answerBody ends the exchange when the body of the answer has ended.
+type answerBody struct {
+	body  io.ReadCloser
+	e     *running
+	res   *http.Response
+	ended bool
+}
+
+func (b *answerBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	k, err := b.body.Read(p)
+	if err == io.EOF {
+		b.finish(true)
+	} else if err != nil {
+		b.finish(false)
+	}
+	return k, err
+}
+
+func (b *answerBody) Close() error {
+	b.finish(b.res.ContentLength == 0)
+	return nil
+}
+
+func (b *answerBody) finish(whole bool) {
+	if b.ended {
+		return
+	}
+	b.ended = true
+	n := b.e.n
+	if limit, ok := keepAlive(b.res.Header); ok {
+		n.idleFor = min(limit/2, n.client.options.Idle)
+	}
+	b.e.end(whole && !b.res.Close && isFramed(b.res) && n.reader.Buffered() == 0 && n.idleFor > 0)
+}
+
+// keepAlive returns the time for which the instance keeps an idle connection.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(field), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s >= 0 {
+			return time.Duration(s) * time.Second, true
+		}
+	}
+	return 0, false
+}
