--- /dev/null
+++ b/event/feed.go
@@ -0,0 +1,27 @@
+package event
+
+import "log/slog"
+
+// Records of the platform, 2300 to 2399.
+var (
+	FeedSource    = define(2301, slog.LevelInfo, "following another source of the platform's records", "")
+	FeedLost      = define(2302, slog.LevelWarn, "a source of the platform's records does not answer", "the VM goes on with what it knows and asks the next source; look at the store if all VMs say so")
+	FeedCompacted = define(2303, slog.LevelInfo, "history no longer kept, reading the whole state", "")
+	RecordIgnored = define(2304, slog.LevelWarn, "record of the platform's store can't be used", "look at its writer; other records are not affected")
+
+	InstanceChanged = define(2310, slog.LevelInfo, "instance changed", "")
+	InstanceGone    = define(2311, slog.LevelInfo, "instance gone", "")
+	RemovalHeld     = define(2312, slog.LevelInfo, "removal held back because the store was away", "")
+	VMChanged       = define(2313, slog.LevelInfo, "entry VM changed", "")
+	VMGone          = define(2314, slog.LevelInfo, "entry VM gone", "")
+	RoutesApplied   = define(2315, slog.LevelInfo, "routes in force", "")
+	RoutesOld       = define(2316, slog.LevelWarn, "older routes refused, those in force stay", "")
+	EvacuationSet   = define(2317, slog.LevelInfo, "evacuation of a data centre begins", "")
+	EvacuationEnded = define(2318, slog.LevelInfo, "evacuation of a data centre ends", "")
+
+	AnnounceFailed = define(2330, slog.LevelWarn, "this VM's record could not be written or renewed", "lookups leave the VM out until it is; look at the store")
+	Announced      = define(2331, slog.LevelInfo, "this VM's record is written", "")
+	SpillChanged   = define(2340, slog.LevelInfo, "share of a service's objects that run in other regions", "")
+	SettingsRead   = define(2350, slog.LevelInfo, "settings read again", "")
+	LinesDropped   = define(2360, slog.LevelWarn, "log lines dropped since the last one of this kind", "raise the limit or look at what writes so much")
+)
--- a/event/node.go
+++ b/event/node.go
@@ -10,5 +10,6 @@
 	StopFinished    = define(1004, slog.LevelInfo, "graceful stop finished", "")
 	StopTimedOut    = define(1005, slog.LevelError, "graceful stop reached its bound with requests in flight", "raise [node] stop_timeout or look for requests that never end")
 	SettingsInvalid = define(1006, slog.LevelError, "settings rejected", "correct the named key; see docs/OPERATIONS.md")
+	ListenerFailed  = define(1007, slog.LevelError, "a listener failed", "look at the error; restart the daemon")
 	InvariantBroken = define(1090, slog.LevelError, "invariant violated", "report it with the log around it; see docs/PROOFS.md")
 )
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,55 @@
+// Package feed keeps a copy of the platform's records on every VM. A few VMs
+// follow the platform's store; the others follow one of those, which relays what
+// it hears. Each VM goes to the store by itself when its relay falls silent or
+// loses touch with the store.
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Record is a key of the store with its value, or its removal. Keys and values
+// are opaque here.
+type Record struct {
+	Key      string `json:"k"`
+	Value    []byte `json:"v,omitempty"`
+	Revision uint64 `json:"r"`
+	Removed  bool   `json:"x,omitempty"`
+}
+
+// Answer is what a source returned.
+type Answer struct {
+	// Records of a Read are the whole state, those of a Watch the changes.
+	Records []Record `json:"records,omitempty"`
+	// Revision up to which the answer is complete.
+	Revision uint64 `json:"revision"`
+	// Age is how long ago the store confirmed that, zero for the store itself.
+	Age time.Duration `json:"age"`
+}
+
+// ErrCompacted means that the source no longer has the changes after a revision,
+// so that the whole state must be read.
+var ErrCompacted = errors.New("feed: history is no longer kept")
+
+// Source is where records come from.
+type Source interface {
+	// Read returns the whole state.
+	Read(ctx context.Context) (Answer, error)
+	// Watch returns the changes after a revision, waiting up to wait for one.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error)
+}
+
+// Sink takes what a Follower learns. Its methods are called one at a time.
+type Sink interface {
+	// Reset replaces everything by the whole state.
+	Reset(now time.Time, records []Record)
+	// Apply takes changes. Records may come again.
+	Apply(now time.Time, records []Record)
+	// Touch reports contact with the store, directly or through a relay, or that
+	// the store failed this VM. It comes before the records of the same answer.
+	// Age is that of the newest confirmation.
+	Touch(now time.Time, age time.Duration, failed bool)
+}
--- /dev/null
+++ b/feed/follower.go
@@ -0,0 +1,251 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/event"
+)
+
+// Defaults of Options.
+const (
+	// DefaultStoreWait is how long a watch of the store waits. The store is
+	// known to answer at least this often.
+	DefaultStoreWait = time.Second
+	// DefaultRelayWait is how long a question to a relay waits.
+	DefaultRelayWait = 500 * time.Millisecond
+	// DefaultAnswerGrace is how long an answer may take beyond its wait: a round
+	// trip between regions, twice, and a busy VM.
+	DefaultAnswerGrace = 350 * time.Millisecond
+	// DefaultReadTimeout bounds a read of the whole state.
+	DefaultReadTimeout = 2 * time.Second
+	// DefaultMaxAge is the age of the store's confirmation above which a relay
+	// is taken to have lost the store: one wait and its grace.
+	DefaultMaxAge = DefaultStoreWait + DefaultAnswerGrace + 100*time.Millisecond
+	// DefaultPause is the pause between answers of the store, so that changes
+	// in quick succession come in one answer.
+	DefaultPause = 100 * time.Millisecond
+	// avoidFor is how long a source that failed is not asked.
+	avoidFor = 2 * time.Second
+	// retryPause is the pause when no source answers, doubled up to retryMost.
+	retryPause = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+)
+
+// Options of a Follower. Zero durations mean the defaults above.
+type Options struct {
+	Store Source
+	Sink  Sink
+	// Relays returns the addresses of the VMs whose copies may be followed, best
+	// first, and whether this VM follows the store itself.
+	Relays func() (addresses []string, direct bool)
+	Log    *slog.Logger
+	// Now is for tests. Nil means time.Now.
+	Now func() time.Time
+
+	StoreWait, RelayWait, AnswerGrace, ReadTimeout, MaxAge, Pause time.Duration
+}
+
+func (o *Options) defaults() {
+	for _, d := range []struct {
+		value *time.Duration
+		usual time.Duration
+	}{
+		{&o.StoreWait, DefaultStoreWait},
+		{&o.RelayWait, DefaultRelayWait},
+		{&o.AnswerGrace, DefaultAnswerGrace},
+		{&o.ReadTimeout, DefaultReadTimeout},
+		{&o.MaxAge, DefaultMaxAge},
+		{&o.Pause, DefaultPause},
+	} {
+		if *d.value <= 0 {
+			*d.value = d.usual
+		}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+// Follower keeps a copy of the records and relays it.
+type Follower struct {
+	options Options
+	copy    *copyOf
+	client  *http.Client
+	avoid   map[string]time.Time
+	// source is the one that answered last, storeName for the store.
+	source string
+}
+
+// storeName stands for the store among the addresses of relays.
+const storeName = "store"
+
+// New returns a follower that has read nothing.
+func New(o Options) *Follower {
+	o.defaults()
+	dialer := net.Dialer{Timeout: o.AnswerGrace}
+	return &Follower{
+		options: o, copy: newCopy(), avoid: make(map[string]time.Time),
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := retryPause
+	for ctx.Err() == nil {
+		direct, err := f.step(ctx)
+		switch {
+		case err != nil:
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+		default:
+			pause = retryPause
+			if direct {
+				sleep(ctx, f.options.Pause)
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// step asks the sources in order until one answers.
+func (f *Follower) step(ctx context.Context) (direct bool, err error) {
+	err = errors.New("feed: no source")
+	for _, name := range f.order() {
+		if err = f.ask(ctx, name); err == nil {
+			f.answered(name)
+			return name == storeName, nil
+		}
+		if ctx.Err() != nil {
+			return false, err
+		}
+		f.lost(name, err)
+	}
+	return false, err
+}
+
+// order returns the sources to ask, best first. Those that failed lately come
+// last.
+func (f *Follower) order() []string {
+	relays, direct := f.options.Relays()
+	names := make([]string, 0, len(relays)+1)
+	if direct || len(relays) == 0 || !f.copy.isLoaded() {
+		names = append(append(names, storeName), relays...)
+	} else {
+		// The store comes before the second relay: a change must not wait until
+		// several relays were found silent.
+		names = append(append(names, relays[0], storeName), relays[1:]...)
+	}
+	now := f.options.Now()
+	var late []string
+	good := names[:0]
+	for _, n := range names {
+		if now.Before(f.avoid[n]) {
+			late = append(late, n)
+		} else {
+			good = append(good, n)
+		}
+	}
+	return append(good, late...)
+}
+
+// ask asks one source and takes its answer.
+func (f *Follower) ask(ctx context.Context, name string) error {
+	source, wait := f.options.Store, f.options.StoreWait
+	if name != storeName {
+		source, wait = &relaySource{f.client, name}, f.options.RelayWait
+	}
+	if !f.copy.isLoaded() {
+		return f.read(ctx, source)
+	}
+	revision, _ := f.copy.position(f.options.Now())
+	bounded, cancel := context.WithTimeout(ctx, wait+f.options.AnswerGrace)
+	a, err := source.Watch(bounded, revision, wait)
+	cancel()
+	if errors.Is(err, ErrCompacted) {
+		event.FeedCompacted.Log(f.options.Log, "source", name, "revision", revision)
+		return f.read(ctx, source)
+	}
+	if err != nil {
+		return err
+	}
+	if a.Age > f.options.MaxAge {
+		return errors.Errorf("feed: relay %s heard the store %s ago", name, a.Age)
+	}
+	now := f.options.Now()
+	news := f.copy.apply(now, &a)
+	f.touch(now, false)
+	if len(news) > 0 {
+		f.options.Sink.Apply(now, news)
+	}
+	return nil
+}
+
+// touch reports contact with the store, or its loss.
+func (f *Follower) touch(now time.Time, failed bool) {
+	_, age := f.copy.position(now)
+	f.options.Sink.Touch(now, age, failed)
+}
+
+// read takes the whole state of a source, unless it is older than this VM's.
+func (f *Follower) read(ctx context.Context, source Source) error {
+	bounded, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
+	defer cancel()
+	a, err := source.Read(bounded)
+	if err != nil {
+		return err
+	}
+	now := f.options.Now()
+	revision, _ := f.copy.position(now)
+	if a.Age > f.options.MaxAge || a.Revision < revision {
+		return errors.Errorf("feed: state of revision %d, %s old, is no news", a.Revision, a.Age)
+	}
+	f.copy.reset(now, &a)
+	f.touch(now, false)
+	f.options.Sink.Reset(now, a.Records)
+	return nil
+}
+
+// answered notes that a source answered.
+func (f *Follower) answered(name string) {
+	delete(f.avoid, name)
+	if name != f.source {
+		event.FeedSource.Log(f.options.Log, "source", name, "before", f.source)
+		f.source = name
+	}
+}
+
+// lost notes that a source failed.
+func (f *Follower) lost(name string, err error) {
+	now := f.options.Now()
+	if !now.Before(f.avoid[name]) {
+		event.FeedLost.Log(f.options.Log, "source", name, "error", err)
+	}
+	f.avoid[name] = now.Add(avoidFor)
+	if name == storeName {
+		f.touch(now, true)
+	}
+}
+
+func (c *copyOf) isLoaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded
+}
--- /dev/null
+++ b/inventory/view.go
@@ -0,0 +1,86 @@
+package inventory
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Routes returns the version in force, or nil.
+func (v *Inventory) Routes() *Routes { return v.routes }
+
+// Evacuated returns the data centres that are to be empty.
+func (v *Inventory) Evacuated() map[string]bool {
+	out := make(map[string]bool)
+	for key, e := range v.entries {
+		if key.kind == OfEvacuation && e.removed.IsZero() {
+			out[key.id] = true
+		}
+	}
+	return out
+}
+
+// Instances returns those that take new work, ordered by ID.
+func (v *Inventory) Instances() []Instance {
+	evacuated := v.Evacuated()
+	var out []Instance
+	for _, e := range v.entries {
+		i := e.change.Instance
+		if i == nil || !e.removed.IsZero() || i.Draining || evacuated[i.DataCentre] {
+			continue
+		}
+		out = append(out, *i)
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// VMs returns the entry VMs, ordered by ID.
+func (v *Inventory) VMs() []VM {
+	var out []VM
+	for _, e := range v.entries {
+		if e.change.VM != nil && e.removed.IsZero() {
+			out = append(out, *e.change.VM)
+		}
+	}
+	slices.SortFunc(out, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Table finds routes. It is immutable.
+type Table struct {
+	Version uint64
+	byHost  map[string][]*Route
+}
+
+// NewTable prepares the routes of a version.
+func NewTable(r *Routes) *Table {
+	t := &Table{Version: r.Version, byHost: make(map[string][]*Route)}
+	for i := range r.Routes {
+		host := strings.ToLower(r.Routes[i].Host)
+		t.byHost[host] = append(t.byHost[host], &r.Routes[i])
+	}
+	for _, list := range t.byHost {
+		// The first match is then the longest.
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Find returns the route with the longest prefix of a path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	host = strings.ToLower(host)
+	list, ok := t.byHost[host]
+	if !ok {
+		// A port is not part of the name.
+		if name, _, found := strings.Cut(host, ":"); found {
+			list = t.byHost[name]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/placement/pick.go
@@ -0,0 +1,313 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/currantferry/currantferry/verdict"
+)
+
+const (
+	// candidates is how many instances of an object's order are compared.
+	candidates = 3
+	// elsewhereCost is added, in units of the route's work, for an instance that
+	// is not the object's first and is not known to hold the object: work on an
+	// object that an instance does not hold takes about three times as long.
+	elsewhereCost = 2.0
+	// rankCost is added for each rank of an instance that holds the object, so
+	// that objects stay where they are on equal terms.
+	rankCost = 0.15
+	// coldVMs is how many VMs may send to the same cold instance. Fewer shares
+	// are large enough to be used.
+	coldVMs = 8
+	// coldMargin is the part of a cold instance's rate that is shared out.
+	coldMargin = 0.8
+	// minRetryAfter and maxRetryAfter bound the advice to a refused caller.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// defaultRetryAfter is the advice where no wait can be estimated.
+	defaultRetryAfter = 500 * time.Millisecond
+)
+
+// candidate is an instance with its estimates for a request.
+type candidate struct {
+	inst  *instance
+	score uint64
+	rank  int
+	trial bool
+	wait  time.Duration
+	work  time.Duration
+	cost  time.Duration
+}
+
+// Pick chooses an instance, or refuses with a verdict of not run. Done must be
+// called for each ticket.
+func (p *Picker) Pick(now time.Time, r *Request) (Ticket, *verdict.Error) {
+	s := p.services[r.Service]
+	if s == nil || len(s.instances) == 0 {
+		return Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+	}
+	key := p.keyOf(r)
+	home := p.regionFor(s, r, key)
+	best, refused := p.pickIn(now, s, r, key, home)
+	if best == nil || p.isHopeless(now, r, best) {
+		if other := p.elsewhere(now, s, r, key, home, best); other != nil {
+			best = other
+		}
+	}
+	if best == nil {
+		return Ticket{}, refused
+	}
+	if p.isHopeless(now, r, best) {
+		after := min(max(best.wait, minRetryAfter), maxRetryAfter)
+		return Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonDeadlineAhead, after)
+	}
+	return p.ticket(now, s, r, key, best), nil
+}
+
+// keyOf is the hash of the request's object. Requests without one are spread.
+func (p *Picker) keyOf(r *Request) uint64 {
+	if r.Key == "" {
+		p.unkeyed++
+		return mix(hashOf(p.cfg.VM) + p.unkeyed*0x9e3779b97f4a7c15)
+	}
+	return mix(hashOf(r.Key) ^ hashOf(r.Route)*3)
+}
+
+func (p *Picker) ticket(now time.Time, s *service, r *Request, key uint64, c *candidate) Ticket {
+	i := c.inst
+	i.sent()
+	if c.trial {
+		i.trial = true
+	}
+	age := time.Duration(-1)
+	if !i.loadAt.IsZero() {
+		age = now.Sub(i.loadAt)
+	}
+	t := Ticket{
+		Instance: i.Instance, Rank: c.rank, Spilled: i.Region != p.cfg.Region, Wait: c.wait, Work: c.work, LoadAge: age,
+		at: now, inst: i, service: s, route: r.Route,
+	}
+	if r.Key != "" {
+		t.warmKey = mix(key ^ i.hash)
+	}
+	return t
+}
+
+// isHopeless tells whether a candidate could not answer before the deadline.
+func (p *Picker) isHopeless(now time.Time, r *Request, c *candidate) bool {
+	return c != nil && !r.Deadline.IsZero() && now.Add(c.wait+c.work/2).After(r.Deadline)
+}
+
+// regionFor is the region in which an object of this VM's callers runs.
+func (p *Picker) regionFor(s *service, r *Request, key uint64) string {
+	own := p.cfg.Region
+	mayStay := len(r.Regions) == 0 || slices.Contains(r.Regions, own)
+	if mayStay && len(s.regions[own]) > 0 && unit(mix(key^0x5bd1e995)) >= s.spill {
+		return own
+	}
+	best, top := "", -1.0
+	for region, group := range s.regions {
+		if region == own || (len(r.Regions) > 0 && !slices.Contains(r.Regions, region)) {
+			continue
+		}
+		score := weighted(mix(key^hashOf(region)), s.room(region, group))
+		if score > top || (score == top && region < best) {
+			best, top = region, score
+		}
+	}
+	if best == "" && mayStay {
+		return own
+	}
+	return best
+}
+
+// room is the weight of a region for work from elsewhere: its free slots.
+func (s *service) room(region string, group []*instance) float64 {
+	slots := 0
+	for _, i := range group {
+		slots += i.Slots
+	}
+	return float64(slots) * max(0.02, pressureHigh-s.pressure[region])
+}
+
+// elsewhere tries the other regions for a request that its region can't serve.
+func (p *Picker) elsewhere(now time.Time, s *service, r *Request, key uint64, home string, than *candidate) *candidate {
+	if than != nil && s.overflow < 1 {
+		return nil
+	}
+	var best *candidate
+	for region := range s.regions {
+		if region == home || (len(r.Regions) > 0 && !slices.Contains(r.Regions, region)) {
+			continue
+		}
+		c, _ := p.pickIn(now, s, r, key, region)
+		if c != nil && (best == nil || c.cost < best.cost || (c.cost == best.cost && c.inst.ID < best.inst.ID)) {
+			best = c
+		}
+	}
+	if best == nil || (than != nil && best.cost >= than.cost) {
+		return nil
+	}
+	if than != nil {
+		s.overflow--
+	}
+	return best
+}
+
+// pickIn chooses the best instance of a region for an object, or says why none
+// takes the request.
+func (p *Picker) pickIn(now time.Time, s *service, r *Request, key uint64, region string) (*candidate, *verdict.Error) {
+	group := s.regions[region]
+	if len(group) == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+	}
+	work := s.work(r.Route)
+	// Instances that may not be used make room for the next in order.
+	var skipped []*instance
+	for {
+		top := p.top(now, group, r, key, skipped)
+		if len(top) == 0 {
+			break
+		}
+		for k := range top {
+			p.estimate(now, r, key, work, &top[k])
+		}
+		slices.SortStableFunc(top, func(a, b candidate) int { return int(a.cost - b.cost) })
+		for k := range top {
+			c := &top[k]
+			if !c.inst.isCold(now) || p.takeCold(now, c.inst) {
+				return c, nil
+			}
+			skipped = append(skipped, c.inst)
+		}
+	}
+	return p.lastResort(now, group, r, work)
+}
+
+// top returns the first instances in the order of an object that take requests.
+func (p *Picker) top(now time.Time, group []*instance, r *Request, key uint64, skipped []*instance) []candidate {
+	top := make([]candidate, 0, candidates+1)
+	for _, i := range group {
+		out, trialDue := i.isOut(now)
+		if out && (!trialDue || !r.Idempotent) {
+			continue
+		}
+		score := mix(key ^ i.hash)
+		if len(top) == candidates && score <= top[candidates-1].score {
+			continue
+		}
+		if slices.Contains(r.Exclude, i.ID) || slices.Contains(skipped, i) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(top, score, func(c candidate, score uint64) int {
+			if c.score > score {
+				return -1
+			}
+			return 1
+		})
+		top = slices.Insert(top, at, candidate{inst: i, score: score, trial: out})
+		top = top[:min(len(top), candidates)]
+	}
+	for k := range top {
+		top[k].rank = k
+	}
+	return top
+}
+
+func (p *Picker) estimate(now time.Time, r *Request, key uint64, work time.Duration, c *candidate) {
+	i := c.inst
+	slow := i.slow(now)
+	c.wait = i.wait(now, work)
+	c.work = time.Duration(float64(work) * slow)
+	cost := float64(c.wait + c.work)
+	switch {
+	case c.rank == 0:
+	case r.Key == "" || p.recent.has(now, mix(key^i.hash)):
+		cost += rankCost * float64(c.rank) * float64(work)
+	default:
+		cost += elsewhereCost * float64(work) * slow
+	}
+	if i.Region != p.cfg.Region {
+		cost += float64(p.cfg.RegionDelay)
+	}
+	cost += i.failureRate(now) * float64(max(r.Target, work)) * 2
+	c.cost = time.Duration(cost)
+}
+
+// takeCold takes a request from this VM's share of a cold instance.
+func (p *Picker) takeCold(now time.Time, i *instance) bool {
+	if i.Region != p.cfg.Region {
+		return false
+	}
+	sharers := min(len(p.vms), coldVMs)
+	if len(p.vms) > coldVMs && !p.isAmong(i.hash, coldVMs) {
+		return false
+	}
+	// Within one second each sharer may use a saved request and its rate.
+	total := i.ColdRate*p.cfg.ColdOver + p.cfg.ColdSlack - float64(sharers)
+	rate := min(coldMargin*max(total, 0), i.ColdRate) / float64(sharers)
+	return i.takeCold(now, rate)
+}
+
+// isAmong tells whether this VM is one of the first n in the order of a hash.
+func (p *Picker) isAmong(hash uint64, n int) bool {
+	own := mix(hash ^ hashOf(p.cfg.VM))
+	before := 0
+	for _, vm := range p.vms {
+		if vm != p.cfg.VM && mix(hash^hashOf(vm)) > own {
+			before++
+		}
+	}
+	return before < n
+}
+
+// lastResort serves a request although every instance of the region failed
+// lately, or was tried: the one that was ejected first may be back.
+func (p *Picker) lastResort(now time.Time, group []*instance, r *Request, work time.Duration) (*candidate, *verdict.Error) {
+	var best *instance
+	cold := false
+	for _, i := range group {
+		if i.isCold(now) {
+			cold = true
+			continue
+		}
+		if slices.Contains(r.Exclude, i.ID) {
+			continue
+		}
+		if best == nil || i.ejectedAt.Before(best.ejectedAt) {
+			best = i
+		}
+	}
+	switch {
+	case best != nil && r.Idempotent:
+		return &candidate{inst: best, rank: candidates, wait: best.wait(now, work), work: work, cost: work}, nil
+	case cold:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonSaturated, defaultRetryAfter)
+	default:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+	}
+}
+
+// Done ends a ticket.
+func (p *Picker) Done(now time.Time, t *Ticket, o Outcome) {
+	if t.inst == nil {
+		return
+	}
+	expected := t.Wait + t.service.work(t.route)
+	if t.Spilled {
+		expected += p.cfg.RegionDelay
+	}
+	t.inst.ended(now, &o, expected)
+	if o.Verdict != verdict.Ran {
+		return
+	}
+	work := o.Latency - t.Wait
+	if t.Spilled {
+		work -= p.cfg.RegionDelay
+	}
+	t.service.learn(t.route, max(work, time.Millisecond))
+	if t.warmKey != 0 {
+		p.recent.mark(now, t.warmKey)
+	}
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,265 @@
+// Package placement chooses the instance for a request on the routed path: the one
+// that most likely holds the request's object, unless it is slow, full, cold or
+// failing. Every VM ranks the instances of an object alike, so that no messages
+// are needed to keep an object in one place.
+//
+// The package has no I/O, goroutines, clock or random source. It is not safe for
+// concurrent use.
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Config of a Picker. Zero values mean the defaults.
+type Config struct {
+	// VM and Region of this entry VM.
+	VM, Region, DataCentre string
+	// ColdOver and ColdSlack bound the requests of one second at a cold
+	// instance, over all VMs: ColdOver times its tolerated rate, plus
+	// ColdSlack. Defaults 1 and 0.
+	ColdOver, ColdSlack float64
+	// ShiftMost is the largest share of a region's requests that may change the
+	// region in which they run within ShiftWindow. Default 0.15 in 2 s.
+	ShiftMost   float64
+	ShiftWindow time.Duration
+	// RegionDelay is the time to another region and back. Default 110 ms.
+	RegionDelay time.Duration
+}
+
+func (c *Config) defaults() {
+	if c.ColdOver <= 0 {
+		c.ColdOver = 1
+	}
+	if c.ShiftMost <= 0 {
+		c.ShiftMost = 0.15
+	}
+	if c.ShiftWindow <= 0 {
+		c.ShiftWindow = 2 * time.Second
+	}
+	if c.RegionDelay <= 0 {
+		c.RegionDelay = 110 * time.Millisecond
+	}
+}
+
+// Instance is one upstream process of a service.
+type Instance struct {
+	ID, Service, DataCentre, Region, Address string
+	// Born tells apart processes that started under the same ID.
+	Born int64
+	// Slots is the number of requests that it runs at a time.
+	Slots int
+	// ColdUntil is when it stops being cold. Zero means that it is not.
+	ColdUntil time.Time
+	// ColdRate is the requests per second that it tolerates while cold, from
+	// all VMs together. Zero means no limit.
+	ColdRate float64
+}
+
+// Request asks for an instance.
+type Request struct {
+	Service string
+	// Route names the kind of work, for the estimate of its duration.
+	Route string
+	// Key names the object of the request. Empty means none.
+	Key        string
+	Idempotent bool
+	Target     time.Duration
+	Deadline   time.Time
+	// Regions are those that may run the request. Empty means all.
+	Regions []string
+	// Exclude names instances that were tried already.
+	Exclude []string
+}
+
+// Ticket is a chosen instance with the place that the request takes up there.
+type Ticket struct {
+	Instance Instance
+	// Rank is the instance's place in the order of the object, from 0.
+	Rank int
+	// Spilled says that the instance is in another region than this VM.
+	Spilled bool
+	// Wait and Work are the estimates that decided.
+	Wait, Work time.Duration
+	// LoadAge is the age of the load report behind them, or negative without
+	// one.
+	LoadAge time.Duration
+
+	at      time.Time
+	inst    *instance
+	service *service
+	route   string
+	warmKey uint64
+}
+
+// Load is the report of an instance about itself.
+type Load struct {
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes at the moment, 100 as usual, or zero.
+	WorkPercent int
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+	// Latency until the header of the answer, or until the failure.
+	Latency time.Duration
+	// Cancelled attempts say nothing about the instance.
+	Cancelled bool
+	// Failed says that the instance answered with a failure of its own.
+	Failed bool
+	Load   *Load
+}
+
+// Picker is the state of one entry VM.
+type Picker struct {
+	cfg      Config
+	services map[string]*service
+	// vms are the IDs of the VMs that serve the region, this one included.
+	vms   []string
+	ticks time.Time
+	// unkeyed counts requests without a key, to spread them.
+	unkeyed uint64
+	recent  recentTable
+}
+
+// service is the state of one service.
+type service struct {
+	name      string
+	instances map[string]*instance
+	regions   map[string][]*instance
+	// spill is the share of this region's objects that run elsewhere.
+	spill float64
+	// pressure is the smoothed load per slot of each region.
+	pressure map[string]float64
+	routes   map[string]*routeWork
+	// arrivals and overflow bound single requests that leave the region beyond
+	// the steady share.
+	overflow float64
+}
+
+// routeWork estimates the duration of a route's requests at an instance.
+type routeWork struct {
+	mean float64 // seconds
+}
+
+const (
+	// initialWork is assumed until a route has been measured.
+	initialWork = 200 * time.Millisecond
+	// workWeight is the weight of the newest duration in a route's mean.
+	workWeight = 0.02
+)
+
+// New returns a picker without instances.
+func New(cfg Config) *Picker {
+	cfg.defaults()
+	return &Picker{cfg: cfg, services: make(map[string]*service), vms: []string{cfg.VM}}
+}
+
+// SetBounds changes the bounds of Config.
+func (p *Picker) SetBounds(coldOver, coldSlack, shiftMost float64) {
+	p.cfg.ColdOver, p.cfg.ColdSlack, p.cfg.ShiftMost = coldOver, coldSlack, shiftMost
+	p.cfg.defaults()
+}
+
+// SetVMs names the VMs that serve this VM's region.
+func (p *Picker) SetVMs(ids []string) {
+	p.vms = ids
+	if !slices.Contains(ids, p.cfg.VM) {
+		p.vms = append(slices.Clone(ids), p.cfg.VM)
+	}
+}
+
+// SetInstances replaces the instances that take new work. State of those that
+// remain is kept.
+func (p *Picker) SetInstances(now time.Time, list []Instance) {
+	fresh := make(map[string]map[string]*instance)
+	for _, i := range list {
+		s := p.service(i.Service)
+		next := fresh[i.Service]
+		if next == nil {
+			next = make(map[string]*instance)
+			fresh[i.Service] = next
+		}
+		old := s.instances[i.ID]
+		if old == nil || old.Born != i.Born || old.Address != i.Address {
+			old = newInstance(now, i)
+		}
+		old.Instance = i
+		next[i.ID] = old
+	}
+	for name, s := range p.services {
+		s.instances = fresh[name]
+		s.regions = make(map[string][]*instance)
+		for _, i := range s.instances {
+			s.regions[i.Region] = append(s.regions[i.Region], i)
+		}
+		for _, group := range s.regions {
+			slices.SortFunc(group, func(a, b *instance) int { return compare(a.ID, b.ID) })
+		}
+	}
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (p *Picker) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{
+			name: name, instances: make(map[string]*instance), regions: make(map[string][]*instance),
+			pressure: make(map[string]float64), routes: make(map[string]*routeWork),
+		}
+		p.services[name] = s
+	}
+	return s
+}
+
+func (s *service) work(route string) time.Duration {
+	if w := s.routes[route]; w != nil {
+		return time.Duration(w.mean * float64(time.Second))
+	}
+	return initialWork
+}
+
+func (s *service) learn(route string, took time.Duration) {
+	w := s.routes[route]
+	if w == nil {
+		s.routes[route] = &routeWork{mean: took.Seconds()}
+		return
+	}
+	w.mean += workWeight * (took.Seconds() - w.mean)
+}
+
+// mix spreads the bits of a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// unit maps a hash to (0, 1).
+func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
+
+func hashOf(s string) uint64 { return xxhash.Sum64String(s) }
+
+// weighted is the score of weighted rendezvous hashing: the highest wins, each
+// with a probability in proportion to its weight.
+func weighted(hash uint64, weight float64) float64 { return -weight / math.Log(unit(hash)) }
