--- /dev/null
+++ b/cmd/currantferryd/entry.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/currantferry/currantferry/entry"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/platform"
+)
+
+// entryCommand runs an entry VM on the users' platform.
+type entryCommand struct {
+	config string
+	check  bool
+}
+
+func (*entryCommand) Name() string { return "entry" }
+func (*entryCommand) Synopsis() string { return "run an entry VM on the users' platform until SIGTERM" }
+
+func (*entryCommand) Usage() string {
+	return `entry [-config FILE] [-check]
+  Without -config, the file is the one that the platform names. SIGTERM stops
+  gracefully, SIGHUP reads the settings again. -check only validates the file.
+`
+}
+
+func (c *entryCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "", "settings file (INI)")
+	f.BoolVar(&c.check, "check", false, "validate the settings and exit")
+}
+
+func (c *entryCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	path := c.config
+	if path == "" {
+		path = platform.SettingsFile(os.Getenv)
+	}
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "entry: -config FILE is needed")
+		return subcommands.ExitUsageError
+	}
+	log := slog.New(slog.NewJSONHandler(event.NewBounded(os.Stdout, event.BoundedOptions{}), &slog.HandlerOptions{Level: slog.LevelDebug}))
+	s, err := entry.LoadSettings(path)
+	if err != nil {
+		event.SettingsInvalid.Log(log, "file", path, "error", err)
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if c.check {
+		fmt.Printf("%s: valid\n", path)
+		return subcommands.ExitSuccess
+	}
+	if err := runEntry(path, s, log); err != nil {
+		fmt.Fprintln(os.Stderr, "currantferryd:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+const (
+	// heapShare is the part of a VM's memory above which the garbage collector
+	// works harder; the rest is for stacks, buffers in the kernel and bursts.
+	heapShare = 0.6
+	// settingsInterval is how often the settings file is compared with the one
+	// that was read.
+	settingsInterval = time.Second
+	mega             = 1 << 20
+)
+
+func runEntry(path string, s *entry.Settings, log *slog.Logger) error {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * s.MemoryMB * mega))
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	client := platform.NewStore(s.Store.String())
+	n, err := entry.Start(entry.Options{Settings: s, Log: log, Platform: entry.Platform{
+		Source: client, Registry: client, Decode: platform.Decode, Protocol: platform.Protocol{},
+		ServeReady: platform.ServeReady, ServeLookup: platform.ServeLookup,
+	}})
+	if err != nil {
+		return err
+	}
+	reader := entry.NewSettingsReader(path, log)
+	changed := time.NewTicker(settingsInterval)
+	defer changed.Stop()
+	for {
+		select {
+		case <-changed.C:
+			reader.Poll(n)
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reader.Read(n)
+				continue
+			}
+			if left := n.Stop(); left > 0 {
+				return fmt.Errorf("stop: %d requests were cut off after %s", left, s.StopGrace)
+			}
+			return nil
+		}
+	}
+}
--- a/cmd/currantferryd/main.go
+++ b/cmd/currantferryd/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(new(runCommand), "")
 	subcommands.Register(new(checkCommand), "")
+	subcommands.Register(new(entryCommand), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,289 @@
+// Package entry runs an entry VM on a platform that brings its own store,
+// registration of instances and routes: it answers lookups, passes requests to
+// instances, and follows the platform's records. Deciding is left to the core
+// packages inventory, placement, budget and crashguard, sending to proxy.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/budget"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/feed"
+	"github.com/currantferry/currantferry/inventory"
+	"github.com/currantferry/currantferry/metric"
+	"github.com/currantferry/currantferry/placement"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/store"
+	"github.com/currantferry/currantferry/upstream"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Registry writes this VM's record to the platform's store. Every method is one
+// call.
+type Registry interface {
+	// GrantLease returns a lease that lapses unless it is renewed within ttl.
+	GrantLease(ctx context.Context, name string, ttl time.Duration) (store.LeaseID, error)
+	// RenewLease extends a lease, or returns store.ErrLeaseLost.
+	RenewLease(ctx context.Context, id store.LeaseID) error
+	// RevokeLease ends a lease; its keys are removed.
+	RevokeLease(ctx context.Context, id store.LeaseID) error
+	// Put writes a key that goes with the lease.
+	Put(ctx context.Context, key string, value []byte, id store.LeaseID) error
+}
+
+// Place is where a caller is. Empty fields are not known.
+type Place struct{ Region, DataCentre string }
+
+// Platform is what an entry VM needs of its platform.
+type Platform struct {
+	Source   feed.Source
+	Registry Registry
+	// Decode translates a record.
+	Decode   func(feed.Record) inventory.Change
+	Protocol proxy.Protocol
+	// ServeReady and ServeLookup register what the platform and callers ask.
+	ServeReady  func(router *httprouter.Router, isReady func() bool)
+	ServeLookup func(router *httprouter.Router, lookup func(Place) ([]string, time.Duration))
+}
+
+// Options of a Node.
+type Options struct {
+	Settings *Settings
+	Platform Platform
+	// Log receives events. Nil means none.
+	Log *slog.Logger
+}
+
+const (
+	// holdBytes is the size up to which bodies are held, so that a request that
+	// an instance refused can go to another one: about three times the largest
+	// upload of the workloads.
+	holdBytes = 1 << 20
+	// deadlineGrace lets an instance's own answer at the deadline come back
+	// from another region.
+	deadlineGrace = 120 * time.Millisecond
+	// retryAdvice is what callers are told when no better advice is known.
+	retryAdvice = 300 * time.Millisecond
+	// readHeaderTimeout and idleTimeout bound callers that send nothing. They
+	// are above what operators set today, so that this VM doesn't close first.
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = time.Minute
+	maxHeaderBytes    = 64 << 10
+	// maxConcurrent bounds the requests in flight. A VM of 0.3 cores passes on a
+	// few hundred requests a second that take up to some seconds.
+	maxConcurrent = 2048
+	// maxConnections bounds the connections to one instance.
+	maxConnections = 64
+	// tickInterval is that of the placement and of held removals.
+	tickInterval = 100 * time.Millisecond
+	// sweepInterval is that of idle connections and of the settings file.
+	sweepInterval = time.Second
+	// retryShare is the part of the bound on retries that the VMs use; the rest
+	// is for requests that end in another window than they began.
+	retryShare = 0.75
+	// retryBurst is the most retries that a VM saves up for a service.
+	retryBurst = 2
+)
+
+// Node is one running entry VM. It is safe for concurrent use.
+type Node struct {
+	settings *Settings
+	platform Platform
+	log      *slog.Logger
+	metrics  *metric.Set
+	proxy    *proxy.Handler
+	follower *feed.Follower
+	router   *router
+	selector *selector
+	self     inventory.VM
+
+	budgetMu sync.Mutex
+	budget   *budget.Retry
+
+	mu  sync.Mutex
+	inv *inventory.Inventory
+	// view is what lookups and relays read.
+	view    atomic.Pointer[view]
+	leaving atomic.Bool
+	ready   atomic.Bool
+	// announce is signalled when this VM's record must be written (again).
+	announce chan struct{}
+
+	callers   *http.Server
+	servers   []*http.Server
+	listeners []net.Listener
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     conc.WaitGroup
+}
+
+// view is a digest of the inventory.
+type view struct {
+	vms []inventory.VM
+	// ranked are the VMs of this region in the order in which they relay.
+	ranked []inventory.VM
+}
+
+// Start listens and begins to follow the platform's records. Callers are refused
+// until routes are known.
+func Start(o Options) (*Node, error) {
+	if o.Settings == nil || o.Platform.Source == nil || o.Platform.Registry == nil {
+		return nil, errors.New("entry: settings, source and registry are needed")
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	s := o.Settings
+	n := &Node{
+		settings: s, platform: o.Platform, log: o.Log.With("vm", s.ID), metrics: metric.New(),
+		inv: inventory.New(), router: newRouter(), announce: make(chan struct{}, 1),
+		budget: budget.NewRetry(budget.Config{Ratio: retryShare * s.RetryRatio, Burst: retryBurst}),
+		self: inventory.VM{
+			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller.String(), Relay: s.Peer.String(),
+			Boot: uint64(time.Now().UnixNano()),
+		},
+	}
+	n.view.Store(&view{})
+	n.selector = newSelector(placement.Config{
+		VM: s.ID, Region: s.Region, DataCentre: s.DataCentre, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, ShiftMost: s.ShiftMost,
+	}, n.log)
+	n.proxy = proxy.New(proxy.Options{
+		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
+		MaxConcurrent: maxConcurrent, MaxConnections: maxConnections, HoldBytes: holdBytes, DeadlineGrace: deadlineGrace,
+		RetryAdvice: retryAdvice, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{},
+	})
+	n.follower = feed.New(feed.Options{Store: o.Platform.Source, Sink: n, Relays: n.relays, Log: n.log})
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		n.close()
+		return nil, err
+	}
+	for _, run := range []func(){
+		func() { n.follower.Run(n.ctx) },
+		n.announceLoop,
+		func() { n.every(tickInterval, n.tick) },
+		func() { n.every(sweepInterval, func(time.Time) { n.proxy.Client().Sweep() }) },
+	} {
+		n.group.Go(run)
+	}
+	event.DaemonStarted.Log(n.log, "region", s.Region, "data_centre", s.DataCentre, "caller", n.self.Caller, "boot", n.self.Boot)
+	return n, nil
+}
+
+func (n *Node) every(interval time.Duration, step func(time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			step(now)
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// listen opens the sockets. Ports that several roles share get one router.
+func (n *Node) listen() error {
+	s := n.settings
+	ready, lookup, peers := newMux(), newMux(), newMux()
+	n.platform.ServeReady(ready, n.isReady)
+	n.platform.ServeLookup(lookup, n.lookup)
+	n.follower.Serve(peers)
+	peers.Handler(http.MethodGet, "/metrics", n.metrics.Handler())
+	n.callers = &http.Server{
+		Handler: n.closeWhenLeaving(n.proxy), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+	if err := n.serve(s.Caller, n.callers); err != nil {
+		return errors.Wrap(err, "caller listener")
+	}
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{{"ready", s.Ready, ready}, {"lookup", s.Lookup, lookup}, {"peer", s.Peer, peers}} {
+		server := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+		}
+		if err := n.serve(l.address, server); err != nil {
+			return errors.Wrap(err, l.name+" listener")
+		}
+		n.servers = append(n.servers, server)
+	}
+	return nil
+}
+
+func newMux() *httprouter.Router {
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	return r
+}
+
+func (n *Node) serve(address netip.AddrPort, server *http.Server) error {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	n.listeners = append(n.listeners, l)
+	n.group.Go(func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Log(n.log, "address", address.String(), "error", err)
+		}
+	})
+	return nil
+}
+
+// closeWhenLeaving asks callers to leave their connections while the VM stops.
+func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) isReady() bool { return n.ready.Load() && !n.leaving.Load() }
+
+// Sent implements proxy.RetryBudget. The budget is one for each service.
+func (n *Node) Sent(service, _ string) {
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Request(time.Now(), service, service)
+}
+
+// Retry implements proxy.RetryBudget.
+func (n *Node) Retry(service, _ string) bool {
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	return n.budget.Allow(time.Now(), service, service, verdict.NotRun) == nil
+}
+
+// close ends everything at once.
+func (n *Node) close() {
+	n.cancel()
+	for _, s := range append(n.servers, n.callers) {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	n.group.Wait()
+	_ = n.metrics.Close()
+}
--- /dev/null
+++ b/entry/selector.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/placement"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// selector chooses instances by the placement.
+type selector struct {
+	log *slog.Logger
+
+	mu     sync.Mutex
+	picker *placement.Picker
+	// spill is the last logged share of each service.
+	spill map[string]float64
+}
+
+var _ proxy.Selector = (*selector)(nil)
+
+func newSelector(cfg placement.Config, log *slog.Logger) *selector {
+	return &selector{log: log, picker: placement.New(cfg), spill: make(map[string]float64)}
+}
+
+func (s *selector) setInstances(now time.Time, list []placement.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.SetInstances(now, list)
+}
+
+func (s *selector) setVMs(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.SetVMs(ids)
+}
+
+func (s *selector) setBounds(b *Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.SetBounds(b.ColdOver, b.ColdSlack, b.ShiftMost)
+}
+
+// spillStep is the change of a share that is worth a line of the log.
+const spillStep = 0.05
+
+func (s *selector) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Tick(now)
+	for _, state := range s.picker.States(now) {
+		if math.Abs(state.Spill-s.spill[state.Service]) < spillStep && (state.Spill != 0 || s.spill[state.Service] == 0) {
+			continue
+		}
+		s.spill[state.Service] = state.Spill
+		event.SpillChanged.Log(s.log, "service", state.Service, "share", state.Spill, "pressure", state.Pressure,
+			"instances", state.Instances, "ejected", state.Ejected, "cold", state.Cold)
+	}
+}
+
+// Select implements proxy.Selector. It never waits.
+func (s *selector) Select(_ context.Context, q *proxy.Query) (proxy.Selection, error) {
+	now := time.Now()
+	r := placement.Request{
+		Service: q.Service.Name, Route: q.Route.Prefix, Key: q.AffinityKey, Idempotent: q.Idempotent,
+		Target: q.Target, Deadline: q.Deadline, Regions: q.Regions, Exclude: q.Exclude,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !q.IsRetry {
+		s.picker.Arrived(r.Service)
+	}
+	t, refused := s.picker.Pick(now, &r)
+	if refused != nil {
+		return nil, refused
+	}
+	return &selection{s: s, ticket: t}, nil
+}
+
+// selection is one attempt's place at an instance.
+type selection struct {
+	s      *selector
+	ticket placement.Ticket
+}
+
+// Instance implements proxy.Selection.
+func (c *selection) Instance() proxy.Instance {
+	return proxy.Instance{ID: c.ticket.Instance.ID, Address: c.ticket.Instance.Address}
+}
+
+// LogAttrs says what decided for the instance.
+func (c *selection) LogAttrs() []any {
+	t := &c.ticket
+	return []any{
+		"instance", t.Instance.ID, "rank", t.Rank, "spilled", t.Spilled, "est_wait_ms", t.Wait.Milliseconds(),
+		"est_work_ms", t.Work.Milliseconds(), "load_age_ms", t.LoadAge.Milliseconds(),
+	}
+}
+
+// HedgeAfter implements proxy.Selection.
+func (c *selection) HedgeAfter() (time.Duration, bool) { return 0, false }
+
+// Hedge implements proxy.Selection.
+func (c *selection) Hedge() (proxy.Selection, bool) { return nil, false }
+
+// Done implements proxy.Selection.
+func (c *selection) Done(o proxy.Outcome) {
+	out := placement.Outcome{
+		Verdict: o.Verdict, Reason: o.Reason, Latency: o.Latency, Cancelled: o.Cancelled, Failed: o.Status >= 500 && o.Verdict != verdict.NotRun,
+	}
+	if o.Load != nil {
+		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
+	}
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.s.picker.Done(time.Now(), &c.ticket, out)
+}
--- /dev/null
+++ b/entry/state.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/feed"
+	"github.com/currantferry/currantferry/inventory"
+	"github.com/currantferry/currantferry/placement"
+)
+
+// vmPrefix begins the keys of the entry VMs' records.
+const vmPrefix = "vm/"
+
+var _ feed.Sink = (*Node)(nil)
+
+// decode translates a record: the entry VMs' own here, the others by the platform.
+func (n *Node) decode(r feed.Record) inventory.Change {
+	id, ok := strings.CutPrefix(r.Key, vmPrefix)
+	if !ok {
+		return n.platform.Decode(r)
+	}
+	c := inventory.Change{Kind: inventory.OfVM, ID: id, Revision: r.Revision, Removed: r.Removed}
+	if r.Removed {
+		return c
+	}
+	vm := new(inventory.VM)
+	if err := json.Unmarshal(r.Value, vm); err != nil {
+		c.Unusable = errors.Wrap(err, r.Key)
+	} else {
+		c.VM = vm
+	}
+	return c
+}
+
+func (n *Node) decodeAll(records []feed.Record) []inventory.Change {
+	out := make([]inventory.Change, 0, len(records))
+	for _, r := range records {
+		c := n.decode(r)
+		if c.Unusable != nil {
+			event.RecordIgnored.Log(n.log, "key", r.Key, "revision", r.Revision, "error", c.Unusable)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// Touch implements feed.Sink.
+func (n *Node) Touch(now time.Time, _ time.Duration, failed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inv.Contact(now, failed)
+}
+
+// Reset implements feed.Sink.
+func (n *Node) Reset(now time.Time, records []feed.Record) {
+	changes := n.decodeAll(records)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.took(now, n.inv.Reset(now, changes))
+}
+
+// Apply implements feed.Sink.
+func (n *Node) Apply(now time.Time, records []feed.Record) {
+	changes := n.decodeAll(records)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.took(now, n.inv.Apply(now, changes))
+}
+
+// tick ends holds and adapts the placement.
+func (n *Node) tick(now time.Time) {
+	n.mu.Lock()
+	n.took(now, n.inv.Tick(now))
+	n.mu.Unlock()
+	n.selector.tick(now)
+}
+
+// took puts what changed in force. The lock is held.
+func (n *Node) took(now time.Time, effects []inventory.Effect) {
+	if len(effects) == 0 {
+		return
+	}
+	vms, instances := false, false
+	for i := range effects {
+		e := &effects[i]
+		n.logEffect(e)
+		switch e.Change.Kind {
+		case inventory.OfVM:
+			vms = true
+			if e.Change.ID == n.self.ID && (e.Change.Removed || e.Change.VM == nil || e.Change.VM.Boot != n.self.Boot) {
+				n.wakeAnnounce()
+			}
+		case inventory.OfRoutes:
+			instances = true
+		default:
+			instances = true
+		}
+	}
+	if routes := n.inv.Routes(); routes != nil && (n.router.version() != routes.Version || !n.ready.Load()) {
+		n.router.set(routes)
+		if !n.ready.Swap(true) {
+			n.proxy.SetReady(true)
+			event.DaemonReady.Log(n.log, "version", routes.Version)
+			n.wakeAnnounce()
+		}
+	}
+	if vms {
+		n.setVMs()
+	}
+	if instances {
+		n.selector.setInstances(now, n.placed(now))
+	}
+}
+
+func (n *Node) logEffect(e *inventory.Effect) {
+	c := &e.Change
+	attrs := []any{"id", c.ID, "revision", c.Revision}
+	if i := c.Instance; i != nil {
+		attrs = append(attrs, "service", i.Service, "instance_data_centre", i.DataCentre, "address", i.Address, "slots", i.Slots,
+			"draining", i.Draining, "cold_ms", i.Cold.Milliseconds(), "born", i.Born)
+	}
+	if r := c.Routes; r != nil {
+		attrs = append(attrs, "version", r.Version, "routes", len(r.Routes))
+	}
+	ev := event.InstanceChanged
+	switch {
+	case e.Held:
+		ev = event.RemovalHeld
+	case e.Stale:
+		ev = event.RoutesOld
+	case c.Kind == inventory.OfInstance && (c.Removed || c.Instance == nil):
+		ev = event.InstanceGone
+	case c.Kind == inventory.OfVM && (c.Removed || c.VM == nil):
+		ev = event.VMGone
+	case c.Kind == inventory.OfVM:
+		ev = event.VMChanged
+	case c.Kind == inventory.OfRoutes:
+		ev = event.RoutesApplied
+	case c.Kind == inventory.OfEvacuation && c.Removed:
+		ev = event.EvacuationEnded
+	case c.Kind == inventory.OfEvacuation:
+		ev = event.EvacuationSet
+	}
+	ev.Log(n.log, attrs...)
+}
+
+// setVMs ranks the VMs of this region. The lock is held.
+func (n *Node) setVMs() {
+	v := &view{vms: n.inv.VMs()}
+	var ids []string
+	for _, vm := range v.vms {
+		if vm.Region == n.self.Region {
+			v.ranked = append(v.ranked, vm)
+			ids = append(ids, vm.ID)
+		}
+	}
+	slices.SortFunc(v.ranked, func(a, b inventory.VM) int {
+		if x, y := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID); x != y && x < y {
+			return -1
+		}
+		return 1
+	})
+	n.view.Store(v)
+	n.selector.setVMs(ids)
+}
+
+// relays names the VMs of the region whose copies of the records may be followed.
+// The first of them follows the store itself.
+func (n *Node) relays() (addresses []string, direct bool) {
+	v := n.view.Load()
+	if len(v.ranked) == 0 || v.ranked[0].ID == n.self.ID {
+		direct = true
+	}
+	for _, vm := range v.ranked {
+		if vm.ID != n.self.ID {
+			addresses = append(addresses, vm.Relay)
+		}
+	}
+	return addresses[:min(len(addresses), relaysMost)], direct
+}
+
+// relaysMost bounds the relays that are asked in turn.
+const relaysMost = 3
+
+// placed returns the instances that take new work. The lock is held.
+func (n *Node) placed(time.Time) []placement.Instance {
+	routes := n.inv.Routes()
+	list := n.inv.Instances()
+	out := make([]placement.Instance, 0, len(list))
+	for i := range list {
+		in := &list[i]
+		p := placement.Instance{
+			ID: in.ID, Service: in.Service, DataCentre: in.DataCentre, Region: n.settings.Regions[in.DataCentre],
+			Address: in.Address, Born: in.Born, Slots: in.Slots, ColdUntil: in.ColdUntil,
+		}
+		if routes != nil {
+			p.ColdRate = routes.Services[in.Service].ColdRate
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// lookup returns the entry VMs for a caller: those of its region, or all others
+// when none of it is known.
+func (n *Node) lookup(place Place) ([]string, time.Duration) {
+	ttl := min(lookupTTL, n.settings.LookupTTLMost)
+	v := n.view.Load()
+	var near, far []string
+	self := n.isReady()
+	add := func(vm *inventory.VM) {
+		if vm.Region == place.Region {
+			near = append(near, vm.Caller)
+		} else {
+			far = append(far, vm.Caller)
+		}
+	}
+	for i := range v.vms {
+		if v.vms[i].ID != n.self.ID {
+			add(&v.vms[i])
+		}
+	}
+	if self {
+		add(&n.self)
+	}
+	if len(near) > 0 {
+		return near, ttl
+	}
+	return far, ttl
+}
+
+// lookupTTL is how long callers keep an answer: a VM that stops serves on for as
+// long as most of them know it.
+const lookupTTL = 2 * time.Second
