Refuse what would queue past its target; start with a share elsewhere

Change: a request whose estimated wait exceeds what its target leaves is refused at once, with the wait as Retry-After; more urgent ones may wait 1.5 times as long, ones that came back as long as one request's work. Until the first request the share of objects elsewhere follows the regions' slots. Ruled out: queueing in the VM, which would hold callers without news of slots.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -70,6 +70,7 @@
 	r := placement.Request{
 		Service: q.Service.Name, Route: q.Route.Prefix, Key: q.AffinityKey, Idempotent: q.Idempotent,
 		Target: q.Target, Deadline: q.Deadline, Regions: q.Regions, Exclude: q.Exclude,
+		Timeout: q.Timeout, Priority: q.Priority,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/placement/load_test.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// threeRegions is the press platform's proof service: a region with an eighth of
+// the slots and a third of the callers.
+var threeRegions = []simRegion{{"randstad", 5, 16}, {"noord", 4, 4}, {"zuid", 3, 12}}
+
+func steady(rate float64) simLoad { return func(string, time.Duration) float64 { return rate } }
+
+// Guards against queues in which everything becomes late. Pattern: callers ask for
+// more than all slots can do with nothing held yet, for 10 s. What the slots can
+// do is 288 / 0.34 s = 847 requests/s; at least half of that must be in time,
+// since instances pick up objects while they work.
+func TestOverloadIsRefusedNotQueued(t *testing.T) {
+	s := newSim(seedOf(t), threeRegions, steady(600))
+	s.objects = 5000
+	s.run(12 * time.Second)
+	w := s.sum(2*time.Second, 10*time.Second)
+	t.Log(w)
+	if possible := 288 * 8 * 100 / 34; w.inAim < possible/2 {
+		t.Errorf("%d requests in time, %d were possible", w.inAim, possible)
+	}
+}
+
+// Guards against a region with little room that keeps its callers waiting until
+// its share has moved step by step. Pattern: the day begins at full load and
+// nothing is held.
+func TestShortRegionIsRelievedFromTheStart(t *testing.T) {
+	s := newSim(seedOf(t), threeRegions, steady(170))
+	s.run(10 * time.Second)
+	first := s.sum(0, 4*time.Second)
+	t.Log(first, s.windows[0].ran["noord"])
+	if away := s.windows[0].asked / 3 / 4; s.windows[0].ran["noord"]["noord"] > s.windows[0].asked/3-away {
+		t.Errorf("%v of the first %d requests of all regions: too few left the short region", s.windows[0].ran["noord"], s.windows[0].asked)
+	}
+	if first.refused*20 > first.asked {
+		t.Errorf("%d of %d refused in the first seconds", first.refused, first.asked)
+	}
+}
+
+// Guards against objects that wander between instances. Pattern: a calm day whose
+// instances are slowed by neighbours in turn.
+func TestObjectsStayWhereTheyAreHeld(t *testing.T) {
+	s := newSim(seedOf(t), threeRegions, steady(170))
+	s.noise = 0.15
+	s.run(32 * time.Second)
+	w := s.sum(10*time.Second, 30*time.Second)
+	t.Log(w)
+	if float64(w.hits) < 0.95*float64(w.sent) {
+		t.Errorf("%d of %d requests found their object held", w.hits, w.sent)
+	}
+	if float64(w.inAim) < 0.95*float64(w.asked) {
+		t.Errorf("%d of %d in time", w.inAim, w.asked)
+	}
+}
+
+// Guards against moving more of a region's requests to another region at once than
+// the operators allow. Pattern: callers of a short region triple within 6 s, and
+// are gone again 10 s later.
+func TestShiftStaysUnderItsCap(t *testing.T) {
+	s := newSim(seedOf(t), threeRegions, func(region string, at time.Duration) float64 {
+		if region != "noord" || at < 10*time.Second || at > 24*time.Second {
+			return 150
+		}
+		return 150 + 300*min(1, (at-10*time.Second).Seconds()/6)
+	})
+	s.run(44 * time.Second)
+	for n := 1; n < len(s.windows)-1; n++ {
+		for region, now := range s.windows[n].ran {
+			before := s.windows[n-1].ran[region]
+			moved := 0.0
+			for other := range s.vms {
+				share := portion(now, other) - portion(before, other)
+				moved += max(0, share)
+			}
+			// The cap, and what chance does to a few hundred requests.
+			if moved > 0.15+0.05 {
+				t.Errorf("second %d: %.2f of the requests of %s moved, %v after %v", 2*n, moved, region, now, before)
+			}
+		}
+	}
+}
+
+func portion(ran map[string]int, region string) float64 {
+	all := 0
+	for _, n := range ran {
+		all += n
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(ran[region]) / float64(all)
+}
+
+// Guards against running over an instance that has just started. Pattern: four of
+// the instances of a region come back cold under full load. The bound is over all
+// VMs of the region.
+func TestColdInstancesGetTheirRateOnly(t *testing.T) {
+	const rate, over, slack = 16, 1.5, 5
+	for _, vms := range []int{2, 5, 24} {
+		s := newSim(seedOf(t), []simRegion{{"randstad", vms, 16}}, steady(500))
+		s.at(s.start.Add(6*time.Second), func() {
+			for k := range 4 {
+				id := []string{"i-randstad-0", "i-randstad-1", "i-randstad-2", "i-randstad-3"}[k]
+				i := s.instances[id].Instance
+				i.Born, i.ColdUntil, i.ColdRate = 1, s.now.Add(3*time.Second), rate
+				s.add(i)
+			}
+			s.publish()
+		})
+		s.run(10 * time.Second)
+		for _, i := range s.instances {
+			if i.Born == 0 {
+				continue
+			}
+			for a := range i.arrivals {
+				n := 0
+				for b := a; b < len(i.arrivals) && i.arrivals[b].Sub(i.arrivals[a]) <= time.Second && i.arrivals[b].Before(i.ColdUntil); b++ {
+					n++
+				}
+				if n > rate*over+slack {
+					t.Fatalf("%d VMs: %d requests within a second at cold %s", vms, n, i.ID)
+				}
+			}
+			if len(i.arrivals) < 6 {
+				t.Errorf("%d VMs: %s got %d requests in 4 s and never becomes warm", vms, i.ID, len(i.arrivals))
+			}
+		}
+	}
+}
+
+// Guards against an instance that leaves and takes the places of other instances'
+// objects with it.
+func TestLeavingInstanceMovesOnlyItsObjects(t *testing.T) {
+	s := newSim(1, []simRegion{{"randstad", 1, 16}}, steady(1))
+	p := s.vms["randstad"][0]
+	first := func() map[string]string {
+		out := make(map[string]string)
+		for n := range 500 {
+			key := string(rune('a'+n%26)) + time.Duration(n).String()
+			ticket, refused := p.Pick(s.now, &Request{Service: "proofs", Route: "/a/", Key: key, Target: time.Second})
+			if refused != nil {
+				t.Fatal(refused)
+			}
+			out[key] = ticket.Instance.ID
+			p.Done(s.now, &ticket, Outcome{Cancelled: true})
+		}
+		return out
+	}
+	before := first()
+	delete(s.instances, "i-randstad-3")
+	s.publish()
+	for key, id := range first() {
+		if before[key] != "i-randstad-3" && before[key] != id {
+			t.Errorf("object %s moved from %s to %s", key, before[key], id)
+		}
+	}
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -22,6 +22,17 @@
 	coldVMs = 8
 	// coldMargin is the part of a cold instance's rate that is shared out.
 	coldMargin = 0.8
+	// leastWait, returnedWait and urgentWait bound the queueing of requests, the
+	// first two in units of the route's work, the last as a factor on the time
+	// that the target leaves.
+	leastWait    = 0.25
+	returnedWait = 1.0
+	urgentWait   = 1.5
+	// ordinaryPriority is the priority from which requests get no longer wait.
+	ordinaryPriority = 2
+	// returnedAfter is how much less time than others a caller must have left to
+	// count as one that came back.
+	returnedAfter = 100 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advice to a refused caller.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -50,21 +61,43 @@
 	key := p.keyOf(r)
 	home := p.regionFor(s, r, key)
 	best, refused := p.pickIn(now, s, r, key, home)
-	if best == nil || p.isHopeless(now, r, best) {
-		if other := p.elsewhere(now, s, r, key, home, best); other != nil {
+	allowed := s.allowedWait(r)
+	if best == nil || !p.isWorthwhile(now, r, best, allowed) {
+		if other := p.elsewhere(now, s, r, key, home, best); other != nil && p.isWorthwhile(now, r, other, allowed) {
 			best = other
 		}
 	}
 	if best == nil {
 		return Ticket{}, refused
 	}
-	if p.isHopeless(now, r, best) {
+	if !p.isWorthwhile(now, r, best, allowed) {
 		after := min(max(best.wait, minRetryAfter), maxRetryAfter)
 		return Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonDeadlineAhead, after)
 	}
 	return p.ticket(now, s, r, key, best), nil
 }
 
+// allowedWait is how long a request may queue at an instance. Beyond the target
+// time a place in a queue only delays the requests behind it.
+func (s *service) allowedWait(r *Request) time.Duration {
+	work := s.work(r.Route)
+	w := s.route(r.Route)
+	w.longest = max(w.longest, r.Timeout)
+	least := time.Duration(leastWait * float64(work))
+	if r.Timeout > 0 && w.longest-r.Timeout > returnedAfter {
+		// A caller that came back has missed its target already.
+		return max(least, time.Duration(returnedWait*float64(work)))
+	}
+	if r.Target <= 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	allowed := r.Target - work
+	if r.Priority < ordinaryPriority {
+		allowed = time.Duration(urgentWait * float64(allowed))
+	}
+	return max(least, allowed)
+}
+
 // keyOf is the hash of the request's object. Requests without one are spread.
 func (p *Picker) keyOf(r *Request) uint64 {
 	if r.Key == "" {
@@ -94,9 +127,12 @@
 	return t
 }
 
-// isHopeless tells whether a candidate could not answer before the deadline.
-func (p *Picker) isHopeless(now time.Time, r *Request, c *candidate) bool {
-	return c != nil && !r.Deadline.IsZero() && now.Add(c.wait+c.work/2).After(r.Deadline)
+// isWorthwhile tells whether a candidate is likely to answer in time.
+func (p *Picker) isWorthwhile(now time.Time, r *Request, c *candidate, allowed time.Duration) bool {
+	if c.wait > allowed {
+		return false
+	}
+	return r.Deadline.IsZero() || !now.Add(c.wait+c.work/2).After(r.Deadline)
 }
 
 // regionFor is the region in which an object of this VM's callers runs.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -72,6 +72,12 @@
 	Idempotent bool
 	Target     time.Duration
 	Deadline   time.Time
+	// Timeout is how long the caller said it waits. A caller that comes back
+	// after a refusal has less left than one that comes first. Zero means that
+	// it did not say.
+	Timeout time.Duration
+	// Priority orders requests when room is short, 0 first.
+	Priority int
 	// Regions are those that may run the request. Empty means all.
 	Regions []string
 	// Exclude names instances that were tried already.
@@ -135,8 +141,10 @@
 	name      string
 	instances map[string]*instance
 	regions   map[string][]*instance
-	// spill is the share of this region's objects that run elsewhere.
-	spill float64
+	// spill is the share of this region's objects that run elsewhere. Until the
+	// first requests came it follows the slots of the regions.
+	spill   float64
+	started bool
 	// pressure is the smoothed load per slot of each region.
 	pressure map[string]float64
 	routes   map[string]*routeWork
@@ -148,6 +156,8 @@
 // routeWork estimates the duration of a route's requests at an instance.
 type routeWork struct {
 	mean float64 // seconds
+	// longest is the longest timeout that callers of the route stated lately.
+	longest time.Duration
 }
 
 const (
@@ -204,6 +214,9 @@
 		for _, group := range s.regions {
 			slices.SortFunc(group, func(a, b *instance) int { return compare(a.ID, b.ID) })
 		}
+		if !s.started {
+			s.spill = p.initialSpill(s)
+		}
 	}
 }
 
@@ -231,21 +244,30 @@
 }
 
 func (s *service) work(route string) time.Duration {
-	if w := s.routes[route]; w != nil {
+	if w := s.routes[route]; w != nil && w.mean > 0 {
 		return time.Duration(w.mean * float64(time.Second))
 	}
 	return initialWork
 }
 
 func (s *service) learn(route string, took time.Duration) {
-	w := s.routes[route]
-	if w == nil {
-		s.routes[route] = &routeWork{mean: took.Seconds()}
+	w := s.route(route)
+	if w.mean == 0 {
+		w.mean = took.Seconds()
 		return
 	}
 	w.mean += workWeight * (took.Seconds() - w.mean)
 }
 
+func (s *service) route(name string) *routeWork {
+	w := s.routes[name]
+	if w == nil {
+		w = new(routeWork)
+		s.routes[name] = w
+	}
+	return w
+}
+
 // mix spreads the bits of a hash.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/placement/spill.go
+++ b/placement/spill.go
@@ -41,6 +41,32 @@
 	}
 }
 
+// startLoad is the load per slot, over all regions, that is assumed before anything
+// was measured: nothing is held by the instances yet, so work takes longest.
+const startLoad = 0.75
+
+// initialSpill is the share that leaves the region if the callers of all regions
+// ask alike and the service is loaded as assumed.
+func (p *Picker) initialSpill(s *service) float64 {
+	all, own, regions := 0.0, 0.0, 0
+	for region, group := range s.regions {
+		if len(group) == 0 {
+			continue
+		}
+		regions++
+		for _, i := range group {
+			all += float64(i.Slots)
+			if region == p.cfg.Region {
+				own += float64(i.Slots)
+			}
+		}
+	}
+	if all == 0 || own == 0 {
+		return 0
+	}
+	return min(spillMost, max(0, 1-own*float64(regions)/all/startLoad))
+}
+
 // measure smooths the load per slot of a region.
 func (s *service) measure(now time.Time, region string, group []*instance, elapsed time.Duration) {
 	used, slots := 0.0, 0.0
@@ -84,6 +110,7 @@
 // Arrived counts a request of a service, which earns a part of an overflow.
 func (p *Picker) Arrived(service string) {
 	if s := p.services[service]; s != nil {
+		s.started = true
 		s.overflow = min(overflowMost, s.overflow+overflowShare)
 	}
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -96,6 +96,7 @@
 		Regions:    routed.Regions,
 		Target:     routed.Target,
 		Priority:   routed.Priority,
+		Timeout:    x.meta.Timeout,
 		Attrs:      routed.Attrs,
 	}
 	if routed.Sticky {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,6 +62,8 @@
 	Target time.Duration
 	// Priority orders requests when room is short, 0 first.
 	Priority int
+	// Timeout is how long the caller said it waits, or zero.
+	Timeout time.Duration
 	// Attrs are further fields of the log lines about the request.
 	Attrs []any
 }
