Keep objects that run elsewhere in one region; copies by room

Objects that left their region met instances that did not hold them: the share elsewhere shrank before the traffic began (0.69 to 0.32 in 6 s), the region for an object followed the load of the moment, every region sent away the same objects, and single requests went to whichever region was cheapest. Change: the share waits for the first requests; the region for an object follows slots and a slow mean in steps; the cap on shifts counts all services together; an object has as many places in a region as the instances have room for (45 objects each); connections that could not be made are retried without the budget, since nothing reached an instance.

--- a/budget/retry.go
+++ b/budget/retry.go
@@ -118,6 +118,9 @@
 	return r
 }
 
+// SetBurst changes the most retries that are saved up.
+func (r *Retry) SetBurst(burst float64) { r.cfg.Burst = max(1, burst) }
+
 // SetRatio changes the retries allowed per request from now on, see
 // rules.Rules.Retry.
 func (r *Retry) SetRatio(ratio float64) {
--- a/cmd/currantferryd/entry.go
+++ b/cmd/currantferryd/entry.go
@@ -24,7 +24,7 @@
 	check  bool
 }
 
-func (*entryCommand) Name() string { return "entry" }
+func (*entryCommand) Name() string     { return "entry" }
 func (*entryCommand) Synopsis() string { return "run an entry VM on the users' platform until SIGTERM" }
 
 func (*entryCommand) Usage() string {
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -81,13 +81,15 @@
 	if refused != nil {
 		return nil, refused
 	}
-	return &selection{s: s, ticket: t}, nil
+	return &selection{s: s, ticket: t, key: r.Key}, nil
 }
 
 // selection is one attempt's place at an instance.
 type selection struct {
 	s      *selector
 	ticket placement.Ticket
+	// key is the request's object.
+	key string
 }
 
 // Instance implements proxy.Selection.
@@ -99,7 +101,7 @@
 func (c *selection) LogAttrs() []any {
 	t := &c.ticket
 	return []any{
-		"instance", t.Instance.ID, "rank", t.Rank, "spilled", t.Spilled, "est_wait_ms", t.Wait.Milliseconds(),
+		"key", c.key, "instance", t.Instance.ID, "rank", t.Rank, "spilled", t.Spilled, "est_wait_ms", t.Wait.Milliseconds(),
 		"est_work_ms", t.Work.Milliseconds(), "load_age_ms", t.LoadAge.Milliseconds(),
 	}
 }
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -121,13 +121,20 @@
 	i.sinceReport++
 }
 
+// reported takes a load report that was made at a time.
+func (i *instance) reported(at time.Time, load Load) {
+	if at.After(i.loadAt) {
+		i.load, i.loadAt, i.sinceReport = load, at, 0
+	}
+}
+
 // ended takes what an attempt showed.
 func (i *instance) ended(now time.Time, o *Outcome, expected time.Duration) {
 	i.outstanding--
 	i.sinceReport--
 	if o.Load != nil {
 		// The report was made with its answer, after what it counts had begun.
-		i.load, i.loadAt, i.sinceReport = *o.Load, now, 0
+		i.reported(now, *o.Load)
 	}
 	if o.Cancelled {
 		return
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -160,3 +160,77 @@
 		}
 	}
 }
+
+// Guards against a share elsewhere that is forgotten while a VM waits for its first
+// requests. Pattern: the VMs start some seconds before the traffic.
+func TestFirstShareOutlastsTheWait(t *testing.T) {
+	s := newSim(seedOf(t), threeRegions, steady(170))
+	p := s.vms["noord"][0]
+	began := p.services["proofs"].spill
+	if began < 0.3 {
+		t.Fatalf("the short region starts with a share of %.2f", began)
+	}
+	for range 80 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		p.Tick(s.now)
+	}
+	if now := p.services["proofs"].spill; now != began {
+		t.Errorf("share of %.2f after 8 s without requests, %.2f before", now, began)
+	}
+}
+
+// Guards against objects that change the region in which they run elsewhere with
+// each change of its load: they would be held nowhere. Pattern: the loads of two
+// regions that take objects swing between a fifth and four fifths.
+func TestObjectsElsewhereStayInOneRegion(t *testing.T) {
+	s := newSim(seedOf(t), threeRegions, steady(1))
+	p := s.vms["noord"][0]
+	sv := p.services["proofs"]
+	away := func(n int) string {
+		return p.awayRegion(sv, &Request{Service: "proofs"}, mix(uint64(n)), "noord")
+	}
+	before := make(map[int]string)
+	for n := range 300 {
+		before[n] = away(n)
+	}
+	for step := range 40 {
+		for k, region := range []string{"randstad", "zuid"} {
+			used := 2
+			if (step/4+k)%2 == 0 {
+				used = 7
+			}
+			for _, i := range sv.regions[region] {
+				i.reported(s.now.Add(time.Millisecond), Load{Running: used, Slots: simSlots})
+			}
+		}
+		s.now = s.now.Add(100 * time.Millisecond)
+		p.Tick(s.now)
+		for n := range 300 {
+			if now := away(n); now != before[n] {
+				t.Fatalf("step %d: object %d moved from %s to %s", step, n, before[n], now)
+			}
+		}
+	}
+}
+
+// Guards against copies of objects that push each other out. Pattern: more objects
+// than the instances of a region can hold twice.
+func TestCopiesFollowTheRoomForObjects(t *testing.T) {
+	s := newSim(seedOf(t), []simRegion{{"noord", 1, 4}}, steady(1))
+	p := s.vms["noord"][0]
+	for n := range 190 {
+		ticket, refused := p.Pick(s.now, &Request{Service: "proofs", Route: "/a/", Key: time.Duration(n).String(), Target: time.Second})
+		if refused != nil {
+			t.Fatal(refused)
+		}
+		p.Done(s.now, &ticket, Outcome{Cancelled: true})
+	}
+	if got := p.services["proofs"].copies(4); got != 1 {
+		t.Errorf("%d places for each of 190 objects on 4 instances, want 1", got)
+	}
+	s.now = s.now.Add(objectsFor + time.Second)
+	p.Tick(s.now)
+	if got := p.services["proofs"].copies(4); got != candidates {
+		t.Errorf("%d places for objects that nobody asks for, want %d", got, candidates)
+	}
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -8,8 +8,16 @@
 )
 
 const (
-	// candidates is how many instances of an object's order are compared.
+	// candidates is how many instances of an object's order are compared at most.
 	candidates = 3
+	// objectsHeld is how many objects an instance is taken to hold. Copies beyond
+	// that would push each other out.
+	objectsHeld = 45
+	// objectsFor is how long an object counts after its last request.
+	objectsFor = 10 * time.Second
+	// objectsMost bounds the objects that are counted; with as many, no instance
+	// holds all and each object gets one place.
+	objectsMost = 4096
 	// elsewhereCost is added, in units of the route's work, for an instance that
 	// is not the object's first and is not known to hold the object: work on an
 	// object that an instance does not hold takes about three times as long.
@@ -59,6 +67,9 @@
 		return Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
 	}
 	key := p.keyOf(r)
+	if r.Key != "" {
+		s.asked(now, key)
+	}
 	home := p.regionFor(s, r, key)
 	best, refused := p.pickIn(now, s, r, key, home)
 	allowed := s.allowedWait(r)
@@ -139,54 +150,65 @@
 func (p *Picker) regionFor(s *service, r *Request, key uint64) string {
 	own := p.cfg.Region
 	mayStay := len(r.Regions) == 0 || slices.Contains(r.Regions, own)
-	if mayStay && len(s.regions[own]) > 0 && unit(mix(key^0x5bd1e995)) >= s.spill {
+	if mayStay && len(s.regions[own]) > 0 && unit(mix(key^hashOf(own))) >= s.spill {
 		return own
 	}
+	if best := p.awayRegion(s, r, key, own); best != "" || !mayStay {
+		return best
+	}
+	return own
+}
+
+// awayRegion is the region other than not to which an object goes, or empty. It
+// depends on the object alone as long as the regions have room, so that single
+// requests that overflow find their object held there.
+func (p *Picker) awayRegion(s *service, r *Request, key uint64, not string) string {
 	best, top := "", -1.0
 	for region, group := range s.regions {
-		if region == own || (len(r.Regions) > 0 && !slices.Contains(r.Regions, region)) {
+		if region == not || (len(r.Regions) > 0 && !slices.Contains(r.Regions, region)) {
 			continue
 		}
-		score := weighted(mix(key^hashOf(region)), s.room(region, group))
+		score := weighted(mix(key^hashOf(region)*5), s.room(region, group))
 		if score > top || (score == top && region < best) {
 			best, top = region, score
 		}
 	}
-	if best == "" && mayStay {
-		return own
-	}
 	return best
 }
 
-// room is the weight of a region for work from elsewhere: its free slots.
+// room is the weight of a region for work from elsewhere: its slots, in steps by
+// how busy they are. A weight that follows the load closely would move objects to
+// and fro, and they would be held nowhere.
 func (s *service) room(region string, group []*instance) float64 {
 	slots := 0
 	for _, i := range group {
 		slots += i.Slots
 	}
-	return float64(slots) * max(0.02, pressureHigh-s.pressure[region])
+	switch busy := s.lasting[region]; {
+	case busy < pressureHigh:
+		return float64(slots)
+	case busy < pressureFull:
+		return float64(slots) * 0.3
+	default:
+		return float64(slots) * 0.02
+	}
 }
 
-// elsewhere tries the other regions for a request that its region can't serve.
+// elsewhere tries another region for a request that its region can't serve.
 func (p *Picker) elsewhere(now time.Time, s *service, r *Request, key uint64, home string, than *candidate) *candidate {
-	if than != nil && s.overflow < 1 {
+	if than != nil && p.overflow < 1 {
 		return nil
 	}
-	var best *candidate
-	for region := range s.regions {
-		if region == home || (len(r.Regions) > 0 && !slices.Contains(r.Regions, region)) {
-			continue
-		}
-		c, _ := p.pickIn(now, s, r, key, region)
-		if c != nil && (best == nil || c.cost < best.cost || (c.cost == best.cost && c.inst.ID < best.inst.ID)) {
-			best = c
-		}
+	region := p.awayRegion(s, r, key, home)
+	if region == "" {
+		return nil
 	}
+	best, _ := p.pickIn(now, s, r, key, region)
 	if best == nil || (than != nil && best.cost >= than.cost) {
 		return nil
 	}
 	if than != nil {
-		s.overflow--
+		p.overflow--
 	}
 	return best
 }
@@ -202,7 +224,7 @@
 	// Instances that may not be used make room for the next in order.
 	var skipped []*instance
 	for {
-		top := p.top(now, group, r, key, skipped)
+		top := p.top(now, group, r, key, skipped, s.copies(len(group)))
 		if len(top) == 0 {
 			break
 		}
@@ -221,8 +243,33 @@
 	return p.lastResort(now, group, r, work)
 }
 
+// copies is how many instances of a group may serve an object, so that all objects
+// that are asked for find room.
+func (s *service) copies(instances int) int {
+	if len(s.objects) == 0 {
+		return candidates
+	}
+	return min(candidates, max(1, objectsHeld*instances/len(s.objects)))
+}
+
+// asked notes a request for an object.
+func (s *service) asked(now time.Time, key uint64) {
+	if _, known := s.objects[key]; known || len(s.objects) < objectsMost {
+		s.objects[key] = now
+	}
+}
+
+// forget drops objects that nobody asks for any more.
+func (s *service) forget(now time.Time) {
+	for key, at := range s.objects {
+		if now.Sub(at) > objectsFor {
+			delete(s.objects, key)
+		}
+	}
+}
+
 // top returns the first instances in the order of an object that take requests.
-func (p *Picker) top(now time.Time, group []*instance, r *Request, key uint64, skipped []*instance) []candidate {
+func (p *Picker) top(now time.Time, group []*instance, r *Request, key uint64, skipped []*instance, copies int) []candidate {
 	top := make([]candidate, 0, candidates+1)
 	for _, i := range group {
 		out, trialDue := i.isOut(now)
@@ -230,7 +277,7 @@
 			continue
 		}
 		score := mix(key ^ i.hash)
-		if len(top) == candidates && score <= top[candidates-1].score {
+		if len(top) == copies && score <= top[copies-1].score {
 			continue
 		}
 		if slices.Contains(r.Exclude, i.ID) || slices.Contains(skipped, i) {
@@ -243,7 +290,7 @@
 			return 1
 		})
 		top = slices.Insert(top, at, candidate{inst: i, score: score, trial: out})
-		top = top[:min(len(top), candidates)]
+		top = top[:min(len(top), copies)]
 	}
 	for k := range top {
 		top[k].rank = k
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -133,7 +133,10 @@
 	ticks time.Time
 	// unkeyed counts requests without a key, to spread them.
 	unkeyed uint64
-	recent  recentTable
+	// overflow bounds single requests that leave the region beyond the steady
+	// shares.
+	overflow float64
+	recent   recentTable
 }
 
 // service is the state of one service.
@@ -145,12 +148,19 @@
 	// first requests came it follows the slots of the regions.
 	spill   float64
 	started bool
-	// pressure is the smoothed load per slot of each region.
-	pressure map[string]float64
-	routes   map[string]*routeWork
-	// arrivals and overflow bound single requests that leave the region beyond
-	// the steady share.
-	overflow float64
+	// pressure is the smoothed load per slot of each region, lasting a slower
+	// mean of it for decisions that must not change often.
+	pressure, lasting map[string]float64
+	// arrived counts this VM's requests since the last tick, rate is their
+	// smoothed number per second, and lastArrival is when the last one came.
+	arrived     float64
+	rate        float64
+	lastArrival time.Time
+	routes      map[string]*routeWork
+	// objects are those asked for lately, by the hash of their key.
+	objects map[uint64]time.Time
+	// forgotten is when old objects were dropped last.
+	forgotten time.Time
 }
 
 // routeWork estimates the duration of a route's requests at an instance.
@@ -236,7 +246,7 @@
 	if s == nil {
 		s = &service{
 			name: name, instances: make(map[string]*instance), regions: make(map[string][]*instance),
-			pressure: make(map[string]float64), routes: make(map[string]*routeWork),
+			pressure: make(map[string]float64), lasting: make(map[string]float64), routes: make(map[string]*routeWork), objects: make(map[uint64]time.Time),
 		}
 		p.services[name] = s
 	}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -70,14 +70,18 @@
 	now       time.Time
 	start     time.Time
 	events    eventHeap
+	turns     int
 	instances map[string]*simInstance
 	vms       map[string][]*Picker
-	work      time.Duration
-	warmGain  float64
-	objects   int
-	target    time.Duration
-	load      simLoad
-	noise     float64
+	// regions and ids give the maps an order, so that a seed repeats a run.
+	regions  []string
+	ids      []string
+	work     time.Duration
+	warmGain float64
+	objects  int
+	target   time.Duration
+	load     simLoad
+	noise    float64
 
 	windows []simWindow
 }
@@ -137,6 +141,7 @@
 	s.now = s.start
 	for _, r := range regions {
 		var ids []string
+		s.regions = append(s.regions, r.name)
 		for k := range r.vms {
 			id := fmt.Sprintf("vm-%s-%d", r.name, k)
 			ids = append(ids, id)
@@ -156,45 +161,51 @@
 	return s
 }
 
-func (s *sim) add(i Instance) *simInstance {
+func (s *sim) add(i Instance) {
 	in := &simInstance{Instance: i, queueMost: simQueue, keeps: 78, objects: make(map[string]*list.Element), order: list.New(), slow: 1}
+	if s.instances[i.ID] == nil {
+		s.ids = append(s.ids, i.ID)
+	}
 	s.instances[i.ID] = in
-	return in
 }
 
 // publish tells all VMs the instances.
 func (s *sim) publish() {
 	var all []Instance
-	for _, i := range s.instances {
-		all = append(all, i.Instance)
+	for _, id := range s.ids {
+		if i := s.instances[id]; i != nil {
+			all = append(all, i.Instance)
+		}
 	}
-	for _, vms := range s.vms {
-		for _, p := range vms {
+	for _, region := range s.regions {
+		for _, p := range s.vms[region] {
 			p.SetInstances(s.now, all)
 		}
 	}
 }
 
 func (s *sim) at(when time.Time, do func()) {
-	heap.Push(&s.events, simEvent{when, len(s.events), do})
+	s.turns++
+	heap.Push(&s.events, simEvent{when, s.turns, do})
 }
 
 // run plays until the time.
 func (s *sim) run(length time.Duration) {
 	end := s.start.Add(length)
-	for region := range s.vms {
+	for _, region := range s.regions {
 		s.scheduleArrival(region)
 	}
 	s.every(100*time.Millisecond, func() {
-		for _, vms := range s.vms {
-			for _, p := range vms {
+		for _, region := range s.regions {
+			for _, p := range s.vms[region] {
 				p.Tick(s.now)
 			}
 		}
 	})
 	if s.noise > 0 {
 		s.every(600*time.Millisecond, func() {
-			for _, i := range s.instances {
+			for _, id := range s.ids {
+				i := s.instances[id]
 				i.slow = 1
 				if s.rng.Float64() < s.noise {
 					i.slow = 2.5
@@ -238,7 +249,7 @@
 func (s *sim) arrive(region string) {
 	vms := s.vms[region]
 	r := &simRequest{
-		key: strconv.Itoa(s.rng.IntN(s.objects)), region: region, arrived: s.now, target: s.target,
+		key: region + strconv.Itoa(s.rng.IntN(s.objects)), region: region, arrived: s.now, target: s.target,
 		timeout: 5 * s.target, vm: vms[s.rng.IntN(len(vms))], priority: ordinaryPriority,
 	}
 	s.window(s.now).asked++
--- a/placement/spill.go
+++ b/placement/spill.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// pressureHigh and pressureLow are the requests per slot of a region above
@@ -8,6 +13,17 @@
 	// from swinging.
 	pressureHigh = 0.9
 	pressureLow  = 0.7
+	// pressureFull is the load per slot at which a region takes next to nothing
+	// from elsewhere.
+	pressureFull = 1.2
+	// lastingHalf smooths the pressure for decisions that must not change often.
+	lastingHalf = 4 * time.Second
+	// rateHalf smooths the rates of requests.
+	rateHalf = 2 * time.Second
+	// quietAfter is how long without requests makes a service start anew.
+	quietAfter = 5 * time.Second
+	// spillFastest bounds how fast the share of a service moves, per second.
+	spillFastest = 0.12
 	// pressureSpan is the excess over pressureHigh at which the share grows at
 	// its full rate.
 	pressureSpan = 0.2
@@ -33,11 +49,39 @@
 		elapsed = 100 * time.Millisecond
 	}
 	p.ticks = now
+	total := 0.0
+	order := make([]*service, 0, len(p.services))
 	for _, s := range p.services {
 		for region, group := range s.regions {
 			s.measure(now, region, group, elapsed)
 		}
-		p.adapt(s, elapsed)
+		s.countArrivals(now, elapsed)
+		if s.started && now.Sub(s.lastArrival) > quietAfter {
+			s.started, s.spill = false, p.initialSpill(s)
+		}
+		total += s.rate
+		order = append(order, s)
+	}
+	// The cap counts the requests of all services together, so a service with
+	// few of them may move faster.
+	slices.SortFunc(order, func(a, b *service) int { return cmp.Or(cmp.Compare(a.rate, b.rate), compare(a.name, b.name)) })
+	allowance := p.cfg.ShiftMost * shiftMargin * elapsed.Seconds() / p.cfg.ShiftWindow.Seconds()
+	for n, s := range order {
+		if s.started && total > 0 {
+			part := s.rate / total
+			most := min(spillFastest*elapsed.Seconds(), allowance/max(part, 0.01))
+			if n+1 < len(order) {
+				// Leaves the larger ones at least half.
+				most = min(most, allowance/2/max(part, 0.01))
+			}
+			before := s.spill
+			p.adapt(s, most)
+			allowance = max(0, allowance-math.Abs(s.spill-before)*part)
+		}
+		if now.Sub(s.forgotten) > time.Second {
+			s.forgotten = now
+			s.forget(now)
+		}
 	}
 }
 
@@ -86,32 +130,46 @@
 		old = seen
 	}
 	s.pressure[region] = seen + (old-seen)*decay(elapsed, pressureHalf)
+	slow, known := s.lasting[region]
+	if !known {
+		slow = seen
+	}
+	s.lasting[region] = seen + (slow-seen)*decay(elapsed, lastingHalf)
+}
+
+// countArrivals smooths the rate of requests.
+func (s *service) countArrivals(now time.Time, elapsed time.Duration) {
+	seen := s.arrived / elapsed.Seconds()
+	if s.arrived > 0 {
+		s.lastArrival = now
+	}
+	s.arrived = 0
+	s.rate = seen + (s.rate-seen)*decay(elapsed, rateHalf)
 }
 
-// adapt moves the share of objects that run elsewhere.
-func (p *Picker) adapt(s *service, elapsed time.Duration) {
+// adapt moves the share of objects that run elsewhere by at most step.
+func (p *Picker) adapt(s *service, step float64) {
 	own := s.pressure[p.cfg.Region]
-	least := 1.0
+	least := math.Inf(1)
 	for region := range s.regions {
 		if region != p.cfg.Region {
 			least = min(least, s.pressure[region])
 		}
 	}
-	step := p.cfg.ShiftMost * shiftMargin * elapsed.Seconds() / p.cfg.ShiftWindow.Seconds()
 	switch {
 	case own > pressureHigh && least < pressureHigh:
 		s.spill = min(spillMost, s.spill+step*min(1, (own-pressureHigh)/pressureSpan))
 	case own < pressureLow || least > own:
 		s.spill = max(0, s.spill-step)
 	}
-	s.overflow = min(overflowMost, s.overflow)
 }
 
 // Arrived counts a request of a service, which earns a part of an overflow.
 func (p *Picker) Arrived(service string) {
+	p.overflow = min(overflowMost, p.overflow+overflowShare)
 	if s := p.services[service]; s != nil {
 		s.started = true
-		s.overflow = min(overflowMost, s.overflow+overflowShare)
+		s.arrived++
 	}
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -33,6 +33,8 @@
 	body        *body
 	claim       Claim
 	attempts    int
+	// unsent are the attempts for which no connection was made.
+	unsent int
 	// begun is set once any part of an answer went to the caller.
 	begun bool
 }
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -79,7 +79,7 @@
 
 // mayRetry returns nil if another attempt is allowed, or the final error.
 func (x *exchange) mayRetry(err *verdict.Error) *verdict.Error {
-	if x.begun || x.ctx.Err() != nil || (x.claim == nil && x.r.Context().Err() != nil) || x.attempts == 0 || x.attempts >= x.maxAttempts {
+	if x.begun || x.ctx.Err() != nil || (x.claim == nil && x.r.Context().Err() != nil) || x.attempts == 0 || x.attempts-x.unsent >= x.maxAttempts {
 		return err
 	}
 	switch err.Reason {
@@ -94,6 +94,13 @@
 	if !x.body.isRepeatable() {
 		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonBodyNotRepeating, RetryAfter: x.h.options.RetryAdvice, Err: err}
 	}
+	if err.Reason == verdict.ReasonConnectFailed {
+		// Nothing reached an instance, so the retry adds nothing to its load.
+		if x.unsent++; x.unsent <= maxUnsent {
+			return nil
+		}
+		return err
+	}
 	if !x.h.options.Budget.Retry(x.query.Service.Name, x.caller) {
 		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonRetryBudget, RetryAfter: x.h.options.RetryAdvice, Err: err}
 	}
@@ -108,6 +115,9 @@
 	return x.query.Exclude[len(x.query.Exclude)-1]
 }
 
+// maxUnsent bounds the instances of one request that can't be connected to.
+const maxUnsent = 3
+
 // attemptOnce makes one attempt, hedged if it is a slow read, and passes the
 // answer on.
 func (x *exchange) attemptOnce() *verdict.Error {
