Test the path on the platform; keep this VM's own headers on answers

Cause: an answer took away the headers that the VM itself had set: while it stopped, callers never got Connection: close and went on with their connections (TestPlannedStopIsNotFelt failed before the change to proxy/answer.go).

--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/inventory"
+)
+
+const goodSettings = `[vm]
+id = vm-1
+data_centre = a
+region = r
+memory_mb = 284
+[listen]
+caller = 10.0.0.1:1
+ready = 10.0.0.1:2
+lookup = 10.0.0.1:3
+peer = 10.0.0.1:4
+[data_centres]
+a = r
+b = q
+[store]
+address = 10.0.0.2:1
+lease_minimum = 1
+[bounds]
+stop_grace = 6
+cold_over = 1.5
+future_key = 7
+`
+
+// Guards against settings that are misread.
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings("x", []byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ID != "vm-1" || s.Regions["b"] != "q" || s.StopGrace != 6*time.Second || s.ColdOver != 1.5 || s.ShiftMost != 0.15 || s.MemoryMB != 284 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Guards against a fault that is found only after another one was mended, and
+// against one that does not name its key.
+func TestSettingsFaults(t *testing.T) {
+	bad := strings.NewReplacer("vm-1", "", "10.0.0.1:2", "host:2", "stop_grace = 6", "stop_grace = -1", "cold_over = 1.5", "cold_over = NaN", "a = r\n", "a = q\n").Replace(goodSettings)
+	_, err := ParseSettings("x", []byte(bad))
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, want := range []string{"[vm] id", "[listen] ready", "[bounds] stop_grace", "[bounds] cold_over", "[data_centres] a"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q does not name %s", err, want)
+		}
+	}
+}
+
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(goodSettings))
+	f.Add([]byte("[vm"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := ParseSettings("x", data)
+		if err == nil && (s.StopGrace <= 0 || s.ID == "" || !s.Store.IsValid()) {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// Guards against shares that differ from the weights, over any hundred requests.
+func TestSharesFollowTheWeights(t *testing.T) {
+	s := newShares([]inventory.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 7}, {Service: "c", Weight: 3}})
+	counts := make(map[string]int)
+	for range 1000 {
+		counts[s.next()]++
+	}
+	if counts["a"] != 900 || counts["b"] != 70 || counts["c"] != 30 {
+		t.Errorf("%v", counts)
+	}
+}
--- /dev/null
+++ b/event/bounded_test.go
@@ -0,0 +1,90 @@
+package event
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against a request that waits for a log that nobody reads.
+func TestBlockedWriterBlocksNobody(t *testing.T) {
+	w := blockedWriter{make(chan struct{})}
+	defer close(w.release)
+	b := NewBounded(w, BoundedOptions{LinesPerSecond: 1 << 20, Queue: 16})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 1000 {
+			_, _ = io.WriteString(b, "line\n")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("writing waits")
+	}
+	if b.Dropped() < 900 {
+		t.Errorf("%d lines dropped", b.Dropped())
+	}
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *safeBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// Guards against a log that grows with the load, and against lines that are
+// dropped without a word. Pattern: ten times the lines of the bound.
+func TestLinesAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var mu sync.Mutex
+	out := new(safeBuffer)
+	b := NewBounded(out, BoundedOptions{LinesPerSecond: 50, Now: func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	}})
+	log := slog.New(slog.NewJSONHandler(b, nil))
+	for n := range 500 {
+		log.Info(fmt.Sprint("line ", n))
+	}
+	mu.Lock()
+	now = now.Add(time.Second)
+	mu.Unlock()
+	log.Info("later")
+	end := time.Now().Add(5 * time.Second)
+	for !strings.Contains(out.String(), "later") && time.Now().Before(end) {
+		time.Sleep(time.Millisecond)
+	}
+	text := out.String()
+	if lines := strings.Count(text, "\n"); lines != 52 {
+		t.Errorf("%d lines, want 50, the one that says so, and the later one", lines)
+	}
+	if !strings.Contains(text, `"lines":450`) {
+		t.Error("nothing says that 450 lines were dropped")
+	}
+}
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,254 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+)
+
+// memorySource is a store in memory.
+type memorySource struct {
+	mu      sync.Mutex
+	copy    *copyOf
+	down    bool
+	watches int
+	reads   int
+}
+
+func newMemorySource() *memorySource {
+	s := &memorySource{copy: newCopy()}
+	s.copy.reset(time.Now(), &Answer{Revision: 1})
+	return s
+}
+
+func (s *memorySource) put(revision uint64, key string) {
+	s.copy.apply(time.Now(), &Answer{Records: []Record{{Key: key, Revision: revision}}, Revision: revision})
+}
+
+func (s *memorySource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memorySource) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+func (s *memorySource) Read(context.Context) (Answer, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	if s.isDown() {
+		return Answer{}, errors.New("down")
+	}
+	a, _ := s.copy.state(time.Now())
+	a.Age = 0
+	return a, nil
+}
+
+func (s *memorySource) Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error) {
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
+	end := time.Now().Add(wait)
+	for {
+		if s.isDown() {
+			return Answer{}, errors.New("down")
+		}
+		a, _, err := s.copy.after(time.Now(), after)
+		a.Age = 0
+		if err != nil || len(a.Records) > 0 || time.Now().After(end) {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return Answer{}, ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// sink notes what a follower learns.
+type sink struct {
+	mu     sync.Mutex
+	keys   map[string]bool
+	failed bool
+}
+
+func (s *sink) Reset(_ time.Time, records []Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys = make(map[string]bool)
+	for _, r := range records {
+		s.keys[r.Key] = true
+	}
+}
+
+func (s *sink) Apply(_ time.Time, records []Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.keys[r.Key] = !r.Removed
+	}
+}
+
+func (s *sink) Touch(_ time.Time, _ time.Duration, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = failed
+}
+
+func (s *sink) has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys[key]
+}
+
+func (s *sink) hasFailed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+type member struct {
+	follower *Follower
+	sink     *sink
+	server   *httptest.Server
+	stop     context.CancelFunc
+}
+
+// start runs a follower; relays are asked for at each step.
+func start(t *testing.T, store Source, relays func() ([]string, bool)) *member {
+	t.Helper()
+	m := &member{sink: &sink{keys: make(map[string]bool)}}
+	m.follower = New(Options{Store: store, Sink: m.sink, Relays: relays, StoreWait: 200 * time.Millisecond, RelayWait: 100 * time.Millisecond, MaxAge: 700 * time.Millisecond})
+	router := httprouter.New()
+	m.follower.Serve(router)
+	m.server = httptest.NewServer(router)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.follower.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		m.server.CloseClientConnections()
+		m.server.Close()
+		<-done
+	})
+	return m
+}
+
+func (m *member) address() string { return m.server.Listener.Addr().String() }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no " + what)
+		}
+	}
+}
+
+// Guards against followers that ask the store although a relay answers, and against
+// changes that don't reach them.
+func TestFollowersAskTheRelay(t *testing.T) {
+	store := newMemorySource()
+	first := start(t, store, func() ([]string, bool) { return nil, true })
+	own := newMemorySource()
+	own.copy = store.copy
+	second := start(t, own, func() ([]string, bool) { return []string{first.address()}, false })
+	store.put(2, "a")
+	eventually(t, "change at the follower", func() bool { return second.sink.has("a") })
+	time.Sleep(500 * time.Millisecond)
+	if own.reads > 1 || own.watches > 1 {
+		t.Errorf("the follower read the store %d times and watched it %d times", own.reads, own.watches)
+	}
+}
+
+// Guards against a follower that goes on with a relay which lost the store, or
+// which died.
+func TestFollowerLeavesABadRelay(t *testing.T) {
+	for _, death := range []bool{false, true} {
+		t.Run(fmt.Sprint("death ", death), func(t *testing.T) {
+			cut, good := newMemorySource(), newMemorySource()
+			good.copy = cut.copy
+			relay := start(t, cut, func() ([]string, bool) { return nil, true })
+			follower := start(t, good, func() ([]string, bool) { return []string{relay.address()}, false })
+			cut.put(2, "a")
+			eventually(t, "first change", func() bool { return follower.sink.has("a") })
+			if death {
+				relay.server.CloseClientConnections()
+				relay.server.Listener.Close()
+			} else {
+				cut.setDown(true)
+			}
+			good.put(3, "b")
+			eventually(t, "change past the relay", func() bool { return follower.sink.has("b") })
+		})
+	}
+}
+
+// Guards against a VM that is turned away by the store and does not follow others
+// that are not.
+func TestTurnedAwayVMFollowsOthers(t *testing.T) {
+	cut, good := newMemorySource(), newMemorySource()
+	good.copy = cut.copy
+	other := start(t, good, func() ([]string, bool) { return nil, true })
+	first := start(t, cut, func() ([]string, bool) { return []string{other.address()}, true })
+	eventually(t, "state", func() bool { return first.follower.copy.isLoaded() })
+	cut.setDown(true)
+	good.put(2, "a")
+	eventually(t, "change through another VM", func() bool { return first.sink.has("a") })
+}
+
+// Guards against an outage that nobody is told of.
+func TestOutageIsReported(t *testing.T) {
+	store := newMemorySource()
+	m := start(t, store, func() ([]string, bool) { return nil, true })
+	eventually(t, "state", func() bool { return m.follower.copy.isLoaded() })
+	store.setDown(true)
+	eventually(t, "report of the outage", m.sink.hasFailed)
+	store.setDown(false)
+	eventually(t, "report of the return", func() bool { return !m.sink.hasFailed() })
+}
+
+// Guards against a relay that serves a gap as if it were whole.
+func TestHistoryIsBounded(t *testing.T) {
+	c := newCopy()
+	now := time.Now()
+	c.reset(now, &Answer{Revision: 1})
+	for n := uint64(2); n < historyMost+100; n++ {
+		c.apply(now, &Answer{Records: []Record{{Key: "k", Revision: n}}, Revision: n})
+	}
+	if _, _, err := c.after(now, 5); !errors.Is(err, ErrCompacted) {
+		t.Errorf("%v for a revision that is gone", err)
+	}
+	if a, _, err := c.after(now, historyMost+50); err != nil || len(a.Records) != 49 {
+		t.Errorf("%d records, %v", len(a.Records), err)
+	}
+}
+
+// Guards against a relay's broken answers.
+func TestBadRelayAnswers(t *testing.T) {
+	for _, body := range []string{``, `{`, `{"age":-5}`, `[]`} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		source := &relaySource{http.DefaultClient, s.Listener.Addr().String()}
+		if _, err := source.Watch(context.Background(), 1, 0); err == nil {
+			t.Errorf("%q is accepted", body)
+		}
+		s.Close()
+	}
+}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -116,10 +116,11 @@
 
 func (x *exchange) writeHeader(res *http.Response) {
 	h := x.w.Header()
+	// Headers of this VM's own, such as Connection, stay.
+	removeHopByHop(res.Header)
 	for name, values := range res.Header {
 		h[name] = values
 	}
-	removeHopByHop(h)
 	// A refusal in the upstream's name is its own; this VM's verdict headers
 	// are set only on refusals of this VM.
 	h.Del(verdict.HeaderVerdict)
