--- a/cmd/currantferryd/entry.go
+++ b/cmd/currantferryd/entry.go
@@ -48,7 +48,9 @@
 		fmt.Fprintln(os.Stderr, "entry: -config FILE is needed")
 		return subcommands.ExitUsageError
 	}
-	log := slog.New(slog.NewJSONHandler(event.NewBounded(os.Stdout, event.BoundedOptions{}), &slog.HandlerOptions{Level: slog.LevelDebug}))
+	lines := event.NewBounded(os.Stdout, event.BoundedOptions{})
+	defer lines.Flush(flushLimit)
+	log := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	s, err := entry.LoadSettings(path)
 	if err != nil {
 		event.SettingsInvalid.Log(log, "file", path, "error", err)
@@ -73,7 +75,9 @@
 	// settingsInterval is how often the settings file is compared with the one
 	// that was read.
 	settingsInterval = time.Second
-	mega             = 1 << 20
+	// flushLimit bounds the wait for the last log lines at the end.
+	flushLimit = 100 * time.Millisecond
+	mega       = 1 << 20
 )
 
 func runEntry(path string, s *entry.Settings, log *slog.Logger) error {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -11,6 +11,8 @@
 	// stopMargin is kept between the end of the last answers and that of the
 	// grace: the process must be gone before it is killed.
 	stopMargin = 300 * time.Millisecond
+	// flushTime is for answers that were written and not yet sent.
+	flushTime = 200 * time.Millisecond
 	// lingerShare is the part of the grace in which a stopping VM still serves
 	// callers that know it from an earlier lookup.
 	lingerShare = 0.35
@@ -31,12 +33,26 @@
 	<-linger.C
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopMargin))
 	defer cancel()
-	// Closes the listener and idle connections, and waits for the others.
-	shutdown := n.callers.Shutdown(ctx)
+	// Closes the listener and idle connections at once. It would wait for seconds
+	// for connections that never sent anything, so their end is not awaited.
+	shut := make(chan struct{})
+	n.group.Go(func() {
+		defer close(shut)
+		_ = n.callers.Shutdown(ctx)
+	})
 	left := n.proxy.Stop(ctx)
-	if shutdown != nil || left > 0 {
-		event.StopTimedOut.Log(n.log, "in_flight", left, "error", shutdown)
+	if left > 0 {
+		event.StopTimedOut.Log(n.log, "in_flight", left)
+	} else {
+		// The last answers are still on their way to their connections.
+		flushed := time.NewTimer(flushTime)
+		defer flushed.Stop()
+		select {
+		case <-shut:
+		case <-flushed.C:
+		}
 	}
+	cancel()
 	n.close()
 	event.StopFinished.Log(n.log, "cut_off", left, "took_ms", time.Since(began).Milliseconds())
 	return left
--- a/event/bounded.go
+++ b/event/bounded.go
@@ -31,6 +31,8 @@
 type Bounded struct {
 	options BoundedOptions
 	queue   chan []byte
+	// flushes holds what to close once the queue was empty.
+	flushes chan chan struct{}
 	total   atomic.Int64
 
 	mu     sync.Mutex
@@ -51,15 +53,44 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	b := &Bounded{options: o, queue: make(chan []byte, o.Queue)}
-	go func() {
-		for line := range b.queue {
-			if _, err := w.Write(line); err != nil {
-				b.drop()
+	b := &Bounded{options: o, queue: make(chan []byte, o.Queue), flushes: make(chan chan struct{})}
+	go b.pass(w)
+	return b
+}
+
+func (b *Bounded) pass(w io.Writer) {
+	write := func(line []byte) {
+		if _, err := w.Write(line); err != nil {
+			b.drop()
+		}
+	}
+	for {
+		select {
+		case line := <-b.queue:
+			write(line)
+		case written := <-b.flushes:
+			for n := len(b.queue); n > 0; n-- {
+				write(<-b.queue)
 			}
+			close(written)
 		}
-	}()
-	return b
+	}
+}
+
+// Flush waits until the lines so far are written, but not longer than limit.
+func (b *Bounded) Flush(limit time.Duration) {
+	written := make(chan struct{})
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case b.flushes <- written:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-written:
+	case <-timer.C:
+	}
 }
 
 // Dropped returns the number of lines dropped so far.
--- a/event/bounded_test.go
+++ b/event/bounded_test.go
@@ -35,6 +35,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("writing waits")
 	}
+	b.Flush(10 * time.Millisecond)
 	if b.Dropped() < 900 {
 		t.Errorf("%d lines dropped", b.Dropped())
 	}
@@ -76,10 +77,7 @@
 	now = now.Add(time.Second)
 	mu.Unlock()
 	log.Info("later")
-	end := time.Now().Add(5 * time.Second)
-	for !strings.Contains(out.String(), "later") && time.Now().Before(end) {
-		time.Sleep(time.Millisecond)
-	}
+	b.Flush(5 * time.Second)
 	text := out.String()
 	if lines := strings.Count(text, "\n"); lines != 52 {
 		t.Errorf("%d lines, want 50, the one that says so, and the later one", lines)
