--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,97 @@
+// Package soak runs the real entry VMs as separate processes on loopback, injects
+// faults from outside them, and checks the promises from what callers and
+// instances see.
+//
+// CURRANTFERRY_SEED sets the seed, CURRANTFERRY_ROUNDS the number of seeds, and
+// CURRANTFERRY_SOAK_SECONDS the length of one. Regression seeds stand in
+// regressionSeeds.
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// regressionSeeds are seeds that failed once, each with its cause.
+var regressionSeeds = []uint64{}
+
+const (
+	defaultSeed    = 1
+	defaultRounds  = 2
+	defaultSeconds = 8
+)
+
+func setting(t *testing.T, name string, usual uint64) uint64 {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return v
+}
+
+// buildDaemon builds the program under test once.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "currantferryd")
+	build := exec.Command("go", "build", "-o", path, "../cmd/currantferryd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return path
+}
+
+// Guards against broken promises under kills, pauses, planned stops, cuts, silence
+// and resets towards store and instances, and changes that overlap.
+func TestSoak(t *testing.T) {
+	daemon := buildDaemon(t)
+	length := time.Duration(setting(t, "CURRANTFERRY_SOAK_SECONDS", defaultSeconds)) * time.Second
+	seeds := append([]uint64(nil), regressionSeeds...)
+	first := setting(t, "CURRANTFERRY_SEED", defaultSeed)
+	for n := range setting(t, "CURRANTFERRY_ROUNDS", defaultRounds) {
+		seeds = append(seeds, first+n)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t, daemon, seed)
+			w.play(length)
+			w.check()
+		})
+	}
+}
+
+// Guards against checks that notice nothing: each takes a world in which one
+// promise is broken on purpose.
+func TestChecksBite(t *testing.T) {
+	for name, breach := range map[string]func(w *world){
+		"ran twice": func(w *world) {
+			w.note(&sent{id: "x", order: true, status: 200, body: "ran x"})
+			w.extraRuns["x"] = 2
+		},
+		"refused and ran": func(w *world) {
+			w.note(&sent{id: "x", order: true, status: 503})
+			w.extraRuns["x"] = 1
+		},
+		"another answer":      func(w *world) { w.note(&sent{id: "x", status: 200, body: "ran y" + padding}) },
+		"half an answer":      func(w *world) { w.note(&sent{id: "x", status: 200, body: "ran x"}) },
+		"planned stop felt":   func(w *world) { w.note(&sent{id: "x", cut: true, calm: true, vm: 0}) },
+		"held past its limit": func(w *world) { w.note(&sent{id: "x", status: 504, calm: true, took: 5 * time.Second}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := emptyWorld(1)
+			breach(w)
+			if faults := w.faults(); len(faults) == 0 {
+				t.Error("not noticed")
+			}
+		})
+	}
+}
