--- a/cmd/currantferry/main.go
+++ b/cmd/currantferry/main.go
@@ -23,6 +23,6 @@
 	return []subcommands.Command{
 		registerCommand(), drainCommand(), capCommand(), changesCommand(),
 		statusCommand(), reportCommand(), explainCommand(), configCommand(),
-		new(demoCommand), new(loadCommand), versionCommand(), completionCommand(),
+		new(demoCommand), new(loadCommand), traceCommand(), versionCommand(), completionCommand(),
 	}
 }
--- /dev/null
+++ b/cmd/currantferry/trace.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func traceCommand() *command {
+	return newCommand("trace", "what the logs of entry VMs say about one request", action{
+		synopsis: "print the log lines of the request -id from the files, or from standard input, and what was known of its instance",
+		setup: func(f *flag.FlagSet) runFunc {
+			id := f.String("id", "", "id of the request")
+			return func(_ context.Context, e *env, files []string) error {
+				if *id == "" {
+					return errors.New("-id is needed")
+				}
+				lines, err := readLogs(files)
+				if err != nil {
+					return err
+				}
+				return printTrace(e.out, lines, *id)
+			}
+		},
+	})
+}
+
+// logLine is one line of an entry VM's log.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	VM      string    `json:"vm"`
+	Event   int       `json:"event"`
+	Request string    `json:"request"`
+	// Instance is that of a request, ID that of a belief.
+	Instance string `json:"instance"`
+	ID       string `json:"id"`
+
+	fields map[string]any
+}
+
+// maxLogLine bounds a line of a log.
+const maxLogLine = 1 << 20
+
+func readLogs(files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return parseLogs(os.Stdin)
+	}
+	var out []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := parseLogs(f)
+		f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
+// parseLogs reads the JSON object of each line; what stands before it, such as the
+// mark of a log collector, is passed over, and so are lines without one.
+func parseLogs(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		_, object, found := strings.Cut(scanner.Text(), "{")
+		if !found {
+			continue
+		}
+		data := []byte("{" + object)
+		var l logLine
+		if json.Unmarshal(data, &l) != nil || json.Unmarshal(data, &l.fields) != nil || l.Event == 0 {
+			continue
+		}
+		out = append(out, l)
+	}
+	return out, errors.Wrap(scanner.Err(), "log")
+}
+
+// beliefsShown bounds the lines about the instance before the request.
+const beliefsShown = 3
+
+// printTrace prints the lines of a request in the order of time, and before them
+// the last ones that its VM wrote about the instances concerned.
+func printTrace(w io.Writer, lines []logLine, id string) error {
+	sort.SliceStable(lines, func(a, b int) bool { return lines[a].Time.Before(lines[b].Time) })
+	var own, beliefs []logLine
+	concerned := make(map[string]bool)
+	for _, l := range lines {
+		if l.Request == id {
+			own = append(own, l)
+			concerned[l.VM+"/"+l.Instance] = true
+		}
+	}
+	if len(own) == 0 {
+		return errors.Errorf("no line about request %s", id)
+	}
+	end := own[len(own)-1].Time
+	for _, l := range lines {
+		if l.Request == "" && l.ID != "" && concerned[l.VM+"/"+l.ID] && !l.Time.After(end) {
+			beliefs = append(beliefs, l)
+		}
+	}
+	if over := len(beliefs) - beliefsShown; over > 0 {
+		beliefs = beliefs[over:]
+	}
+	for _, l := range append(beliefs, own...) {
+		fmt.Fprintf(w, "%s  %s  %d %s\n", l.Time.Format("15:04:05.000"), l.VM, l.Event, l.Message)
+		names := make([]string, 0, len(l.fields))
+		for name := range l.fields {
+			switch name {
+			case "time", "msg", "vm", "event", "level", "request":
+			default:
+				names = append(names, name)
+			}
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			if v := l.fields[name]; v != nil && v != "" {
+				fmt.Fprintf(w, "    %s: %v\n", name, v)
+			}
+		}
+	}
+	return nil
+}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"flag"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +80,32 @@
 		t.Errorf("%v", counts)
 	}
 }
+
+var update = flag.Bool("update", false, "write docs/SETTINGS-ENTRY.md from the code")
+
+const settingsPage = "../docs/SETTINGS-ENTRY.md"
+
+// Guards against a page of settings that differs from the code.
+func TestSettingsMatchDocs(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Settings of an entry VM on a platform\n\nWritten by `go test ./entry -update`. `currantferryd entry -check -config FILE` validates a file and\n" +
+		"names every fault. Unknown keys are ignored, since the platform may add fields. Bounds are read again on SIGHUP\nand when the file changes; addresses, places and the store take a restart.\n")
+	section := ""
+	for _, k := range SettingKeys() {
+		if k.Section != section {
+			section = k.Section
+			b.WriteString("\n## [" + section + "]\n\n| key | unit | default | accepted | meaning |\n|---|---|---|---|---|\n")
+		}
+		b.WriteString("| " + strings.Join([]string{k.Name, k.Unit, k.Default, k.Range, k.Meaning}, " | ") + " |\n")
+	}
+	b.WriteString("\n## [data_centres]\n\nOne key for each data centre, with its region as value. The VM's own must be among them.\n")
+	if *update {
+		if err := os.WriteFile(settingsPage, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(settingsPage)
+	if err != nil || string(got) != b.String() {
+		t.Errorf("%s differs from the code; run: go test ./entry -update (%v)", settingsPage, err)
+	}
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -83,11 +84,24 @@
 	}
 	if !p.isWorthwhile(now, r, best, allowed) {
 		after := min(max(best.wait, minRetryAfter), maxRetryAfter)
-		return Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonDeadlineAhead, after)
+		e := verdict.New(verdict.NotRun, verdict.ReasonDeadlineAhead, after)
+		e.Err = &queueTooLong{instance: best.inst.ID, wait: best.wait, work: best.work, allowed: allowed, loadAge: now.Sub(best.inst.loadAt)}
+		return Ticket{}, e
 	}
 	return p.ticket(now, s, r, key, best), nil
 }
 
+// queueTooLong says what decided for a refusal.
+type queueTooLong struct {
+	instance                     string
+	wait, work, allowed, loadAge time.Duration
+}
+
+func (q *queueTooLong) Error() string {
+	return fmt.Sprintf("instance %s: wait of %s and work of %s expected by a load report %s old, wait of %s allowed",
+		q.instance, q.wait.Round(time.Millisecond), q.work.Round(time.Millisecond), q.loadAge.Round(time.Millisecond), q.allowed.Round(time.Millisecond))
+}
+
 // allowedWait is how long a request may queue at an instance. Beyond the target
 // time a place in a queue only delays the requests behind it.
 func (s *service) allowedWait(r *Request) time.Duration {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -322,7 +322,7 @@
 		status = o.Protocol.Refusal(x.w.Header(), &x.meta, &e)
 	}
 	o.Metrics.Refused(e.Reason)
-	event.RequestRefused.Log(o.Log, append(x.attrs(), "reason", string(e.Reason), "verdict", e.Verdict.String(),
+	event.RequestRefused.Log(o.Log, append(x.attrs(), "instance", x.lastInstance(), "reason", string(e.Reason), "verdict", e.Verdict.String(),
 		"status", status, "retry_after_ms", e.RetryAfter.Milliseconds(), "error", e.Err)...)
 	// The cause stays in the log, since it may name internal addresses.
 	http.Error(x.w, fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Reason.Text()), status)
--- a/soak/play_test.go
+++ b/soak/play_test.go
@@ -242,9 +242,13 @@
 	total := len(w.requests)
 	w.mu.Unlock()
 	w.t.Logf("seed %d: %d requests", w.seed, total)
-	if !w.t.Failed() {
-		return
+	if w.t.Failed() {
+		w.keepLogs()
 	}
+}
+
+// keepLogs copies the logs of the VMs to where they outlive the test.
+func (w *world) keepLogs() {
 	kept, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", w.seed))
 	if err != nil {
 		w.t.Error(err)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -231,7 +231,8 @@
 func (w *world) awaitReady(v *vm) {
 	for end := time.Now().Add(20 * time.Second); !w.isReady(v); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
-			w.t.Fatalf("VM %d is not ready after 20 s; logs in %s", v.number, w.dir)
+			w.keepLogs()
+			w.t.Fatalf("VM %d is not ready after 20 s", v.number)
 		}
 	}
 }
