Share one relay and one buffer among the tests; keep the platform's names in its folder

Cause: the soak and the tests of the path spelled the platform's headers, paths and keys outside platform/, and three packages had a buffer and two a relay of their own. Change: platform/standin builds calls, configurations and records; internal/testkit has the relay and the buffer. No policy changed; go test ./e2e ./platform ./event pass.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -71,11 +71,11 @@
 	c := newCluster(t)
 	l := c.startLoad()
 	time.Sleep(time.Second)
-	c.vms[2].peer.setCut(true)
-	c.vms[2].store.setCut(true)
+	c.vms[2].peer.SetCut(true)
+	c.vms[2].store.SetCut(true)
 	time.Sleep(4 * time.Second)
-	c.vms[2].peer.setCut(false)
-	c.vms[2].store.setCut(false)
+	c.vms[2].peer.SetCut(false)
+	c.vms[2].store.SetCut(false)
 	c.eventually(15*time.Second, "the VM is seen again", func() bool {
 		s, err := c.status(c.vms[0])
 		return err == nil && stateOf(s.Members, "vm-3") == "serving"
@@ -190,12 +190,12 @@
 	c := newCluster(t)
 	failures := map[string]func(v *vm){
 		"frozen": func(v *vm) { v.signal(syscall.SIGSTOP) },
-		"cut":    func(v *vm) { v.peer.setCut(true); v.store.setCut(true) },
+		"cut":    func(v *vm) { v.peer.SetCut(true); v.store.SetCut(true) },
 		"killed": func(v *vm) { v.signal(syscall.SIGKILL) },
 	}
 	repairs := map[string]func(v *vm){
 		"frozen": func(v *vm) { v.signal(syscall.SIGCONT) },
-		"cut":    func(v *vm) { v.peer.setCut(false); v.store.setCut(false) },
+		"cut":    func(v *vm) { v.peer.SetCut(false); v.store.SetCut(false) },
 		"killed": func(*vm) {},
 	}
 	var keys []string
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -22,6 +20,7 @@
 	"github.com/currantferry/currantferry/caller"
 	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/internal/testkit"
 	"github.com/currantferry/currantferry/node"
 	"github.com/currantferry/currantferry/register"
 	"github.com/currantferry/currantferry/rules"
@@ -50,143 +49,17 @@
 	}())
 }
 
-// relay is a TCP relay in front of one address that can be cut.
-type relay struct {
-	target string
-	l      net.Listener
-	mu     sync.Mutex
-	cut    bool
-	// admit tells whether a connection passes, and returns what it read from it
-	// to find out. Nil admits all.
-	admit func(net.Conn) ([]byte, bool)
-	conns map[net.Conn]bool
-}
-
-func newRelay(t *testing.T, target string) *relay {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{target: target, l: l, conns: make(map[net.Conn]bool)}
-	t.Cleanup(func() { l.Close(); r.setCut(true) })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(c)
-		}
-	}()
-	return r
-}
-
-func (r *relay) address() string { return r.l.Addr().String() }
-
-func (r *relay) add(c net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cut {
-		c.Close()
-		return false
-	}
-	r.conns[c] = true
-	return true
-}
-
-func (r *relay) serve(in net.Conn) {
-	defer in.Close()
-	r.mu.Lock()
-	admit := r.admit
-	r.mu.Unlock()
-	if !r.add(in) {
-		return
-	}
-	defer r.remove(in)
-	var sent []byte
-	if admit != nil {
-		var ok bool
-		if sent, ok = admit(in); !ok {
-			return
-		}
-	}
-	out, err := net.Dial("tcp", r.target)
-	if err != nil {
-		return
-	}
-	defer out.Close()
-	if !r.add(out) {
-		return
-	}
-	defer r.remove(out)
-	if _, err := out.Write(sent); err != nil {
-		return
-	}
-	done := make(chan struct{}, 2)
-	pass := func(dst, src net.Conn) { _, _ = io.Copy(dst, src); done <- struct{}{} }
-	go pass(out, in)
-	go pass(in, out)
-	<-done
-}
-
-func (r *relay) remove(c net.Conn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.conns, c)
-}
-
-// setCut drops all connections and refuses new ones, or lets them pass again.
-func (r *relay) setCut(cut bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = cut
-	if cut {
-		for c := range r.conns {
-			c.Close()
-		}
-	}
-}
-
-// setAdmit drops all connections and decides which new ones pass.
-func (r *relay) setAdmit(admit func(net.Conn) ([]byte, bool)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.admit = admit
-	for c := range r.conns {
-		c.Close()
-	}
-}
-
-// syncBuffer is a buffer that is read while a process writes to it.
-type syncBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // process is a started program.
 type process struct {
 	cmd  *exec.Cmd
-	log  *syncBuffer
+	log  *testkit.Buffer
 	line string
 	done chan struct{}
 }
 
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), log: new(syncBuffer), done: make(chan struct{})}
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...), log: new(testkit.Buffer), done: make(chan struct{})}
 	p.cmd.Stderr = p.log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -234,8 +107,8 @@
 	*process
 	id    string
 	place place
-	peer  *relay
-	store *relay
+	peer  *testkit.Relay
+	store *testkit.Relay
 	file  string
 	// callerAddress and adminAddress stay the same over restarts.
 	callerAddress, adminAddress string
@@ -332,15 +205,15 @@
 
 // newVM writes the settings of a VM; it listens on ports that the system gives.
 func (c *cluster) newVM(id string, p place) *vm {
-	v := &vm{id: id, place: p, peer: newRelay(c.t, freeAddress(c.t)), store: newRelay(c.t, c.storeAddr), file: filepath.Join(c.t.TempDir(), id+".ini")}
+	v := &vm{id: id, place: p, peer: testkit.NewRelay(c.t, freeAddress(c.t)), store: testkit.NewRelay(c.t, c.storeAddr), file: filepath.Join(c.t.TempDir(), id+".ini")}
 	v.callerAddress, v.adminAddress = freeAddress(c.t), freeAddress(c.t)
 	var seeds []string
 	for _, other := range c.vms {
-		seeds = append(seeds, other.peer.address())
+		seeds = append(seeds, other.peer.Address())
 	}
 	ini := fmt.Sprintf("[vm]\nid = %s\nregion = %s\ndata_centre = %s\n[listen]\ncaller = %s\npeer = %s\nadvertise_peer = %s\nadmin = %s\n"+
 		"[store]\naddresses = %s\ntimeout = 1s\nlease_ttl = 5s\n[peers]\nseeds = %s\n[lookup]\nttl = 1s\n[node]\nlookup_grace = 1500ms\nstop_timeout = 20s\n[log]\nlevel = debug\n",
-		id, p.region, p.dataCentre, v.callerAddress, v.peer.target, v.peer.address(), v.adminAddress, v.store.address(), strings.Join(seeds, ", "))
+		id, p.region, p.dataCentre, v.callerAddress, v.peer.Target(), v.peer.Address(), v.adminAddress, v.store.Address(), strings.Join(seeds, ", "))
 	if err := os.WriteFile(v.file, []byte(ini), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -381,7 +254,7 @@
 func (c *cluster) list() {
 	var vms []store.VM
 	for _, v := range c.vms {
-		vms = append(vms, store.VM{ID: v.id, DataCentre: v.place.dataCentre, Region: v.place.region, PeerAddress: v.peer.address()})
+		vms = append(vms, store.VM{ID: v.id, DataCentre: v.place.dataCentre, Region: v.place.region, PeerAddress: v.peer.Address()})
 	}
 	c.store.SetVMs(vms)
 }
--- a/e2e/random_test.go
+++ b/e2e/random_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/currantferry/currantferry/config"
 	"github.com/currantferry/currantferry/configstore"
+	"github.com/currantferry/currantferry/internal/testkit"
 	"github.com/currantferry/currantferry/rules"
 )
 
@@ -44,7 +45,7 @@
 
 	mu       sync.Mutex
 	lines    []string
-	logs     []*syncBuffer
+	logs     []*testkit.Buffer
 	starts   map[string]int
 	keys     []string
 	outcomes map[string]int
@@ -143,7 +144,7 @@
 
 func (r *run) applyCuts() {
 	for _, v := range r.c.vms {
-		v.peer.setAdmit(func(in net.Conn) ([]byte, bool) {
+		v.peer.SetAdmit(func(in net.Conn) ([]byte, bool) {
 			r.cutMu.Lock()
 			cuts, own := len(r.cutOff) > 0, r.cutOff[v.id]
 			r.cutMu.Unlock()
--- a/e2e/region_test.go
+++ b/e2e/region_test.go
@@ -149,7 +149,7 @@
 	c.waitOrders(5 * time.Second)
 	far := c.vms[2]
 	c.cutRegions(true)
-	far.store.setCut(true)
+	far.store.SetCut(true)
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	keys := make([]string, 0, 300)
@@ -207,7 +207,7 @@
 		t.Errorf("the side with the store answers %d of 48 orders after 6 s", taken)
 	}
 	c.cutRegions(false)
-	far.store.setCut(false)
+	far.store.SetCut(false)
 	c.waitReady()
 	c.waitOrders(10 * time.Second)
 	if twice := c.ledger.RunTwice(keys); len(twice) > 0 {
@@ -221,7 +221,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	c.store.SetFault(storestandin.Fault{Down: true})
-	c.vms[1].peer.setCut(true)
+	c.vms[1].peer.SetCut(true)
 	added := c.newVM("vm-4", places[0])
 	begun := time.Now()
 	c.startVM(added)
@@ -236,7 +236,7 @@
 		}
 	}
 	c.store.SetFault(storestandin.Fault{})
-	c.vms[1].peer.setCut(false)
+	c.vms[1].peer.SetCut(false)
 	c.vms = append(c.vms, added)
 	c.list()
 	c.waitReady()
--- a/e2e/source_test.go
+++ b/e2e/source_test.go
@@ -54,6 +54,6 @@
 				return sent, source != nil && source.place.region == v.place.region
 			}
 		}
-		v.peer.setAdmit(admit)
+		v.peer.SetAdmit(admit)
 	}
 }
--- a/event/bounded_test.go
+++ b/event/bounded_test.go
@@ -1,7 +1,6 @@
 package event
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -9,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/currantferry/currantferry/internal/testkit"
 )
 
 type blockedWriter struct{ release chan struct{} }
@@ -41,29 +42,12 @@
 	}
 }
 
-type safeBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *safeBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *safeBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
-
 // Guards against a log that grows with the load, and against lines that are
 // dropped without a word. Pattern: ten times the lines of the bound.
 func TestLinesAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var mu sync.Mutex
-	out := new(safeBuffer)
+	out := new(testkit.Buffer)
 	b := NewBounded(out, BoundedOptions{LinesPerSecond: 50, Now: func() time.Time {
 		mu.Lock()
 		defer mu.Unlock()
--- /dev/null
+++ b/internal/testkit/buffer.go
@@ -0,0 +1,26 @@
+package testkit
+
+import (
+	"bytes"
+	"sync"
+)
+
+// Buffer is a buffer that is read while others write to it.
+type Buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (s *Buffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns what was written so far.
+func (s *Buffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
--- a/soak/play_test.go
+++ b/soak/play_test.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/currantferry/currantferry/internal/testkit"
 	"github.com/currantferry/currantferry/platform/standin"
 )
 
@@ -72,7 +73,7 @@
 		w.signal(v, syscall.SIGHUP)
 	case 4, 5:
 		w.disturb(v)
-		v.relay.set(relayMode(w.rng.IntN(int(relayModes))))
+		v.relay.Set(testkit.Mode(w.rng.IntN(int(testkit.Modes))))
 	case 6:
 		w.disturbAll()
 		w.store.SetFault([]standin.StoreFault{
@@ -159,13 +160,13 @@
 	if !drains {
 		w.disturbAll()
 		i.Close()
-		w.store.Delete("servers/" + i.ID())
+		w.store.Unregister(i)
 		return
 	}
-	w.store.Put("servers/"+i.ID(), i.Record("shop", "graz-1", "draining"))
+	w.store.Register(i, "shop", "graz-1", "draining")
 	go func() {
 		time.Sleep(4 * time.Second)
-		w.store.Delete("servers/" + i.ID())
+		w.store.Unregister(i)
 	}()
 }
 
@@ -173,7 +174,7 @@
 func (w *world) heal() {
 	w.store.SetFault(standin.StoreFault{})
 	for _, v := range w.vms {
-		v.relay.set(relayPass)
+		v.relay.Set(testkit.Pass)
 	}
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
 		w.mu.Lock()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantferry/currantferry/internal/testkit"
 	"github.com/currantferry/currantferry/platform/standin"
 )
 
@@ -56,7 +56,7 @@
 	settings string
 	caller   string
 	ready    string
-	relay    *relay
+	relay    *testkit.Relay
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	log      *os.File
@@ -119,18 +119,7 @@
 // configure writes the next version of the routes.
 func (w *world) configure() {
 	w.version += 1 + w.rng.IntN(3)
-	w.store.Put("op/config", map[string]any{
-		"version": w.version,
-		"routes": map[string]any{
-			"columns": []string{"name", "host", "prefix", "kind", "timeoutS", "targetLatencyS", "priority", "service", "maxAttempts", "sticky", "allowedRegions", "backends"},
-			"rows": []any{
-				[]any{"reads", "shop.example", "/reads/", "idempotent", routeTimeout.Seconds(), 0.4, 2, "shop", 2, true, []string{}, nil},
-				[]any{"orders", "shop.example", "/orders/", "non_idempotent", routeTimeout.Seconds(), 0.5, 1, "shop", 2, true, []string{}, nil},
-			},
-		},
-		"services": map[string]any{"columns": []string{"name", "coldStartS", "coldPerS"}, "rows": []any{[]any{"shop", 1.0, 50.0}}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-	})
+	w.store.Configure(standin.Configuration(w.version, "shop", routeTimeout, 50))
 }
 
 func (w *world) addInstance(n int) {
@@ -142,7 +131,7 @@
 	w.mu.Lock()
 	w.instances, w.all = append(w.instances, i), append(w.all, i)
 	w.mu.Unlock()
-	w.store.Put("servers/"+i.ID(), i.Record("shop", "graz-1", "ready"))
+	w.store.Register(i, "shop", "graz-1", "ready")
 }
 
 // behaviourOf treats a small part of the requests badly, by their id.
@@ -179,11 +168,11 @@
 }
 
 func (w *world) newVM(n int) *vm {
-	v := &vm{number: n, caller: freeAddress(w.t, n), ready: freeAddress(w.t, n), relay: startRelay(w.t, w.store.Address())}
+	v := &vm{number: n, caller: freeAddress(w.t, n), ready: freeAddress(w.t, n), relay: testkit.NewRelay(w.t, w.store.Address())}
 	v.settings = filepath.Join(w.dir, fmt.Sprintf("vm-%d.ini", n))
 	text := fmt.Sprintf("[vm]\nid = vm-%d\ndata_centre = graz-1\nregion = styria\n[listen]\ncaller = %s\nready = %s\nlookup = %s\npeer = %s\n"+
 		"[data_centres]\ngraz-1 = styria\n[store]\naddress = %s\nlease_minimum = 1\n[bounds]\nstop_grace = %g\nretry_ratio = 0.2\n",
-		n, v.caller, v.ready, freeAddress(w.t, n), freeAddress(w.t, n), v.relay.address(), grace.Seconds())
+		n, v.caller, v.ready, freeAddress(w.t, n), freeAddress(w.t, n), v.relay.Address(), grace.Seconds())
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -219,7 +208,7 @@
 func (w *world) isReady(v *vm) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.ready+"/v1/ready", http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, standin.ReadyURL(v.ready), http.NoBody)
 	if err != nil {
 		return false
 	}
@@ -265,21 +254,12 @@
 	r := &sent{id: id, order: order, vm: n, calm: began.Sub(disturbed) > settle}
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	method, path, body := http.MethodGet, "/reads/"+id, io.Reader(http.NoBody)
-	if order {
-		method, path, body = http.MethodPost, "/orders/"+id, bytes.NewReader([]byte(id))
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.caller+path, body)
+	call := standin.Call{ID: id, Order: order, Body: id, Key: id[len(id)-1:], Patience: 3 * time.Second}
+	req, err := call.Request(ctx, v.caller)
 	if err != nil {
 		w.t.Error(err)
 		return
 	}
-	// The library would send it again by itself when a connection dies.
-	req.GetBody = nil
-	req.Host = "shop.example"
-	req.Header.Set("X-Currantferry-Request-Id", id)
-	req.Header.Set("X-Currantferry-Deadline-Ms", "3000")
-	req.Header.Set("X-Currantferry-Affinity-Key", id[len(id)-1:])
 	res, err := w.client.Do(req)
 	if err == nil {
 		var data []byte
