Stop requests that take one instance after the other with them

Cause: the crash guard of the product delays every suspect for 250 ms and lets one VM try it at a time, which costs innocent reads whose answers were lost; on the platform it was not wired, so a request that crashes instances was bounded by its attempts only. Change: crashguard.Ledger counts a lost connection only when its instance is seen to have died, shares the deaths in the digests and refuses a request for 30 s after three. A watch follows the one before after 200 ms instead of 100, since each call is priced.

--- /dev/null
+++ b/crashguard/ledger.go
@@ -0,0 +1,182 @@
+package crashguard
+
+import (
+	"slices"
+	"time"
+)
+
+// Defaults of LedgerConfig.
+const (
+	DefaultLedgerDeaths = 3
+	DefaultLedgerExpiry = 30 * time.Second
+	DefaultLedgerNotes  = 1024
+	// confirmFor is how long after a lost connection the death of its instance
+	// may show.
+	confirmFor = 2 * time.Second
+	// togetherFor is the time within which connections to one instance must be
+	// lost to show by themselves that it died, and togetherLeast their number.
+	togetherFor   = 100 * time.Millisecond
+	togetherLeast = 3
+)
+
+// LedgerConfig configures a Ledger. Zero values mean the defaults.
+type LedgerConfig struct {
+	// Deaths is the number of instances that must have died while they ran a
+	// request before it is refused. Default 3.
+	Deaths int
+	// Expiry is how long a death counts. Default 30 s.
+	Expiry time.Duration
+	// MaxNotes bounds the requests remembered. Default 1024.
+	MaxNotes int
+}
+
+// DeathNote says that an instance died while it ran a request.
+type DeathNote struct {
+	Request  Fingerprint
+	Instance string
+	Age      time.Duration
+}
+
+// Ledger remembers which requests were running at instances that died. Unlike a
+// Guard it never delays a request: it refuses one that took several instances with
+// it and succeeded nowhere meanwhile, and lets all others pass. A connection that
+// was lost counts only once its instance is seen to have died, since answers are
+// lost for other reasons too. It is not safe for concurrent use.
+type Ledger struct {
+	cfg    LedgerConfig
+	losses []loss
+	deaths map[Fingerprint][]death
+	outbox []DeathNote
+}
+
+// loss is a connection that was lost while a request ran.
+type loss struct {
+	request  Fingerprint
+	instance string
+	at       time.Time
+}
+
+type death struct {
+	instance string
+	at       time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(cfg LedgerConfig) *Ledger {
+	if cfg.Deaths <= 0 {
+		cfg.Deaths = DefaultLedgerDeaths
+	}
+	if cfg.Expiry <= 0 {
+		cfg.Expiry = DefaultLedgerExpiry
+	}
+	if cfg.MaxNotes <= 0 {
+		cfg.MaxNotes = DefaultLedgerNotes
+	}
+	return &Ledger{cfg: cfg, deaths: make(map[Fingerprint][]death)}
+}
+
+// Lost notes that the connection of a running request was lost.
+func (l *Ledger) Lost(now time.Time, f Fingerprint, instance string) {
+	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool { return now.Sub(x.at) > confirmFor })
+	if len(l.losses) >= l.cfg.MaxNotes {
+		l.losses = l.losses[1:]
+	}
+	l.losses = append(l.losses, loss{f, instance, now})
+	together := 0
+	for _, x := range l.losses {
+		if x.instance == instance && now.Sub(x.at) <= togetherFor {
+			together++
+		}
+	}
+	if together >= togetherLeast {
+		l.Died(now, instance)
+	}
+}
+
+// Died notes that an instance is seen to have died: it refuses connections, or its
+// record is gone. Requests whose connections it lost shortly before count.
+func (l *Ledger) Died(now time.Time, instance string) {
+	kept := l.losses[:0]
+	for _, x := range l.losses {
+		if x.instance != instance {
+			kept = append(kept, x)
+			continue
+		}
+		if now.Sub(x.at) <= confirmFor && l.add(now, x.request, instance, x.at) {
+			l.outbox = append(l.outbox, DeathNote{Request: x.request, Instance: instance, Age: now.Sub(x.at)})
+		}
+	}
+	l.losses = kept
+}
+
+// add notes a death and tells whether it is news.
+func (l *Ledger) add(now time.Time, f Fingerprint, instance string, at time.Time) bool {
+	l.expire(now, f)
+	list := l.deaths[f]
+	if slices.ContainsFunc(list, func(d death) bool { return d.instance == instance }) {
+		return false
+	}
+	if list == nil && len(l.deaths) >= l.cfg.MaxNotes {
+		l.dropOldest()
+	}
+	l.deaths[f] = append(list, death{instance, at})
+	return true
+}
+
+func (l *Ledger) expire(now time.Time, f Fingerprint) {
+	list := slices.DeleteFunc(l.deaths[f], func(d death) bool { return now.Sub(d.at) > l.cfg.Expiry })
+	if len(list) == 0 {
+		delete(l.deaths, f)
+	} else {
+		l.deaths[f] = list
+	}
+}
+
+func (l *Ledger) dropOldest() {
+	var oldest Fingerprint
+	var at time.Time
+	for f, list := range l.deaths {
+		if last := list[len(list)-1].at; at.IsZero() || last.Before(at) {
+			oldest, at = f, last
+		}
+	}
+	delete(l.deaths, oldest)
+}
+
+// Succeeded clears a request that an instance ran to its end.
+func (l *Ledger) Succeeded(f Fingerprint) { delete(l.deaths, f) }
+
+// Refuses tells whether a request must not be sent, and for how long.
+func (l *Ledger) Refuses(now time.Time, f Fingerprint) (wait time.Duration, refused bool) {
+	if len(l.deaths[f]) == 0 {
+		return 0, false
+	}
+	l.expire(now, f)
+	list := l.deaths[f]
+	if len(list) < l.cfg.Deaths {
+		return 0, false
+	}
+	// It passes again once all but one fewer than the bound have expired.
+	times := make([]time.Time, 0, len(list))
+	for _, d := range list {
+		times = append(times, d.at)
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return a.Compare(b) })
+	return times[len(times)-l.cfg.Deaths].Add(l.cfg.Expiry).Sub(now), true
+}
+
+// Outbox returns the deaths that this VM saw since the last call, for the others.
+func (l *Ledger) Outbox() []DeathNote {
+	out := l.outbox
+	l.outbox = nil
+	return out
+}
+
+// Merge takes the deaths that another VM saw.
+func (l *Ledger) Merge(now time.Time, notes []DeathNote) {
+	for _, n := range notes {
+		if n.Age >= 0 && n.Age <= l.cfg.Expiry && n.Instance != "" {
+			l.add(now, n.Request, n.Instance, now.Add(-n.Age))
+		}
+	}
+}
--- /dev/null
+++ b/crashguard/ledger_test.go
@@ -0,0 +1,109 @@
+package crashguard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func second(s float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second)))
+}
+
+func requestNumber(n byte) Fingerprint { return Fingerprint{n} }
+
+// Guards against a request that goes on crashing instances through other VMs.
+// Pattern: its caller sends it again each second, each time to another VM.
+func TestCrashingRequestIsRefusedEverywhere(t *testing.T) {
+	vms := []*Ledger{NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{})}
+	crashed := 0
+	for n := range 20 {
+		now := second(float64(n))
+		l := vms[n%len(vms)]
+		if _, refused := l.Refuses(now, requestNumber(1)); refused {
+			continue
+		}
+		crashed++
+		instance := fmt.Sprint("i", crashed)
+		l.Lost(now, requestNumber(1), instance)
+		l.Died(now.Add(200*time.Millisecond), instance)
+		for _, other := range vms {
+			if other != l {
+				other.Merge(now.Add(400*time.Millisecond), l.outbox)
+			}
+		}
+		l.Outbox()
+	}
+	if crashed != DefaultLedgerDeaths {
+		t.Errorf("%d instances crashed, want %d", crashed, DefaultLedgerDeaths)
+	}
+}
+
+// Guards against refusing requests whose answers were lost by instances that live,
+// that succeed elsewhere, or that died long ago.
+func TestInnocentRequestsPass(t *testing.T) {
+	l := NewLedger(LedgerConfig{})
+	for n := range 10 {
+		l.Lost(second(float64(n)), requestNumber(1), fmt.Sprint("i", n))
+	}
+	if _, refused := l.Refuses(second(10), requestNumber(1)); refused {
+		t.Error("refused though no instance died")
+	}
+	for n := range 6 {
+		instance := fmt.Sprint("j", n)
+		l.Lost(second(20+float64(n)), requestNumber(2), instance)
+		l.Died(second(20.1+float64(n)), instance)
+		if n%2 == 1 {
+			l.Succeeded(requestNumber(2))
+		}
+	}
+	if _, refused := l.Refuses(second(26), requestNumber(2)); refused {
+		t.Error("refused though it succeeded between the deaths")
+	}
+	for n := range 6 {
+		instance := fmt.Sprint("k", n)
+		l.Lost(second(100+20*float64(n)), requestNumber(3), instance)
+		l.Died(second(100.1+20*float64(n)), instance)
+	}
+	if _, refused := l.Refuses(second(201), requestNumber(3)); refused {
+		t.Error("refused for deaths that are long past")
+	}
+}
+
+// Guards against a death that shows late, and against one instance that counts
+// several times.
+func TestWhatCountsAsADeath(t *testing.T) {
+	l := NewLedger(LedgerConfig{Deaths: 1})
+	l.Lost(second(0), requestNumber(1), "a")
+	l.Died(second(5), "a")
+	if _, refused := l.Refuses(second(5), requestNumber(1)); refused {
+		t.Error("a death 5 s later counts")
+	}
+	for n := range byte(togetherLeast) {
+		l.Lost(second(6), requestNumber(10+n), "b")
+	}
+	if wait, refused := l.Refuses(second(7), requestNumber(10)); !refused || wait != DefaultLedgerExpiry-time.Second {
+		t.Errorf("connections lost together: refused %v for %s", refused, wait)
+	}
+	two := NewLedger(LedgerConfig{Deaths: 2})
+	for n := range 3 {
+		two.Lost(second(float64(n)), requestNumber(1), "a")
+		two.Died(second(float64(n)+0.1), "a")
+	}
+	if _, refused := two.Refuses(second(4), requestNumber(1)); refused {
+		t.Error("one instance counts twice")
+	}
+}
+
+// Guards against memory that grows with the requests.
+func TestLedgerIsBounded(t *testing.T) {
+	l := NewLedger(LedgerConfig{MaxNotes: 8})
+	for n := range 100 {
+		f := Fingerprint{byte(n), 1}
+		l.Lost(second(float64(n)/10), f, fmt.Sprint("i", n))
+		l.Died(second(float64(n)/10), fmt.Sprint("i", n))
+	}
+	if len(l.deaths) > 8 || len(l.losses) > 8 {
+		t.Errorf("%d deaths, %d losses", len(l.deaths), len(l.losses))
+	}
+}
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/placement"
 	"github.com/currantferry/currantferry/proxy"
@@ -19,6 +20,9 @@
 
 	mu     sync.Mutex
 	picker *placement.Picker
+	ledger *crashguard.Ledger
+	// known are the instances that took work at the last change.
+	known map[string]int64
 	// spill is the last logged share of each service.
 	spill map[string]float64
 }
@@ -26,15 +30,28 @@
 var _ proxy.Selector = (*selector)(nil)
 
 func newSelector(cfg placement.Config, log *slog.Logger) *selector {
-	return &selector{log: log, picker: placement.New(cfg), spill: make(map[string]float64)}
+	return &selector{log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}), spill: make(map[string]float64)}
 }
 
 func (s *selector) setInstances(now time.Time, list []placement.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.SetInstances(now, list)
+	next := make(map[string]int64, len(list))
+	for i := range list {
+		next[list[i].ID] = list[i].Born
+	}
+	for id, born := range s.known {
+		if now, ok := next[id]; !ok || now != born {
+			s.noteDeath(id)
+		}
+	}
+	s.known = next
 }
 
+// noteDeath tells the ledger that an instance has gone. The lock is held.
+func (s *selector) noteDeath(instance string) { s.ledger.Died(time.Now(), instance) }
+
 func (s *selector) setVMs(ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,16 +64,17 @@
 	s.picker.SetBounds(b.ColdOver, b.ColdSlack, b.ShiftMost)
 }
 
-func (s *selector) digest(now time.Time) placement.Digest {
+func (s *selector) digest(now time.Time) (placement.Digest, []crashguard.DeathNote) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.picker.Digest(now)
+	return s.picker.Digest(now), s.ledger.Outbox()
 }
 
-func (s *selector) heard(now time.Time, from string, d *placement.Digest) {
+func (s *selector) heard(now time.Time, from string, d *placement.Digest, deaths []crashguard.DeathNote) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Heard(now, from, d)
+	s.ledger.Merge(now, deaths)
 }
 
 // spillStep is the change of a share that is worth a line of the log.
@@ -89,11 +107,16 @@
 	if !q.IsRetry {
 		s.picker.Arrived(r.Service)
 	}
+	var fingerprint crashguard.Fingerprint
+	copy(fingerprint[:], q.Fingerprint[:])
+	if wait, refused := s.ledger.Refuses(now, fingerprint); refused {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonCrashGuard, wait)
+	}
 	t, refused := s.picker.Pick(now, &r)
 	if refused != nil {
 		return nil, refused
 	}
-	return &selection{s: s, ticket: t, key: r.Key}, nil
+	return &selection{s: s, ticket: t, key: r.Key, fingerprint: fingerprint}, nil
 }
 
 // selection is one attempt's place at an instance.
@@ -101,7 +124,8 @@
 	s      *selector
 	ticket placement.Ticket
 	// key is the request's object.
-	key string
+	key         string
+	fingerprint crashguard.Fingerprint
 }
 
 // Instance implements proxy.Selection.
@@ -134,5 +158,15 @@
 	}
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	c.s.picker.Done(time.Now(), &c.ticket, out)
+	now := time.Now()
+	c.s.picker.Done(now, &c.ticket, out)
+	switch {
+	case o.Cancelled:
+	case o.Verdict == verdict.Ran:
+		c.s.ledger.Succeeded(c.fingerprint)
+	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
+		c.s.ledger.Lost(now, c.fingerprint, c.ticket.Instance.ID)
+	case o.Reason == verdict.ReasonConnectFailed:
+		c.s.noteDeath(c.ticket.Instance.ID)
+	}
 }
--- a/event/feed.go
+++ b/event/feed.go
@@ -23,6 +23,7 @@
 	Announced      = define(2331, slog.LevelInfo, "this VM's record is written", "")
 	SpillChanged   = define(2340, slog.LevelInfo, "share of a service's objects that run in other regions", "")
 	DigestFailed   = define(2341, slog.LevelWarn, "a digest of loads could not be sent or received", "placement goes by this VM's own answers meanwhile")
+	CrashNoted     = define(2342, slog.LevelWarn, "an instance died while it ran a request", "after three such instances the request is refused for 30 s; look at what its caller sends")
 	SettingsRead   = define(2350, slog.LevelInfo, "settings read again", "")
 	LinesDropped   = define(2360, slog.LevelWarn, "log lines dropped since the last one of this kind", "raise the limit or look at what writes so much")
 )
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -29,7 +29,7 @@
 	DefaultMaxAge = DefaultStoreWait + DefaultAnswerGrace + 100*time.Millisecond
 	// DefaultPause is the pause between answers of the store, so that changes
 	// in quick succession come in one answer.
-	DefaultPause = 100 * time.Millisecond
+	DefaultPause = 200 * time.Millisecond
 	// avoidFor is how long a source that failed is not asked.
 	avoidFor = 2 * time.Second
 	// retryPause is the pause when no source answers, doubled up to retryMost.
