Name the remaining weights of the placement

No behaviour changed: bare numbers became constants with their reasons, and an unused field and parameter are gone. go test ./placement ./entry ./platform pass.

--- a/entry/state.go
+++ b/entry/state.go
@@ -97,8 +97,6 @@
 			if e.Change.ID == n.self.ID && (e.Change.Removed || e.Change.VM == nil || e.Change.VM.Boot != n.self.Boot) {
 				n.wakeAnnounce()
 			}
-		case inventory.OfRoutes:
-			instances = true
 		default:
 			instances = true
 		}
@@ -115,7 +113,7 @@
 		n.setVMs()
 	}
 	if instances {
-		n.selector.setInstances(now, n.placed(now))
+		n.selector.setInstances(now, n.placed())
 	}
 }
 
@@ -193,7 +191,7 @@
 const relaysMost = 3
 
 // placed returns the instances that take new work. The lock is held.
-func (n *Node) placed(time.Time) []placement.Instance {
+func (n *Node) placed() []placement.Instance {
 	routes := n.inv.Routes()
 	list := n.inv.Instances()
 	out := make([]placement.Instance, 0, len(list))
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -15,6 +15,12 @@
 	loadKeep = 2 * time.Second
 	// slownessHalf is the time after which observed slowness counts half.
 	slownessHalf = 2 * time.Second
+	// slownessWeight is the weight of the newest duration in the observed slowness,
+	// slownessMost bounds what one request can show.
+	slownessWeight = 0.15
+	slownessMost   = 10.0
+	// slownessLeast keeps a few short requests from making an instance look idle.
+	slownessLeast = 0.5
 	// shedFor is how long an instance that shed a request counts as full.
 	shedFor = 150 * time.Millisecond
 	// ejectFirst and ejectMost bound the time for which a failing instance gets
@@ -78,7 +84,7 @@
 		reported += (float64(i.load.WorkPercent)/100 - 1) * decay(now.Sub(i.loadAt), loadHalf)
 	}
 	observed := 1 + (i.slowness-1)*decay(now.Sub(i.slownessAt), slownessHalf)
-	return max(reported, observed, 0.5)
+	return max(reported, observed, slownessLeast)
 }
 
 // inFlight estimates the requests at the instance from all VMs.
@@ -164,9 +170,9 @@
 		i.ejectFor, i.trial = 0, false
 	}
 	if o.Verdict == verdict.Ran && expected > 0 {
-		ratio := min(float64(o.Latency)/float64(expected), 10)
+		ratio := min(float64(o.Latency)/float64(expected), slownessMost)
 		current := 1 + (i.slowness-1)*decay(now.Sub(i.slownessAt), slownessHalf)
-		i.slowness = current + 0.15*(ratio-current)
+		i.slowness = current + slownessWeight*(ratio-current)
 		i.slownessAt = now
 	}
 }
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -26,6 +26,9 @@
 	// rankCost is added for each rank of an instance that holds the object, so
 	// that objects stay where they are on equal terms.
 	rankCost = 0.15
+	// failureCost is added, in units of the target time, for an instance that fails
+	// every request: a failed one takes its place and that of another attempt.
+	failureCost = 2.0
 	// coldVMs is how many VMs may send to the same cold instance. Fewer shares
 	// are large enough to be used.
 	coldVMs = 8
@@ -144,7 +147,7 @@
 	}
 	t := Ticket{
 		Instance: i.Instance, Rank: c.rank, Spilled: i.Region != p.cfg.Region, Wait: c.wait, Work: c.work, LoadAge: age,
-		at: now, inst: i, service: s, route: r.Route,
+		inst: i, service: s, route: r.Route,
 	}
 	if r.Key != "" {
 		t.warmKey = mix(key ^ i.hash)
@@ -202,9 +205,9 @@
 	case busy < pressureHigh:
 		return float64(slots)
 	case busy < pressureFull:
-		return float64(slots) * 0.3
+		return float64(slots) * busyRoom
 	default:
-		return float64(slots) * 0.02
+		return float64(slots) * fullRoom
 	}
 }
 
@@ -328,7 +331,7 @@
 	if i.Region != p.cfg.Region {
 		cost += float64(p.cfg.RegionDelay)
 	}
-	cost += i.failureRate(now) * float64(max(r.Target, work)) * 2
+	cost += failureCost * i.failureRate(now) * float64(max(r.Target, work))
 	c.cost = time.Duration(cost)
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -97,7 +97,6 @@
 	// one.
 	LoadAge time.Duration
 
-	at      time.Time
 	inst    *instance
 	service *service
 	route   string
--- a/placement/spill.go
+++ b/placement/spill.go
@@ -16,6 +16,10 @@
 	// pressureFull is the load per slot at which a region takes next to nothing
 	// from elsewhere.
 	pressureFull = 1.2
+	// busyRoom and fullRoom are the parts of a region's slots that count for work
+	// from elsewhere above pressureHigh and pressureFull.
+	busyRoom = 0.3
+	fullRoom = 0.02
 	// lastingHalf smooths the pressure for decisions that must not change often.
 	lastingHalf = 4 * time.Second
 	// rateHalf smooths the rates of requests.
@@ -40,6 +44,9 @@
 	overflowMost  = 3.0
 	// pressureHalf smooths the pressure.
 	pressureHalf = 500 * time.Millisecond
+	// usualTick is the interval of Tick, assumed after a pause of more than tickMost.
+	usualTick = 100 * time.Millisecond
+	tickMost  = time.Second
 	// unknownPressure is assumed for a region that was not heard of lately.
 	unknownPressure = 0.5
 )
@@ -48,8 +55,8 @@
 // several times a second.
 func (p *Picker) Tick(now time.Time) {
 	elapsed := now.Sub(p.ticks)
-	if p.ticks.IsZero() || elapsed > time.Second {
-		elapsed = 100 * time.Millisecond
+	if p.ticks.IsZero() || elapsed > tickMost {
+		elapsed = usualTick
 	}
 	p.ticks = now
 	total := 0.0
