--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -154,25 +153,16 @@
 	return b
 }
 
-// freeAddress returns an address of a VM's own loopback IP. Ports of 127.0.0.1 may
-// be taken by a connection between the choice of the port and the start of the VM.
-func freeAddress(t *testing.T, n int) string {
-	t.Helper()
-	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, 1+pid/250%250, 1+n))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (w *world) newVM(n int) *vm {
-	v := &vm{number: n, caller: freeAddress(w.t, n), ready: freeAddress(w.t, n), relay: testkit.NewRelay(w.t, w.store.Address())}
+	// An IP of its own: ports of 127.0.0.1 may be taken by a connection between the
+	// choice of the port and the start of the VM.
+	pid := os.Getpid()
+	free := testkit.FreeAddresses(w.t, fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, 1+n), 4)
+	v := &vm{number: n, caller: free[0], ready: free[1], relay: testkit.NewRelay(w.t, w.store.Address())}
 	v.settings = filepath.Join(w.dir, fmt.Sprintf("vm-%d.ini", n))
 	text := fmt.Sprintf("[vm]\nid = vm-%d\ndata_centre = graz-1\nregion = styria\n[listen]\ncaller = %s\nready = %s\nlookup = %s\npeer = %s\n"+
 		"[data_centres]\ngraz-1 = styria\n[store]\naddress = %s\nlease_minimum = 1\n[bounds]\nstop_grace = %g\nretry_ratio = 0.2\n",
-		n, v.caller, v.ready, freeAddress(w.t, n), freeAddress(w.t, n), v.relay.Address(), grace.Seconds())
+		n, v.caller, v.ready, free[2], free[3], v.relay.Address(), grace.Seconds())
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
