Compare the placement with baselines and with one that knows everything

BenchmarkPlacement plays the same arrivals of both deployments in virtual time (calm, heavy, burst) under the placement, without digests, random choice, a plain hash, and a choice that knows all queues, objects and neighbours. No policy changed.

--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// deployment is the main service of one of the two users at today's size.
+type deployment struct {
+	name    string
+	regions []simRegion
+	work    time.Duration
+	target  time.Duration
+	objects int
+	// rate is the requests per second of a region on a calm day.
+	rate float64
+}
+
+var deployments = []deployment{
+	{"rolregister", threeRegions, 340 * time.Millisecond, 400 * time.Millisecond, 192, 150},
+	{"abtropf", []simRegion{{"donauraum", 4, 2}, {"alpenwest", 4, 12}, {"drautal", 3, 14}}, 540 * time.Millisecond, 500 * time.Millisecond, 115, 90},
+}
+
+// pattern is a load that the policies are compared under.
+type pattern struct {
+	name  string
+	noise float64
+	load  func(rate float64) simLoad
+}
+
+var patterns = []pattern{
+	{"Calm", 0.15, func(rate float64) simLoad { return steady(rate) }},
+	{"Heavy", 0.15, func(rate float64) simLoad { return steady(2.4 * rate) }},
+	{"Burst", 0.15, func(rate float64) simLoad {
+		return func(_ string, at time.Duration) float64 {
+			if at > 10*time.Second && at < 16*time.Second {
+				return 3 * rate
+			}
+			return 1.4 * rate
+		}
+	}},
+}
+
+// policies are the placement, its baselines, and one that knows everything.
+var policies = []struct {
+	name string
+	set  func(s *sim)
+}{
+	{"currantferry", func(s *sim) { s.digests = 200 * time.Millisecond }},
+	{"without-digests", func(*sim) {}},
+	{"random", func(s *sim) { s.choose = s.randomOfRegion }},
+	{"plain-hash", func(s *sim) { s.choose = s.firstOfRegion }},
+	{"all-knowing", func(s *sim) { s.choose = s.soonest }},
+}
+
+// BenchmarkPlacement compares the policies on the same arrivals: requests in time,
+// late, refused, shed by instances, and those that found their object held, in
+// percent of the requests.
+func BenchmarkPlacement(b *testing.B) {
+	for _, p := range patterns {
+		for _, d := range deployments {
+			for _, policy := range policies {
+				b.Run(p.name+"/"+d.name+"/"+policy.name, func(b *testing.B) {
+					var w simWindow
+					for range b.N {
+						s := newSim(seedOf(b), d.regions, p.load(d.rate))
+						s.work, s.target, s.objects, s.noise = d.work, d.target, d.objects, p.noise
+						policy.set(s)
+						s.run(32 * time.Second)
+						w = s.sum(0, 30*time.Second)
+					}
+					percent := func(n, of int) float64 { return 100 * float64(n) / float64(max(1, of)) }
+					b.ReportMetric(percent(w.inAim, w.asked), "in-time-%")
+					b.ReportMetric(percent(w.late, w.asked), "late-%")
+					b.ReportMetric(percent(w.refused, w.asked), "refused-%")
+					b.ReportMetric(percent(w.shed, w.asked), "shed-%")
+					b.ReportMetric(percent(w.hits, w.sent), "held-%")
+				})
+			}
+		}
+	}
+}
+
+// randomOfRegion is any instance of the caller's region.
+func (s *sim) randomOfRegion(r *simRequest) *simInstance {
+	var group []*simInstance
+	for _, id := range s.ids {
+		if i := s.instances[id]; i != nil && i.Region == r.region {
+			group = append(group, i)
+		}
+	}
+	return group[s.rng.IntN(len(group))]
+}
+
+// firstOfRegion is the first instance of the caller's region in the order of the
+// object.
+func (s *sim) firstOfRegion(r *simRequest) *simInstance {
+	var best *simInstance
+	var top uint64
+	for _, id := range s.ids {
+		if i := s.instances[id]; i != nil && i.Region == r.region {
+			if score := mix(hashOf(r.key) ^ hashOf(i.ID)); best == nil || score > top {
+				best, top = i, score
+			}
+		}
+	}
+	return best
+}
+
+// soonest is the instance that answers first, by the true queues, objects and
+// neighbours of the moment. It takes one request at a time, so it is no proof of a
+// bound, but no VM can know as much.
+func (s *sim) soonest(r *simRequest) *simInstance {
+	var best *simInstance
+	var least float64
+	for _, id := range s.ids {
+		i := s.instances[id]
+		if i == nil {
+			continue
+		}
+		work := float64(s.work) * i.slow
+		usual := work * (1 - s.warmGain)
+		if i.objects[r.key] != nil {
+			work = usual
+		}
+		ahead := max(0, i.running+len(i.queue)+1-i.Slots)
+		took := float64(ahead)/float64(i.Slots)*usual + work + 2*float64(s.delay(r.region, i.Region))
+		if best == nil || took < least {
+			best, least = i, took
+		}
+	}
+	return best
+}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -84,6 +84,8 @@
 	noise    float64
 	// digests is the interval of the digests between VMs, or zero.
 	digests time.Duration
+	// choose takes the place of the placement, as a baseline. Nil means none.
+	choose func(r *simRequest) *simInstance
 
 	windows []simWindow
 }
@@ -273,6 +275,12 @@
 		timeout: 5 * s.target, vm: vms[s.rng.IntN(len(vms))], priority: ordinaryPriority,
 	}
 	s.window(s.now).asked++
+	if s.choose != nil {
+		i := s.choose(r)
+		r.ticket, r.sent = Ticket{Instance: i.Instance}, s.now
+		s.at(s.now.Add(s.delay(region, i.Region)), func() { s.reach(r) })
+		return
+	}
 	r.vm.Arrived("proofs")
 	t, refused := r.vm.Pick(s.now, &Request{
 		Service: "proofs", Route: "/a/", Key: r.key, Idempotent: true, Target: r.target, Timeout: r.timeout,
