--- a/control/publish.go
+++ b/control/publish.go
@@ -43,17 +43,12 @@
 	return nil
 }
 
-// Limits of awaitVersion.
-const (
-	awaitLimit = time.Second
-	awaitPause = 2 * time.Millisecond
-)
+// awaitPause is the pause between the looks of awaitVersion.
+const awaitPause = 2 * time.Millisecond
 
 // awaitVersion waits until a version is in force here, so that what follows an
-// accepted change on this VM sees it.
+// accepted change on this VM sees it, or until ctx ends.
 func (c *Control) awaitVersion(ctx context.Context, version uint64) {
-	ctx, cancel := context.WithTimeout(ctx, awaitLimit)
-	defer cancel()
 	for c.Version() < version && ctx.Err() == nil {
 		time.Sleep(awaitPause)
 	}
