--- a/loadgen/loadgen_test.go
+++ b/loadgen/loadgen_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -156,8 +157,11 @@
 func TestLatencyCountsFromIntendedSend(t *testing.T) {
 	f := newFakeEntry(t)
 	const stall = 300 * time.Millisecond
-	start := time.Now()
+	// The stall begins with the first request, however long the run takes to start.
+	var first sync.Once
+	var start time.Time
 	f.fault = func(int64, http.ResponseWriter, *http.Request) bool {
+		first.Do(func() { start = time.Now() })
 		time.Sleep(time.Until(start.Add(stall)))
 		return false
 	}
