--- a/internal/testkit/address.go
+++ b/internal/testkit/address.go
@@ -1,10 +1,24 @@
 package testkit
 
 import (
+	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 )
 
+// handedOut counts the IPs of OwnIP.
+var handedOut atomic.Uint32
+
+// OwnIP returns a loopback IP that no other test of this process uses, and no other
+// process most likely. Ports of 127.0.0.1 may be taken by a connection between
+// their choice and their use.
+func OwnIP() string {
+	n := handedOut.Add(1) - 1
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+n/250%250, 1+n%250)
+}
+
 // FreeAddresses returns addresses of an IP whose ports are free and differ. They
 // may be taken before they are used, which is unlikely on a loopback IP that no
 // other process uses.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -154,10 +154,7 @@
 }
 
 func (w *world) newVM(n int) *vm {
-	// An IP of its own: ports of 127.0.0.1 may be taken by a connection between the
-	// choice of the port and the start of the VM.
-	pid := os.Getpid()
-	free := testkit.FreeAddresses(w.t, fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, 1+n), 4)
+	free := testkit.FreeAddresses(w.t, testkit.OwnIP(), 4)
 	v := &vm{number: n, caller: free[0], ready: free[1], relay: testkit.NewRelay(w.t, w.store.Address())}
 	v.settings = filepath.Join(w.dir, fmt.Sprintf("vm-%d.ini", n))
 	text := fmt.Sprintf("[vm]\nid = vm-%d\ndata_centre = graz-1\nregion = styria\n[listen]\ncaller = %s\nready = %s\nlookup = %s\npeer = %s\n"+
