--- a/soak/play_test.go
+++ b/soak/play_test.go
@@ -17,6 +17,9 @@
 	callers = 12
 	// callPause is the pause between the requests of a caller.
 	callPause = 15 * time.Millisecond
+	// servedWindow is the time after the faults in which each VM must serve: more
+	// than twice as long as the slowest answer, which all callers may wait for at once.
+	servedWindow = 3 * time.Second
 )
 
 // play sends requests while faults come in series, and ends with calm.
@@ -45,7 +48,7 @@
 	w.mu.Lock()
 	w.served = make(map[int]int)
 	w.mu.Unlock()
-	time.Sleep(time.Second)
+	time.Sleep(servedWindow)
 	close(stop)
 	group.Wait()
 }
