Refuse instead of sending to an instance known to be replaced

Ruled out: the 421 was noted and the process ejected; only the last resort ignored it. Change: the last resort leaves out replaced processes; a trial after the ejection stays.

--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -365,6 +365,31 @@
 	}
 }
 
+// Guards against sending to an address that belongs to another instance because no
+// other is known. Pattern: a VM starts while the only record of a service names an
+// instance that has died and whose address was used again.
+func TestReplacedInstanceIsNoLastResort(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(Config{VM: "vm-1", Region: "randstad"})
+	p.SetInstances(now, []Instance{{ID: "i-1", Service: "proofs", Region: "randstad", Address: "10.0.0.1:80", Slots: 9}})
+	sent := 0
+	for at := time.Duration(0); at < ejectMost-time.Second; at += 100 * time.Millisecond {
+		now := now.Add(at)
+		ticket, refused := p.Pick(now, &Request{Service: "proofs", Route: "/a", Key: "o", Idempotent: true, Target: time.Second, Deadline: now.Add(time.Minute)})
+		if refused != nil {
+			if refused.Verdict != verdict.NotRun || refused.RetryAfter <= 0 {
+				t.Fatalf("%+v", refused)
+			}
+			continue
+		}
+		sent++
+		p.Done(now, &ticket, Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonMisdirected})
+	}
+	if sent != 1 {
+		t.Errorf("%d requests were sent, want one", sent)
+	}
+}
+
 // Guards against a new process of an instance that gets no work because the one
 // before it died.
 func TestReplacedProcessIsAnother(t *testing.T) {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -380,7 +380,8 @@
 			cold = true
 			continue
 		}
-		if slices.Contains(r.Exclude, i.ID) {
+		// The address of a replaced instance belongs to another one.
+		if i.replaced || slices.Contains(r.Exclude, i.ID) {
 			continue
 		}
 		if best == nil || i.ejectedAt.Before(best.ejectedAt) {
