Let few VMs call the store, and digests cost the same in any region

VMs that start together all found no relay, since none is announced before it has routes, and all read and watched the store; each VM renewed a lease of 3 s every 0.9 s. Between VMs a follower asked twice a second, and digests took 120 datagrams a second each way in regions of 25 VMs and more. Ruled out: fewer watchers, as there is one a region; leases for relays only (a relay's death would take the records of all its followers with it). Leases last for the stable window of the settings and are renewed after 0.4 of it. Questions to a relay wait for 0.9 s; a relay that loses the store says so at once.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// leaseTTL is how long the others know a VM that died without a word.
-	leaseTTL = 3 * time.Second
-	// renewInterval leaves two more tries before the lease lapses.
-	renewInterval = 900 * time.Millisecond
+	// renewShare is the part of a lease after which it is renewed, which leaves
+	// another regular try and one after a failure before it lapses.
+	renewShare = 0.4
+	// startSpread is over what time VMs that start together read the store: many
+	// times what the first ones need to announce themselves.
+	startSpread = 250 * time.Millisecond
 	// announceRetry is the pause after a failed call.
 	announceRetry = 400 * time.Millisecond
 	// announceTimeout bounds a call: some round trips between regions.
@@ -41,11 +43,11 @@
 			n.withdraw(lease)
 			return
 		}
-		if !n.ready.Load() {
+		if !n.ready.Load() && !n.early.Load() {
 			continue
 		}
 		next, err := n.announceOnce(lease, again)
-		pause := renewInterval
+		pause := time.Duration(renewShare * float64(n.leaseTTL()))
 		if err != nil {
 			pause = announceRetry
 			if !failing {
@@ -59,6 +61,11 @@
 	}
 }
 
+// leaseTTL is how long the others know a VM that died without a word: the platform
+// allows the stable window and 3 s, of which the latter are left for the way of its
+// removal to all VMs.
+func (n *Node) leaseTTL() time.Duration { return max(n.settings.StableWindow, n.settings.LeaseMinimum) }
+
 // announceOnce renews the lease, or takes a new one and writes the record. Again
 // says that the record has gone although the lease may stand.
 func (n *Node) announceOnce(lease store.LeaseID, again bool) (store.LeaseID, error) {
@@ -74,11 +81,13 @@
 	}
 	if lease == "" {
 		var err error
-		if lease, err = registry.GrantLease(ctx, n.self.ID, max(leaseTTL, n.settings.LeaseMinimum)); err != nil {
+		if lease, err = registry.GrantLease(ctx, n.self.ID, n.leaseTTL()); err != nil {
 			return "", err
 		}
 	}
-	value, err := json.Marshal(&n.self)
+	record := n.self
+	record.Starting = !n.ready.Load()
+	value, err := json.Marshal(&record)
 	if err != nil {
 		return lease, err
 	}
@@ -102,6 +111,13 @@
 	}
 }
 
+// relayEarly announces this VM before it serves: it found no other VM, and those that
+// start after it need not all read the store.
+func (n *Node) relayEarly() {
+	n.early.Store(true)
+	n.wakeAnnounce()
+}
+
 func (n *Node) wakeAnnounce() {
 	select {
 	case n.announce <- struct{}{}:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -124,8 +124,12 @@
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
 	ready   atomic.Bool
+	// early says that the VM relays before it serves.
+	early atomic.Bool
 	// digestTurn counts digests, so that all peers get their turn.
 	digestTurn int
+	// digestNext is when the next digest is due.
+	digestNext time.Time
 	// announce is signalled when this VM's record must be written (again).
 	announce chan struct{}
 
@@ -168,7 +172,8 @@
 	})
 	n.follower = feed.New(feed.Options{
 		Store: o.Platform.Source, Sink: n, Lister: o.Platform.Source, RelayPrefix: vmPrefix, Log: n.log,
-		Relays: func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
+		Relays:      func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
+		StartSpread: startSpread, Alone: n.relayEarly,
 	})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
--- a/entry/view.go
+++ b/entry/view.go
@@ -67,6 +67,9 @@
 	// VM that can't reach the store has nobody else to follow when the store
 	// loses the records of all VMs.
 	former []formerVM
+	// far are the first VMs of other regions, in an order that differs between
+	// regions. They relay while this region has no VM with a record.
+	far []string
 
 	// answers keeps those to callers, which all are asked for again and again.
 	mu      sync.Mutex
@@ -82,12 +85,21 @@
 // has gone.
 func newView(before *view, now time.Time, vms []inventory.VM, region string) *view {
 	v := &view{vms: vms, answers: make(map[namedKey][]string)}
+	var others []inventory.VM
 	for i := range vms {
 		if vms[i].Region == region {
 			v.ranked = append(v.ranked, vms[i])
+		} else {
+			others = append(others, vms[i])
 		}
 	}
 	sortByScore(v.ranked, "relay")
+	if len(v.ranked) == 0 {
+		sortByScore(others, region)
+		for i := range others[:min(len(others), relaysMost)] {
+			v.far = append(v.far, others[i].Relay)
+		}
+	}
 	if before == nil {
 		return v
 	}
@@ -154,7 +166,7 @@
 		}
 	}
 	for i := range v.vms {
-		if v.vms[i].ID != selfID {
+		if v.vms[i].ID != selfID && !v.vms[i].Starting {
 			add(&v.vms[i])
 		}
 	}
@@ -186,9 +198,15 @@
 }
 
 // relays names the VMs whose copies of the records a VM may follow. The first of a
-// region follows the store itself, and so does one without a record.
+// region follows the store itself, and so does one that knows no other.
 func (v *view) relays(self string) (addresses []string, direct bool) {
-	direct = len(v.ranked) == 0 || v.ranked[0].ID == self
+	switch {
+	case len(v.ranked) > 0:
+		direct = v.ranked[0].ID == self
+	default:
+		// Of VMs that all lost their records nobody can be sure to hear the store.
+		direct = len(v.far) == 0 || len(v.former) > 0
+	}
 	for i := range v.ranked {
 		if v.ranked[i].ID != self {
 			addresses = append(addresses, v.ranked[i].Relay)
@@ -199,5 +217,6 @@
 			addresses = append(addresses, v.former[i].Relay)
 		}
 	}
+	addresses = append(addresses, v.far...)
 	return addresses[:min(len(addresses), relaysMost)], direct
 }
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -47,6 +47,62 @@
 	}
 }
 
+// Guards against a fleet whose VMs all read the store when they start together: the
+// first one is followed also from other regions, until these have VMs of their own.
+func TestStartingVMsFollowTheFirstOne(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(100, 0)
+	first := vmsOf("a", 1)
+	first[0].Starting = true
+	v := newView(nil, now, first, "b")
+	if got, direct := v.relays("b-0"); direct || !slices.Equal(got, []string{first[0].Relay}) {
+		t.Errorf("%v, direct %v", got, direct)
+	}
+	if got := v.named(Place{"b", "dc"}, "b-0", nil); len(got) != 0 {
+		t.Errorf("%v is named to callers before it serves", got)
+	}
+	v = newView(v, now, append(first, vmsOf("b", 2)...), "b")
+	if got, _ := v.relays("b-0"); !slices.Equal(got, []string{"b-1"}) && !slices.Equal(got, []string{v.ranked[0].Relay}) && len(got) != 1 {
+		t.Errorf("%v, want the other VM of the region", got)
+	}
+}
+
+// Guards against leases that lapse although their VM lives, and against calls that
+// grow faster than the bounds ask for.
+func TestLeaseOutlastsALostRenewal(t *testing.T) {
+	t.Parallel()
+	for _, window := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		n := &Node{settings: &Settings{StableWindow: window, LeaseMinimum: time.Second}}
+		ttl := n.leaseTTL()
+		pause := time.Duration(renewShare * float64(ttl))
+		// The first renewal is lost at its time limit, the next one takes as long.
+		if late := pause + announceTimeout + announceRetry + announceTimeout; late > ttl {
+			t.Errorf("window %s: a renewal after a lost one ends %s after the last, the lease %s", window, late, ttl)
+		}
+		if ttl > window+3*time.Second-2*time.Second {
+			t.Errorf("window %s: a VM that died is known for %s, which leaves less than 2 s of what the platform allows", window, ttl)
+		}
+	}
+}
+
+// Guards against digests that cost more in a larger region, and against reports that
+// are too old to count when they come.
+func TestDigestRateIsBounded(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{2, 4, 12, 28, 98, 250} {
+		// Ticks come every digestInterval.
+		ticks := 1 + (digestPause(vms)-1)/digestInterval
+		between := ticks * digestInterval
+		rate := float64(min(vms-1, digestPeers)) / between.Seconds()
+		if rate > digestRate || between > 500*time.Millisecond {
+			t.Errorf("%d VMs: %.0f datagrams a second, every %s", vms, rate, between)
+		}
+	}
+	if digestPause(4) > digestInterval {
+		t.Error("a small region waits longer than a tick")
+	}
+}
+
 // Guards against former VMs that grow in number with each restart.
 func TestFormerVMsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -44,7 +44,8 @@
 
 // Lister is a Source that also reads part of the state.
 type Lister interface {
-	// List returns the records whose keys begin with a prefix.
+	// List returns the records whose keys begin with a prefix, as of some seconds
+	// ago at most.
 	List(ctx context.Context, prefix string) (Answer, error)
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -187,6 +188,42 @@
 	}
 }
 
+// Guards against followers that stay at a relay which has lost the store until their
+// question ends.
+func TestRelayThatLostTheStoreSaysSoAtOnce(t *testing.T) {
+	store := newMemorySource()
+	relay := start(t, store, func() ([]string, bool) { return nil, true })
+	eventually(t, "state", func() bool { return relay.follower.copy.isLoaded() })
+	store.setDown(true)
+	began := time.Now()
+	source := &relaySource{relay.follower.client, relay.address(), time.Second, 0}
+	var a Answer
+	for a.Age <= relay.follower.options.MaxAge && time.Since(began) < 8*time.Second {
+		var err error
+		if a, err = source.Watch(t.Context(), 1, 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the follower heard of it after %s", took)
+	}
+}
+
+// Guards against a starting VM that reads the store although a relay is known, and
+// against VMs that start together without one that relays.
+func TestStartingFollowerTellsThatItIsAlone(t *testing.T) {
+	for _, relays := range [][]string{nil, {"127.0.0.1:1"}} {
+		var alone atomic.Int64
+		m := newMember(newMemorySource(), func() ([]string, bool) { return relays, len(relays) == 0 })
+		m.follower.options.Alone = func() { alone.Add(1) }
+		m.run(t)
+		eventually(t, "state", func() bool { return m.follower.copy.isLoaded() })
+		if got := alone.Load() > 0; got != (len(relays) == 0) {
+			t.Errorf("%d relays: alone %t", len(relays), got)
+		}
+	}
+}
+
 // Guards against followers that ask the store although a relay answers, and against
 // changes that don't reach them.
 func TestFollowersAskTheRelay(t *testing.T) {
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -17,8 +18,10 @@
 	// DefaultStoreWait is how long a watch of the store waits. The store is
 	// known to answer at least this often.
 	DefaultStoreWait = time.Second
-	// DefaultRelayWait is how long a question to a relay waits.
-	DefaultRelayWait = 500 * time.Millisecond
+	// DefaultRelayWait is how long a question to a relay waits. With the grace
+	// of its answer it bounds for how long a silent relay goes unnoticed: half of
+	// the shortest bound on drains.
+	DefaultRelayWait = 900 * time.Millisecond
 	// DefaultStateWait is how long a relay that starts itself may keep a starting
 	// follower waiting: a few reads of the state of a large platform.
 	DefaultStateWait = time.Second
@@ -56,6 +59,12 @@
 	Now func() time.Time
 
 	StoreWait, RelayWait, StateWait, AnswerGrace, ReadTimeout, MaxAge, Pause time.Duration
+
+	// StartSpread bounds a random pause before the first call, so that VMs that
+	// start together find a relay in those that come first. Zero means none.
+	StartSpread time.Duration
+	// Alone is called when a starting Follower finds no relay. Nil: nothing is done.
+	Alone func()
 }
 
 func (o *Options) defaults() {
@@ -113,6 +122,9 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := retryPause
+	if f.options.StartSpread > 0 {
+		sleep(ctx, rand.N(f.options.StartSpread))
+	}
 	for ctx.Err() == nil {
 		direct, err := f.step(ctx)
 		switch {
@@ -152,6 +164,9 @@
 	}
 	f.listed = a.Revision
 	f.options.Sink.Apply(f.options.Now(), a.Records)
+	if relays, _ := f.options.Relays(); len(relays) == 0 && f.options.Alone != nil {
+		f.options.Alone()
+	}
 }
 
 // step asks the sources in order until one answers.
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -130,18 +130,25 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	aging := time.NewTimer(wait)
+	defer aging.Stop()
 	for waiting := true; ; {
 		a, changed, err := f.copy.after(f.options.Now(), after)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusGone)
 			return
 		}
-		if len(a.Records) > 0 || !waiting {
+		// A relay that has lost the store says so at once, so that its followers
+		// leave it as soon as if they followed the store themselves.
+		left := f.options.MaxAge - a.Age
+		if len(a.Records) > 0 || !waiting || left < 0 {
 			f.answer(w, &a, after)
 			return
 		}
+		aging.Reset(left + time.Millisecond)
 		select {
 		case <-changed:
+		case <-aging.C:
 		case <-timer.C:
 			waiting = false
 		case <-r.Context().Done():
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -69,6 +69,8 @@
 	// Capacity is the number of requests per second that it can bear. Zero means
 	// unknown.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Starting VMs relay, and are not named to callers yet.
+	Starting bool `json:"starting,omitempty"`
 }
 
 // Routes is one version of the operators' configuration.
