Take no answer from before a pause as fresh, and ask before going on

Cause, found by reading: a VM that was paused or suspended for seconds took an answer that lay in its socket since before the pause as the present state, relayed it with the age that it had then (the steady clock does not count a suspension), and sent requests by it to instances that had left, turned cold or been evacuated meanwhile. Ruled out: leases, which give a VM no permission; tokens for cold instances, which are at most one.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,6 +111,7 @@
 	metrics  *metric.Set
 	proxy    *proxy.Handler
 	follower *feed.Follower
+	pause    *pauseGuard
 	router   *router
 	selector *selector
 	self     inventory.VM
@@ -175,6 +176,8 @@
 		Relays:      func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
 		StartSpread: startSpread, Alone: n.relayEarly,
 	})
+	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
+	n.selector.pause = n.pause
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		n.close()
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -17,6 +17,8 @@
 // selector chooses instances by the placement.
 type selector struct {
 	log *slog.Logger
+	// pause holds requests after a pause of this VM. Nil means never.
+	pause *pauseGuard
 
 	mu     sync.Mutex
 	picker *placement.Picker
@@ -123,8 +125,15 @@
 	}
 }
 
-// Select implements proxy.Selector. It never waits.
-func (s *selector) Select(_ context.Context, q *proxy.Query) (proxy.Selection, error) {
+// Select implements proxy.Selector. It waits only after a pause of this VM.
+func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
+	if s.pause != nil {
+		paused, fresh := s.pause.alive()
+		if paused > 0 {
+			event.VMPaused.Log(s.log, "paused_ms", paused.Milliseconds())
+		}
+		s.pause.wait(ctx, fresh)
+	}
 	now := time.Now()
 	r := placement.Request{
 		Service: q.Service.Name, Route: q.Route.Prefix, Key: q.AffinityKey, Idempotent: q.Idempotent,
--- a/entry/state.go
+++ b/entry/state.go
@@ -54,6 +54,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.inv.Contact(now, failed)
+	if failed {
+		// Nothing newer is to be had.
+		n.pause.heard()
+	}
 }
 
 // Reset implements feed.Sink.
@@ -62,6 +66,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.took(now, n.inv.Reset(now, revision, changes))
+	n.pause.heard()
 }
 
 // Apply implements feed.Sink.
@@ -70,10 +75,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.took(now, n.inv.Apply(now, changes))
+	n.pause.heard()
 }
 
 // tick ends holds and adapts the placement.
 func (n *Node) tick(now time.Time) {
+	if paused, _ := n.pause.alive(); paused > 0 {
+		event.VMPaused.Log(n.log, "paused_ms", paused.Milliseconds())
+	}
 	n.mu.Lock()
 	n.took(now, n.inv.Tick(now))
 	n.mu.Unlock()
--- a/event/feed.go
+++ b/event/feed.go
@@ -9,6 +9,8 @@
 	FeedCompacted  = define(2303, slog.LevelInfo, "history no longer kept, reading the whole state", "")
 	RecordIgnored  = define(2304, slog.LevelWarn, "record of the platform's store can't be used", "look at its writer; other records are not affected")
 	FeedPackFailed = define(2305, slog.LevelError, "records could not be packed for a follower", "a fault of the program; the follower asks elsewhere")
+	FeedPaused     = define(2306, slog.LevelWarn, "an answer was taken so late that this VM must have been paused", "the VM asks again; look at the machine if it repeats")
+	VMPaused       = define(2307, slog.LevelWarn, "this VM was paused, and asks what has changed before it goes on", "look at the machine if it repeats")
 
 	InstanceChanged = define(2310, slog.LevelInfo, "instance changed", "")
 	InstanceGone    = define(2311, slog.LevelInfo, "instance gone", "")
--- a/feed/copy.go
+++ b/feed/copy.go
@@ -18,8 +18,8 @@
 	history  []Record
 	floor    uint64
 	revision uint64
-	// confirmed is when the store last confirmed revision.
-	confirmed time.Time
+	// confirmed is the uptime at which the store last confirmed revision.
+	confirmed time.Duration
 	loaded    bool
 	changed   chan struct{}
 }
@@ -29,7 +29,7 @@
 }
 
 // reset replaces the state. Followers with an older revision must read again.
-func (c *copyOf) reset(now time.Time, a *Answer) {
+func (c *copyOf) reset(up time.Duration, a *Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.records = make(map[string]Record, len(a.Records))
@@ -37,12 +37,12 @@
 		c.records[r.Key] = r
 	}
 	c.history, c.floor, c.revision, c.loaded = nil, a.Revision, a.Revision, true
-	c.touch(now, a.Age)
+	c.touch(up, a.Age)
 	c.wake()
 }
 
 // apply takes changes and returns those that were news.
-func (c *copyOf) apply(now time.Time, a *Answer) []Record {
+func (c *copyOf) apply(up time.Duration, a *Answer) []Record {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var news []Record
@@ -62,7 +62,7 @@
 		c.floor = c.history[over-1].Revision
 		c.history = append([]Record(nil), c.history[over:]...)
 	}
-	c.touch(now, a.Age)
+	c.touch(up, a.Age)
 	if a.Revision > c.revision {
 		c.revision = a.Revision
 		c.wake()
@@ -72,8 +72,8 @@
 
 // touch notes a confirmation. Confirmations through a relay can be older than one
 // that is known. The lock is held.
-func (c *copyOf) touch(now time.Time, age time.Duration) {
-	if at := now.Add(-age); at.After(c.confirmed) {
+func (c *copyOf) touch(up time.Duration, age time.Duration) {
+	if at := up - age; at > c.confirmed || c.confirmed == 0 {
 		c.confirmed = at
 	}
 }
@@ -86,13 +86,13 @@
 
 // state returns the whole state, or false and a channel that is closed at the next
 // change.
-func (c *copyOf) state(now time.Time) (Answer, <-chan struct{}, bool) {
+func (c *copyOf) state(up time.Duration) (Answer, <-chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.loaded {
 		return Answer{}, c.changed, false
 	}
-	a := Answer{Revision: c.revision, Age: now.Sub(c.confirmed)}
+	a := Answer{Revision: c.revision, Age: up - c.confirmed}
 	for _, r := range c.records {
 		a.Records = append(a.Records, r)
 	}
@@ -102,21 +102,21 @@
 
 // after returns the changes after a revision, and a channel that is closed at the
 // next change.
-func (c *copyOf) after(now time.Time, revision uint64) (Answer, <-chan struct{}, error) {
+func (c *copyOf) after(up time.Duration, revision uint64) (Answer, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.loaded || revision < c.floor {
 		return Answer{}, nil, ErrCompacted
 	}
-	a := Answer{Revision: max(c.revision, revision), Age: now.Sub(c.confirmed)}
+	a := Answer{Revision: max(c.revision, revision), Age: up - c.confirmed}
 	from := sort.Search(len(c.history), func(i int) bool { return c.history[i].Revision > revision })
 	a.Records = append(a.Records, c.history[from:]...)
 	return a, c.changed, nil
 }
 
 // position returns the revision and the age of its confirmation.
-func (c *copyOf) position(now time.Time) (uint64, time.Duration) {
+func (c *copyOf) position(up time.Duration) (uint64, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision, now.Sub(c.confirmed)
+	return c.revision, up - c.confirmed
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -54,7 +54,7 @@
 	// Reset replaces everything by the whole state as of a revision. It comes
 	// first, but for the records of relays that a starting Follower hands to Apply.
 	Reset(now time.Time, revision uint64, records []Record)
-	// Apply takes changes. Records may come again.
+	// Apply takes changes, none if an answer brought none. Records may come again.
 	Apply(now time.Time, records []Record)
 	// Touch reports contact with the store, directly or through a relay, or that
 	// the store failed this VM. It comes before the records of the same answer.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -30,12 +30,12 @@
 
 func newMemorySource() *memorySource {
 	s := &memorySource{copy: newCopy()}
-	s.copy.reset(time.Now(), &Answer{Revision: 1})
+	s.copy.reset(Uptime(), &Answer{Revision: 1})
 	return s
 }
 
 func (s *memorySource) put(revision uint64, key string) {
-	s.copy.apply(time.Now(), &Answer{Records: []Record{{Key: key, Revision: revision}}, Revision: revision})
+	s.copy.apply(Uptime(), &Answer{Records: []Record{{Key: key, Revision: revision}}, Revision: revision})
 }
 
 func (s *memorySource) setDown(down bool) {
@@ -57,7 +57,7 @@
 	if s.isDown() {
 		return Answer{}, errors.New("down")
 	}
-	a, _, _ := s.copy.state(time.Now())
+	a, _, _ := s.copy.state(Uptime())
 	a.Age = 0
 	return a, nil
 }
@@ -66,7 +66,7 @@
 	if s.isDown() {
 		return Answer{}, errors.New("down")
 	}
-	a, _, _ := s.copy.state(time.Now())
+	a, _, _ := s.copy.state(Uptime())
 	a.Records = slices.DeleteFunc(a.Records, func(r Record) bool { return !strings.HasPrefix(r.Key, prefix) })
 	return a, nil
 }
@@ -80,7 +80,7 @@
 		if s.isDown() {
 			return Answer{}, errors.New("down")
 		}
-		a, _, err := s.copy.after(time.Now(), after)
+		a, _, err := s.copy.after(Uptime(), after)
 		a.Age = 0
 		if err != nil || len(a.Records) > 0 || time.Now().After(end) {
 			return a, err
@@ -290,7 +290,7 @@
 // Guards against a relay that serves a gap as if it were whole.
 func TestHistoryIsBounded(t *testing.T) {
 	c := newCopy()
-	now := time.Now()
+	now := Uptime()
 	c.reset(now, &Answer{Revision: 1})
 	for n := uint64(2); n < historyMost+100; n++ {
 		c.apply(now, &Answer{Records: []Record{{Key: "k", Revision: n}}, Revision: n})
@@ -303,6 +303,54 @@
 	}
 }
 
+// Guards against an answer that lay in a socket while this VM was paused or suspended
+// and is taken for the present state afterwards: the records before the pause would be
+// confirmed again, and relayed as fresh.
+func TestAnswerFromBeforeAPauseIsNotFresh(t *testing.T) {
+	var paused atomic.Int64
+	uptime := func() time.Duration { return Uptime() + time.Duration(paused.Load()) }
+	store := newMemorySource()
+	m := newMember(store, func() ([]string, bool) { return nil, true })
+	m.follower.options.Uptime = uptime
+	m.run(t)
+	eventually(t, "state", func() bool { return m.follower.copy.isLoaded() })
+	if _, age := m.follower.copy.position(uptime()); age > time.Second {
+		t.Fatalf("age %s before the pause", age)
+	}
+	before := m.follower.copy.revision
+	store.setDown(true)
+	// The store answers nothing new; what it said is from before the pause.
+	paused.Store(int64(10 * time.Second))
+	if _, age := m.follower.copy.position(uptime()); age < 9*time.Second {
+		t.Errorf("revision %d counts as %s old after a pause of 10 s", before, age)
+	}
+	if !m.follower.isLate(uptime()-11*time.Second, time.Second) || m.follower.isLate(uptime()-time.Second, time.Second) {
+		t.Error("late answers are not told apart")
+	}
+}
+
+// Guards against a VM that waits for the end of its question after it was paused.
+func TestRefreshAsksAtOnce(t *testing.T) {
+	store := newMemorySource()
+	m := newMember(store, func() ([]string, bool) { return nil, true })
+	m.follower.options.StoreWait = 8 * time.Second
+	m.run(t)
+	eventually(t, "state", func() bool { return m.follower.copy.isLoaded() })
+	time.Sleep(300 * time.Millisecond)
+	began := Uptime()
+	m.follower.Refresh()
+	eventually(t, "contact", func() bool {
+		_, age := m.follower.copy.position(Uptime())
+		return Uptime()-age > began
+	})
+	if took := Uptime() - began; took > 2*time.Second {
+		t.Errorf("asked after %s", took)
+	}
+	if m.sink.hasFailed() {
+		t.Error("the store is blamed for a pause of this VM")
+	}
+}
+
 // Guards against a relay's broken answers.
 func TestBadRelayAnswers(t *testing.T) {
 	for _, body := range []string{``, `{`, `{"age":-5}`, `[]`} {
@@ -348,7 +396,7 @@
 	var stores []*memorySource
 	for k := range vms {
 		store := newMemorySource()
-		store.copy.reset(time.Now(), state)
+		store.copy.reset(Uptime(), state)
 		stores = append(stores, store)
 		m := newMember(store, func() ([]string, bool) {
 			mu.Lock()
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,6 +58,8 @@
 	Log         *slog.Logger
 	// Now is for tests. Nil means time.Now.
 	Now func() time.Time
+	// Uptime is for tests. Nil means the function of that name.
+	Uptime func() time.Duration
 
 	StoreWait, RelayWait, StateWait, AnswerGrace, ReadTimeout, MaxAge, Pause time.Duration
 
@@ -87,6 +90,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Uptime == nil {
+		o.Uptime = Uptime
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -104,6 +110,46 @@
 	avoid  map[string]time.Time
 	// source is the one that answered last, storeName for the store.
 	source string
+
+	mu sync.Mutex
+	// refresh says that the next question must not wait; interrupt ends the one
+	// that is asked, or is nil.
+	refresh   bool
+	interrupt context.CancelFunc
+}
+
+// errPaused means that this VM was paused while it waited for an answer.
+var errPaused = errors.New("feed: this VM was paused")
+
+// Refresh asks the present source at once for what is new. It is called when this VM
+// may have been paused: answers from before say nothing about the time since.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh = true
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
+// begin returns the context of a question, and how long it may wait.
+func (f *Follower) begin(ctx context.Context, wait time.Duration) (context.Context, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refresh {
+		f.refresh, wait = false, time.Millisecond
+	}
+	ctx, f.interrupt = context.WithTimeout(ctx, wait+f.options.AnswerGrace)
+	return ctx, wait
+}
+
+// end ends a question, and tells whether it was interrupted by Refresh.
+func (f *Follower) end() (refresh bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupt()
+	f.interrupt = nil
+	return f.refresh
 }
 
 // storeName stands for the store among the addresses of relays.
@@ -174,7 +220,11 @@
 	f.list(ctx)
 	err = errors.New("feed: no source")
 	for _, name := range f.order() {
-		if err = f.ask(ctx, name); err == nil {
+		if err = f.ask(ctx, name); errors.Is(err, errPaused) && ctx.Err() == nil {
+			// The source is not to blame.
+			err = f.ask(ctx, name)
+		}
+		if err == nil {
 			f.answered(name)
 			return name == storeName, nil
 		}
@@ -220,10 +270,13 @@
 	if !f.copy.isLoaded() {
 		return f.read(ctx, source)
 	}
-	revision, _ := f.copy.position(f.options.Now())
-	bounded, cancel := context.WithTimeout(ctx, wait+f.options.AnswerGrace)
+	revision, _ := f.copy.position(f.options.Uptime())
+	asked := f.options.Uptime()
+	bounded, wait := f.begin(ctx, wait)
 	a, err := source.Watch(bounded, revision, wait)
-	cancel()
+	if f.end() || f.isLate(asked, wait) {
+		return errPaused
+	}
 	if errors.Is(err, ErrCompacted) {
 		event.FeedCompacted.Log(f.options.Log, "source", name, "revision", revision)
 		return f.read(ctx, source)
@@ -235,17 +288,29 @@
 		return errors.Errorf("feed: relay %s heard the store %s ago", name, a.Age)
 	}
 	now := f.options.Now()
-	news := f.copy.apply(now, &a)
+	news := f.copy.apply(f.options.Uptime(), &a)
 	f.touch(now, false)
-	if len(news) > 0 {
-		f.options.Sink.Apply(now, news)
-	}
+	f.options.Sink.Apply(now, news)
 	return nil
 }
 
+// isLate tells whether this VM was paused while it waited for an answer: the answer may
+// have lain here since, and says nothing about the time after it.
+func (f *Follower) isLate(asked, wait time.Duration) bool {
+	took := f.options.Uptime() - asked
+	if took <= wait+2*f.options.AnswerGrace {
+		return false
+	}
+	event.FeedPaused.Log(f.options.Log, "took_ms", took.Milliseconds())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh = true
+	return true
+}
+
 // touch reports contact with the store, or its loss.
 func (f *Follower) touch(now time.Time, failed bool) {
-	_, age := f.copy.position(now)
+	_, age := f.copy.position(f.options.Uptime())
 	f.options.Sink.Touch(now, age, failed)
 }
 
@@ -253,16 +318,20 @@
 func (f *Follower) read(ctx context.Context, source Source) error {
 	bounded, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
 	defer cancel()
+	asked := f.options.Uptime()
 	a, err := source.Read(bounded)
 	if err != nil {
 		return err
 	}
+	if f.isLate(asked, f.options.ReadTimeout) {
+		return errPaused
+	}
 	now := f.options.Now()
-	revision, _ := f.copy.position(now)
+	revision, _ := f.copy.position(f.options.Uptime())
 	if a.Age > f.options.MaxAge || a.Revision < max(revision, f.listed) {
 		return errors.Errorf("feed: state of revision %d, %s old, is no news", a.Revision, a.Age)
 	}
-	f.copy.reset(now, &a)
+	f.copy.reset(f.options.Uptime(), &a)
 	f.touch(now, false)
 	f.options.Sink.Reset(now, a.Revision, a.Records)
 	return nil
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -102,7 +102,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		a, changed, ok := f.copy.state(f.options.Now())
+		a, changed, ok := f.copy.state(f.options.Uptime())
 		if ok && a.Revision >= least {
 			f.answer(w, &a, wholeState)
 			return
@@ -133,7 +133,7 @@
 	aging := time.NewTimer(wait)
 	defer aging.Stop()
 	for waiting := true; ; {
-		a, changed, err := f.copy.after(f.options.Now(), after)
+		a, changed, err := f.copy.after(f.options.Uptime(), after)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusGone)
 			return
