Play the large fleet in the policy benchmark

Change: BenchmarkPlacement gets the large register: 98 VMs a region, instances that hold 15 objects, a tail of 3 % that takes seven times as long, the route's timeout, and digests to 24 VMs each 0.4 s.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -16,11 +16,47 @@
 	objects int
 	// rate is the requests per second of a region on a calm day.
 	rate float64
+	// The rest differs from the small deployments where it is not zero: what an
+	// instance holds, what holding an object saves, the share of long requests,
+	// the route's timeout, and how many VMs hear of a digest each 0.4 s.
+	keeps       int
+	warmGain    float64
+	tail        float64
+	limit       time.Duration
+	digestPeers int
+}
+
+func (d *deployment) sim(seed uint64, load simLoad) *sim {
+	s := newSim(seed, d.regions, load)
+	s.work, s.target, s.objects = d.work, d.target, d.objects
+	s.tail, s.limit, s.digestPeers = d.tail, d.limit, d.digestPeers
+	if d.warmGain > 0 {
+		s.warmGain = d.warmGain
+	}
+	if d.keeps > 0 {
+		for _, i := range s.instances {
+			i.keeps = d.keeps
+		}
+	}
+	return s
 }
 
 var deployments = []deployment{
-	{"rolregister", threeRegions, 340 * time.Millisecond, 400 * time.Millisecond, 192, 150},
-	{"abtropf", []simRegion{{"donauraum", 4, 2}, {"alpenwest", 4, 12}, {"drautal", 3, 14}}, 540 * time.Millisecond, 500 * time.Millisecond, 115, 90},
+	{name: "rolregister", regions: threeRegions, work: 340 * time.Millisecond, target: 400 * time.Millisecond, objects: 192, rate: 150},
+	{
+		name: "abtropf", regions: []simRegion{{"donauraum", 4, 2}, {"alpenwest", 4, 12}, {"drautal", 3, 14}},
+		work: 540 * time.Millisecond, target: 500 * time.Millisecond, objects: 115, rate: 90,
+	},
+	largeRegister,
+}
+
+// largeRegister is the large fleet: one region has a tenth of the instances and a third
+// of the callers, work is longer than its target unless the object is held, and an
+// instance holds few objects.
+var largeRegister = deployment{
+	name: "rolregister-large", regions: []simRegion{{"randstad", 98, 576}, {"noord", 97, 117}, {"zuid", 98, 483}},
+	work: 2160 * time.Millisecond, target: 1500 * time.Millisecond, objects: 2889, rate: 762,
+	keeps: 15, warmGain: 0.75, tail: 0.03, limit: 4 * time.Second, digestPeers: 24,
 }
 
 // pattern is a load that the policies are compared under.
@@ -90,9 +126,12 @@
 				b.Run(p.name+"/"+d.name+"/"+policy.name, func(b *testing.B) {
 					var w simWindow
 					for range b.N {
-						s := newSim(seedOf(b), d.regions, p.load(d.rate))
-						s.work, s.target, s.objects, s.noise = d.work, d.target, d.objects, p.noise
+						s := d.sim(seedOf(b), p.load(d.rate))
+						s.noise = p.noise
 						policy.set(s)
+						if d.digestPeers > 0 && s.digests > 0 {
+							s.digests *= 2
+						}
 						if p.trouble != nil {
 							p.trouble(s)
 						}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -90,8 +90,15 @@
 	target   time.Duration
 	load     simLoad
 	noise    float64
-	// digests is the interval of the digests between VMs, or zero.
-	digests time.Duration
+	// digests is the interval of the digests between VMs, or zero, and digestPeers
+	// the number of VMs told each time, or zero for all.
+	digests     time.Duration
+	digestPeers int
+	digestTurn  int
+	// tail is the share of requests that take seven times as long.
+	tail float64
+	// limit is the route's timeout, at which a request is cut off, or zero.
+	limit time.Duration
 	// choose takes the place of the placement, as a baseline. Nil means none.
 	choose func(r *simRequest) *simInstance
 
@@ -239,10 +246,15 @@
 func (s *sim) exchangeDigests() {
 	for _, region := range s.regions {
 		vms := s.vms[region]
-		for _, from := range vms {
+		for k, from := range vms {
 			d := from.Digest(s.now)
-			for _, to := range vms {
-				if to != from {
+			s.digestTurn++
+			for n, to := range vms {
+				turn := (n - k - s.digestTurn*s.digestPeers) % len(vms)
+				if turn < 0 {
+					turn += len(vms)
+				}
+				if to != from && (s.digestPeers == 0 || turn < s.digestPeers) {
 					s.at(s.now.Add(time.Millisecond), func() { to.Heard(s.now, from.cfg.VM, &d) })
 				}
 			}
@@ -292,7 +304,7 @@
 	r.vm.Arrived("proofs")
 	t, refused := r.vm.Pick(s.now, &Request{
 		Service: "proofs", Route: "/a/", Key: r.key, Idempotent: true, Target: r.target, Timeout: r.timeout,
-		Deadline: s.now.Add(r.timeout), Priority: r.priority,
+		Deadline: s.now.Add(s.timeLimit(r)), Priority: r.priority,
 	})
 	if refused != nil {
 		s.window(r.arrived).refused++
@@ -302,6 +314,14 @@
 	s.at(s.now.Add(s.delay(region, t.Instance.Region)), func() { s.reach(r) })
 }
 
+// timeLimit is after what time a request is given up.
+func (s *sim) timeLimit(r *simRequest) time.Duration {
+	if s.limit > 0 {
+		return min(r.timeout, s.limit)
+	}
+	return r.timeout
+}
+
 func (s *sim) delay(a, b string) time.Duration {
 	if a == b {
 		return time.Millisecond
@@ -360,16 +380,36 @@
 			delete(i.objects, key)
 		}
 	}
-	s.at(s.now.Add(time.Duration(took)), func() { s.finish(i, r) })
+	if s.tail > 0 && s.rng.Float64() < s.tail {
+		took *= 7
+	}
+	end := s.now.Add(time.Duration(took))
+	if cut := r.arrived.Add(s.timeLimit(r)); s.limit > 0 && end.After(cut) {
+		s.at(cut, func() { s.cutOff(i, r) })
+		return
+	}
+	s.at(end, func() { s.finish(i, r) })
 }
 
-func (s *sim) finish(i *simInstance, r *simRequest) {
+// cutOff ends a request at its time limit, at which its instance drops it.
+func (s *sim) cutOff(i *simInstance, r *simRequest) {
+	s.next(i)
+	s.window(r.arrived).failed++
+	r.vm.Done(s.now, &r.ticket, Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline, Latency: s.now.Sub(r.sent)})
+}
+
+// next frees a place for the first request that waits.
+func (s *sim) next(i *simInstance) {
 	i.running--
 	if len(i.queue) > 0 {
-		next := i.queue[0]
+		r := i.queue[0]
 		i.queue = i.queue[1:]
-		s.runOn(i, next)
+		s.runOn(i, r)
 	}
+}
+
+func (s *sim) finish(i *simInstance, r *simRequest) {
+	s.next(i)
 	load := Load{i.running, len(i.queue), i.Slots, int(100 * i.slow)}
 	s.at(s.now.Add(s.delay(r.region, i.Region)), func() {
 		r.vm.Done(s.now, &r.ticket, Outcome{Verdict: verdict.Ran, Latency: s.now.Sub(r.sent), Load: &load})
