Call less often after refusals, and give back the pace of digests

Cause 1: a VM that the store turns away called it 2.5 times a second; a store without history was read whole up to five times a second by each region's relay. Pauses now double up to 1.6 s, and are three times as long after a read of the whole state.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -18,8 +18,10 @@
 	// startSpread is over what time VMs that start together read the store: many
 	// times what the first ones need to announce themselves.
 	startSpread = 250 * time.Millisecond
-	// announceRetry is the pause after a failed call.
-	announceRetry = 400 * time.Millisecond
+	// announceRetry is the pause after a failed call, doubled after each further
+	// one up to announceRetryMost: a store that turns this VM away counts each call.
+	announceRetry     = 400 * time.Millisecond
+	announceRetryMost = 1600 * time.Millisecond
 	// announceTimeout bounds a call: some round trips between regions.
 	announceTimeout = 700 * time.Millisecond
 )
@@ -27,7 +29,7 @@
 // announceLoop keeps this VM's record in the store while the VM is ready.
 func (n *Node) announceLoop() {
 	var lease store.LeaseID
-	failing := false
+	failures := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -48,15 +50,18 @@
 		}
 		next, err := n.announceOnce(lease, again)
 		pause := time.Duration(renewShare * float64(n.leaseTTL()))
-		if err != nil {
-			pause = announceRetry
-			if !failing {
+		switch {
+		case err != nil:
+			if failures == 0 {
 				event.AnnounceFailed.Log(n.log, "lease", string(lease), "error", err)
 			}
-		} else if failing || next != lease {
+			failures++
+			pause = retryPause(failures)
+		case failures > 0 || next != lease:
 			event.Announced.Log(n.log, "lease", string(next))
+			failures = 0
 		}
-		failing, lease = err != nil, next
+		lease = next
 		timer.Reset(pause)
 	}
 }
@@ -66,6 +71,15 @@
 // removal to all VMs.
 func (n *Node) leaseTTL() time.Duration { return max(n.settings.StableWindow, n.settings.LeaseMinimum) }
 
+// retryPause is the pause after a number of failed calls in a row.
+func retryPause(failures int) time.Duration {
+	pause := announceRetry
+	for n := 1; n < failures && pause < announceRetryMost; n++ {
+		pause *= 2
+	}
+	return min(pause, announceRetryMost)
+}
+
 // announceOnce renews the lease, or takes a new one and writes the record. Again
 // says that the record has gone although the lease may stand.
 func (n *Node) announceOnce(lease store.LeaseID, again bool) (store.LeaseID, error) {
--- a/entry/digest.go
+++ b/entry/digest.go
@@ -15,9 +15,6 @@
 	digestInterval = 200 * time.Millisecond
 	// digestPeers bounds the VMs that are told each time; others take their turn.
 	digestPeers = 24
-	// digestRate bounds the datagrams a second that a VM sends, and so those that
-	// it gets: with more peers than fit, digests are sent less often.
-	digestRate = 60.0
 	// digestBytes bounds a datagram.
 	digestBytes = 8 << 10
 )
@@ -26,21 +23,10 @@
 // at an instance when it dies.
 const deathsMost = 32
 
-// digestPause is the time between two digests in a region with a number of VMs, less
-// half a tick, since ticks come early and late.
-func digestPause(vms int) time.Duration {
-	told := float64(min(vms-1, digestPeers))
-	return max(digestInterval, time.Duration(told/digestRate*float64(time.Second))) - digestInterval/2
-}
-
 // sendDigest tells other VMs of the region what instances reported to this one.
 func (n *Node) sendDigest(now time.Time) {
-	peers := n.view.Load().ranked
-	if now.Before(n.digestNext) {
-		return
-	}
-	n.digestNext = now.Add(digestPause(len(peers)))
 	digest, deaths := n.selector.digest(now)
+	peers := n.view.Load().ranked
 	if len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(deaths) == 0 || len(peers) < 2 {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,8 +129,6 @@
 	early atomic.Bool
 	// digestTurn counts digests, so that all peers get their turn.
 	digestTurn int
-	// digestNext is when the next digest is due.
-	digestNext time.Time
 	// announce is signalled when this VM's record must be written (again).
 	announce chan struct{}
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -329,6 +329,27 @@
 	}
 }
 
+// Guards against a VM that reads the whole state at the pace of single changes from a
+// store that keeps no history.
+func TestStoreWithoutHistoryIsReadSeldom(t *testing.T) {
+	store := newMemorySource()
+	m := newMember(store, func() ([]string, bool) { return nil, true })
+	m.follower.options.Pause = 100 * time.Millisecond
+	m.run(t)
+	eventually(t, "state", func() bool { return m.follower.copy.isLoaded() })
+	began := time.Now()
+	for n := uint64(2); time.Since(began) < 2*time.Second; n++ {
+		store.copy.reset(Uptime(), &Answer{Records: []Record{record(int(n))}, Revision: n})
+		time.Sleep(10 * time.Millisecond)
+	}
+	store.mu.Lock()
+	reads := store.reads
+	store.mu.Unlock()
+	if reads > 9 || reads < 3 {
+		t.Errorf("%d reads of the whole state in 2 s", reads)
+	}
+}
+
 // Guards against a VM that waits for the end of its question after it was paused.
 func TestRefreshAsksAtOnce(t *testing.T) {
 	store := newMemorySource()
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -20,9 +20,8 @@
 	// known to answer at least this often.
 	DefaultStoreWait = time.Second
 	// DefaultRelayWait is how long a question to a relay waits. With the grace
-	// of its answer it bounds for how long a silent relay goes unnoticed: half of
-	// the shortest bound on drains.
-	DefaultRelayWait = 900 * time.Millisecond
+	// of its answer it bounds for how long a silent relay goes unnoticed.
+	DefaultRelayWait = 500 * time.Millisecond
 	// DefaultStateWait is how long a relay that starts itself may keep a starting
 	// follower waiting: a few reads of the state of a large platform.
 	DefaultStateWait = time.Second
@@ -110,6 +109,9 @@
 	avoid  map[string]time.Time
 	// source is the one that answered last, storeName for the store.
 	source string
+	// readWhole says that the last answer was the whole state, not for the first
+	// time.
+	readWhole bool
 
 	mu sync.Mutex
 	// refresh says that the next question must not wait; interrupt ends the one
@@ -180,7 +182,7 @@
 		default:
 			pause = retryPause
 			if direct {
-				sleep(ctx, f.options.Pause)
+				sleep(ctx, f.pauseAfterStep())
 			}
 		}
 	}
@@ -195,6 +197,20 @@
 	}
 }
 
+// wholeStatePauses is the pause after a read of the whole state, in units of the
+// usual one: it takes several calls, and is needed again and again from a store that
+// keeps no history.
+const wholeStatePauses = 3
+
+// pauseAfterStep is the pause after an answer of the store.
+func (f *Follower) pauseAfterStep() time.Duration {
+	if f.readWhole {
+		f.readWhole = false
+		return wholeStatePauses * f.options.Pause
+	}
+	return f.options.Pause
+}
+
 // list reads the records of the relays, so that a starting VM can take the state
 // from one of them.
 func (f *Follower) list(ctx context.Context) {
@@ -331,6 +347,7 @@
 	if a.Age > f.options.MaxAge || a.Revision < max(revision, f.listed) {
 		return errors.Errorf("feed: state of revision %d, %s old, is no news", a.Revision, a.Age)
 	}
+	f.readWhole = f.copy.isLoaded()
 	f.copy.reset(f.options.Uptime(), &a)
 	f.touch(now, false)
 	f.options.Sink.Reset(now, a.Revision, a.Records)
