--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -18,7 +18,7 @@
 	rate float64
 	// The rest differs from the small deployments where it is not zero: what an
 	// instance holds, what holding an object saves, the share of long requests,
-	// the route's timeout, and how many VMs hear of a digest each 0.4 s.
+	// the route's timeout, and how many VMs hear of a digest each time.
 	keeps       int
 	warmGain    float64
 	tail        float64
@@ -129,9 +129,6 @@
 						s := d.sim(seedOf(b), p.load(d.rate))
 						s.noise = p.noise
 						policy.set(s)
-						if d.digestPeers > 0 && s.digests > 0 {
-							s.digests *= 2
-						}
 						if p.trouble != nil {
 							p.trouble(s)
 						}
