Log and count what a VM comes to believe of crashing requests

Event 2342 tells only of deaths that were sent on. Change: the ledger hands out its steps (suspected, unconfirmed, died, heard, cleared) with the evidence and the number of deaths that count; each has a line (2344, deaths as before 2342) and the counter crash_steps. Logic is unchanged. Measured: go test ./crashguard ./entry ./metric ./event passes.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -47,8 +47,64 @@
 	losses []loss
 	deaths map[Fingerprint][]death
 	outbox []DeathNote
+	steps  []Step
 }
 
+// StepKind is what a Step says.
+type StepKind string
+
+// Kinds of steps.
+const (
+	// StepSuspected is a lost connection that waits for evidence.
+	StepSuspected StepKind = "suspected"
+	// StepUnconfirmed is one for which no evidence came in time.
+	StepUnconfirmed StepKind = "unconfirmed"
+	// StepDied is a death that this VM saw, StepHeard one that another VM told of.
+	StepDied  StepKind = "died"
+	StepHeard StepKind = "heard"
+	// StepCleared says that a success elsewhere cleared the request's deaths.
+	StepCleared StepKind = "cleared"
+)
+
+// StepKinds returns all kinds.
+func StepKinds() []StepKind {
+	return []StepKind{StepSuspected, StepUnconfirmed, StepDied, StepHeard, StepCleared}
+}
+
+// Step is a change of what the ledger believes, for logs and counters.
+type Step struct {
+	Kind     StepKind
+	Request  Fingerprint
+	Instance string
+	// Evidence is what showed a death.
+	Evidence string
+	// Deaths is the number that now counts against the request.
+	Deaths int
+	// Age is that of the lost connection.
+	Age time.Duration
+}
+
+// Steps returns the changes since the last call.
+func (l *Ledger) Steps() []Step {
+	out := l.steps
+	l.steps = nil
+	return out
+}
+
+func (l *Ledger) step(s Step) {
+	if len(l.steps) < l.cfg.MaxNotes {
+		l.steps = append(l.steps, s)
+	}
+}
+
+// Evidence of a death.
+const (
+	EvidenceRefused    = "connection refused"
+	EvidenceRecord     = "record gone or of a later process"
+	EvidenceTogether   = "connections lost together"
+	EvidenceMisdirects = "another instance answers"
+)
+
 // loss is a connection that was lost while a request ran.
 type loss struct {
 	request  Fingerprint
@@ -77,11 +133,12 @@
 
 // Lost notes that the connection of a running request was lost.
 func (l *Ledger) Lost(now time.Time, f Fingerprint, instance string) {
-	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool { return now.Sub(x.at) > confirmFor })
+	l.dropOld(now)
 	if len(l.losses) >= l.cfg.MaxNotes {
 		l.losses = l.losses[1:]
 	}
 	l.losses = append(l.losses, loss{f, instance, now})
+	l.step(Step{Kind: StepSuspected, Request: f, Instance: instance, Deaths: len(l.deaths[f])})
 	together := 0
 	for _, x := range l.losses {
 		if x.instance == instance && now.Sub(x.at) <= togetherFor {
@@ -89,13 +146,24 @@
 		}
 	}
 	if together >= togetherLeast {
-		l.Died(now, instance)
+		l.Died(now, instance, EvidenceTogether)
 	}
 }
 
-// Died notes that an instance is seen to have died: it refuses connections, or its
-// record is gone. Requests whose connections it lost shortly before count.
-func (l *Ledger) Died(now time.Time, instance string) {
+// dropOld drops the losses for which evidence would come too late.
+func (l *Ledger) dropOld(now time.Time) {
+	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool {
+		late := now.Sub(x.at) > confirmFor
+		if late {
+			l.step(Step{Kind: StepUnconfirmed, Request: x.request, Instance: x.instance, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
+		}
+		return late
+	})
+}
+
+// Died notes that an instance is seen to have died. Requests whose connections it
+// lost shortly before count.
+func (l *Ledger) Died(now time.Time, instance, evidence string) {
 	kept := l.losses[:0]
 	for _, x := range l.losses {
 		if x.instance != instance {
@@ -104,6 +172,7 @@
 		}
 		if now.Sub(x.at) <= confirmFor && l.add(now, x.request, instance, x.at) {
 			l.outbox = append(l.outbox, DeathNote{Request: x.request, Instance: instance, Age: now.Sub(x.at)})
+			l.step(Step{Kind: StepDied, Request: x.request, Instance: instance, Evidence: evidence, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
 	}
 	l.losses = kept
@@ -144,7 +213,12 @@
 }
 
 // Succeeded clears a request that an instance ran to its end.
-func (l *Ledger) Succeeded(f Fingerprint) { delete(l.deaths, f) }
+func (l *Ledger) Succeeded(f Fingerprint) {
+	if n := len(l.deaths[f]); n > 0 {
+		l.step(Step{Kind: StepCleared, Request: f, Deaths: n})
+		delete(l.deaths, f)
+	}
+}
 
 // Refuses tells whether a request must not be sent, and for how long.
 func (l *Ledger) Refuses(now time.Time, f Fingerprint) (wait time.Duration, refused bool) {
@@ -175,8 +249,8 @@
 // Merge takes the deaths that another VM saw.
 func (l *Ledger) Merge(now time.Time, notes []DeathNote) {
 	for _, n := range notes {
-		if n.Age >= 0 && n.Age <= l.cfg.Expiry && n.Instance != "" {
-			l.add(now, n.Request, n.Instance, now.Add(-n.Age))
+		if n.Age >= 0 && n.Age <= l.cfg.Expiry && n.Instance != "" && l.add(now, n.Request, n.Instance, now.Add(-n.Age)) {
+			l.step(Step{Kind: StepHeard, Request: n.Request, Instance: n.Instance, Deaths: len(l.deaths[n.Request]), Age: n.Age})
 		}
 	}
 }
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -26,7 +26,7 @@
 		crashed++
 		instance := fmt.Sprint("i", crashed)
 		l.Lost(now, requestNumber(1), instance)
-		l.Died(now.Add(200*time.Millisecond), instance)
+		l.Died(now.Add(200*time.Millisecond), instance, EvidenceRefused)
 		for _, other := range vms {
 			if other != l {
 				other.Merge(now.Add(400*time.Millisecond), l.outbox)
@@ -52,7 +52,7 @@
 	for n := range 6 {
 		instance := fmt.Sprint("j", n)
 		l.Lost(second(20+float64(n)), requestNumber(2), instance)
-		l.Died(second(20.1+float64(n)), instance)
+		l.Died(second(20.1+float64(n)), instance, EvidenceRefused)
 		if n%2 == 1 {
 			l.Succeeded(requestNumber(2))
 		}
@@ -63,7 +63,7 @@
 	for n := range 6 {
 		instance := fmt.Sprint("k", n)
 		l.Lost(second(100+20*float64(n)), requestNumber(3), instance)
-		l.Died(second(100.1+20*float64(n)), instance)
+		l.Died(second(100.1+20*float64(n)), instance, EvidenceRefused)
 	}
 	if _, refused := l.Refuses(second(201), requestNumber(3)); refused {
 		t.Error("refused for deaths that are long past")
@@ -75,7 +75,7 @@
 func TestWhatCountsAsADeath(t *testing.T) {
 	l := NewLedger(LedgerConfig{Deaths: 1})
 	l.Lost(second(0), requestNumber(1), "a")
-	l.Died(second(5), "a")
+	l.Died(second(5), "a", EvidenceRefused)
 	if _, refused := l.Refuses(second(5), requestNumber(1)); refused {
 		t.Error("a death 5 s later counts")
 	}
@@ -88,7 +88,7 @@
 	two := NewLedger(LedgerConfig{Deaths: 2})
 	for n := range 3 {
 		two.Lost(second(float64(n)), requestNumber(1), "a")
-		two.Died(second(float64(n)+0.1), "a")
+		two.Died(second(float64(n)+0.1), "a", EvidenceRefused)
 	}
 	if _, refused := two.Refuses(second(4), requestNumber(1)); refused {
 		t.Error("one instance counts twice")
@@ -101,7 +101,7 @@
 	for n := range 100 {
 		f := Fingerprint{byte(n), 1}
 		l.Lost(second(float64(n)/10), f, fmt.Sprint("i", n))
-		l.Died(second(float64(n)/10), fmt.Sprint("i", n))
+		l.Died(second(float64(n)/10), fmt.Sprint("i", n), EvidenceRefused)
 	}
 	if len(l.deaths) > 8 || len(l.losses) > 8 {
 		t.Errorf("%d deaths, %d losses", len(l.deaths), len(l.losses))
--- a/entry/digest.go
+++ b/entry/digest.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/hex"
 	"net/netip"
 	"time"
 
@@ -31,9 +30,6 @@
 		return
 	}
 	deaths = deaths[:min(len(deaths), deathsMost)]
-	for _, d := range deaths {
-		event.CrashNoted.Log(n.log, "fingerprint", hex.EncodeToString(d.Request[:8]), "id", d.Instance, "age_ms", d.Age.Milliseconds())
-	}
 	data := encodeDigest(n.self.ID, &digest, deaths)
 	n.digestTurn++
 	for k := range min(len(peers), digestPeers) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -163,7 +163,7 @@
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, ShiftMost: s.ShiftMost,
-	}, n.log)
+	}, n.log, n.metrics.Scope())
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
 		MaxConcurrent: maxConcurrent, MaxConnections: maxConnections, HoldBytes: holdBytes, DeadlineGrace: deadlineGrace,
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"log/slog"
 	"math"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/placement"
@@ -27,12 +30,34 @@
 	known map[string]int64
 	// spill is the last logged share of each service.
 	spill map[string]float64
+	// steps counts those of the ledger, by kind.
+	steps map[crashguard.StepKind]tally.Counter
 }
 
 var _ proxy.Selector = (*selector)(nil)
 
-func newSelector(cfg placement.Config, log *slog.Logger) *selector {
-	return &selector{log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}), known: make(map[string]int64), spill: make(map[string]float64)}
+func newSelector(cfg placement.Config, log *slog.Logger, scope tally.Scope) *selector {
+	s := &selector{
+		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
+		known: make(map[string]int64), spill: make(map[string]float64), steps: make(map[crashguard.StepKind]tally.Counter),
+	}
+	for _, kind := range crashguard.StepKinds() {
+		s.steps[kind] = scope.Tagged(map[string]string{"step": string(kind)}).Counter("crash_steps")
+	}
+	return s
+}
+
+// logSteps logs and counts what the ledger has come to believe. The lock is held.
+func (s *selector) logSteps(from string) {
+	for _, step := range s.ledger.Steps() {
+		s.steps[step.Kind].Inc(1)
+		ev := event.CrashStep
+		if step.Kind == crashguard.StepDied {
+			ev = event.CrashNoted
+		}
+		ev.Log(s.log, "step", string(step.Kind), "fingerprint", hex.EncodeToString(step.Request[:8]), "id", step.Instance,
+			"evidence", step.Evidence, "deaths", step.Deaths, "age_ms", step.Age.Milliseconds(), "heard_from", from)
+	}
 }
 
 // setInstances replaces the instances that take new work.
@@ -64,21 +89,24 @@
 	s.picker.Update(now, list, gone)
 	for _, id := range gone {
 		if _, known := s.known[id]; known {
-			s.noteDeath(id)
+			s.noteDeath(id, crashguard.EvidenceRecord)
 			delete(s.known, id)
 		}
 	}
 	for k := range list {
 		i := &list[k]
 		if born, known := s.known[i.ID]; known && born != i.Born {
-			s.noteDeath(i.ID)
+			s.noteDeath(i.ID, crashguard.EvidenceRecord)
 		}
 		s.known[i.ID] = i.Born
 	}
 }
 
 // noteDeath tells the ledger that an instance has gone. The lock is held.
-func (s *selector) noteDeath(instance string) { s.ledger.Died(time.Now(), instance) }
+func (s *selector) noteDeath(instance, evidence string) {
+	s.ledger.Died(time.Now(), instance, evidence)
+	s.logSteps("")
+}
 
 func (s *selector) setVMs(vms []placement.VM) {
 	s.mu.Lock()
@@ -105,6 +133,7 @@
 		event.InstanceLeft.Log(s.log, "id", id, "heard_from", from)
 	}
 	s.ledger.Merge(now, deaths)
+	s.logSteps(from)
 }
 
 // spillStep is the change of a share that is worth a line of the log.
@@ -206,8 +235,9 @@
 		c.s.ledger.Lost(now, c.fingerprint, c.ticket.Instance.ID)
 	case o.Reason == verdict.ReasonMisdirected:
 		event.InstanceLeft.Log(c.s.log, "id", c.ticket.Instance.ID, "heard_from", "")
-		c.s.noteDeath(c.ticket.Instance.ID)
+		c.s.noteDeath(c.ticket.Instance.ID, crashguard.EvidenceMisdirects)
 	case o.Reason == verdict.ReasonConnectFailed:
-		c.s.noteDeath(c.ticket.Instance.ID)
+		c.s.noteDeath(c.ticket.Instance.ID, crashguard.EvidenceRefused)
 	}
+	c.s.logSteps("")
 }
--- a/event/feed.go
+++ b/event/feed.go
@@ -28,6 +28,7 @@
 	DigestFailed   = define(2341, slog.LevelWarn, "a digest of loads could not be sent or received", "placement goes by this VM's own answers meanwhile")
 	CrashNoted     = define(2342, slog.LevelWarn, "an instance died while it ran a request", "after three such instances the request is refused for 30 s; look at what its caller sends")
 	InstanceLeft   = define(2343, slog.LevelInfo, "another instance has the address of this one, which gets no requests for a while", "")
+	CrashStep      = define(2344, slog.LevelInfo, "what this VM believes of a request whose instances died has changed", "step and deaths say how far it is from being refused; see OPERATIONS.md")
 	SettingsRead   = define(2350, slog.LevelInfo, "settings read again", "")
 	LinesDropped   = define(2360, slog.LevelWarn, "log lines dropped since the last one of this kind", "raise the limit or look at what writes so much")
 )
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -18,6 +18,7 @@
 		{"lookups", "counter", "`protocol` (`http`, `dns`), `outcome` (`answered`, `truncated`, `no-data` or why not)", "lookups of entry VMs; `truncated` ones come again over TCP"},
 		{"answers", "counter", "`service`, `status`", "answers of instances that were passed on"},
 		{"answer_seconds", "histogram", "`service`, `status`", "time from the arrival of a request to the end of its answer"},
+		{"crash_steps", "counter", "`step` (`suspected`, `unconfirmed`, `died`, `heard`, `cleared`)", "on a platform: what the VM came to believe of requests whose instances died, see event 2344"},
 		{"peer_calls", "counter", "`call`", "calls to other VMs, and with `-served` those of other VMs; `connect` counts connections"},
 		{"peer_refusals", "counter", "`reason`", "calls and connections between VMs that were refused or given up on, by the bound or fault"},
 		{"peer_bytes_in", "counter", "", "bytes received from other VMs"},
