Count each process that dies of a request, not each instance ID

Cause: deaths were told apart by the instance's ID. The platform starts an instance again under its ID; the field born tells its starts apart. Evidence: TestWhatCountsAsADeath asserted that three deaths under one ID count once; TestProcessesUnderOneIDCountEach plays three starts of one instance, which the former code could not represent. Change: deaths, losses and notes name a Process (ID and start); digests carry both, so their format is 5. One process still counts once.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -21,7 +21,7 @@
 
 // LedgerConfig configures a Ledger. Zero values mean the defaults.
 type LedgerConfig struct {
-	// Deaths is the number of instances that must have died while they ran a
+	// Deaths is the number of processes that must have died while they ran a
 	// request before it is refused. Default 3.
 	Deaths int
 	// Expiry is how long a death counts. Default 30 s.
@@ -30,11 +30,17 @@
 	MaxNotes int
 }
 
+// Process is one start of an instance: it may start again under its ID.
+type Process struct {
+	ID   string
+	Born int64
+}
+
 // DeathNote says that an instance died while it ran a request.
 type DeathNote struct {
-	Request  Fingerprint
-	Instance string
-	Age      time.Duration
+	Request Fingerprint
+	Process Process
+	Age     time.Duration
 }
 
 // Ledger remembers which requests were running at instances that died. Unlike a
@@ -75,7 +81,7 @@
 type Step struct {
 	Kind     StepKind
 	Request  Fingerprint
-	Instance string
+	Process  Process
 	// Evidence is what showed a death.
 	Evidence string
 	// Deaths is the number that now counts against the request.
@@ -107,14 +113,14 @@
 
 // loss is a connection that was lost while a request ran.
 type loss struct {
-	request  Fingerprint
-	instance string
-	at       time.Time
+	request Fingerprint
+	process Process
+	at      time.Time
 }
 
 type death struct {
-	instance string
-	at       time.Time
+	process Process
+	at      time.Time
 }
 
 // NewLedger returns an empty ledger.
@@ -132,21 +138,21 @@
 }
 
 // Lost notes that the connection of a running request was lost.
-func (l *Ledger) Lost(now time.Time, f Fingerprint, instance string) {
+func (l *Ledger) Lost(now time.Time, f Fingerprint, p Process) {
 	l.dropOld(now)
 	if len(l.losses) >= l.cfg.MaxNotes {
 		l.losses = l.losses[1:]
 	}
-	l.losses = append(l.losses, loss{f, instance, now})
-	l.step(Step{Kind: StepSuspected, Request: f, Instance: instance, Deaths: len(l.deaths[f])})
+	l.losses = append(l.losses, loss{f, p, now})
+	l.step(Step{Kind: StepSuspected, Request: f, Process: p, Deaths: len(l.deaths[f])})
 	together := 0
 	for _, x := range l.losses {
-		if x.instance == instance && now.Sub(x.at) <= togetherFor {
+		if x.process == p && now.Sub(x.at) <= togetherFor {
 			together++
 		}
 	}
 	if together >= togetherLeast {
-		l.Died(now, instance, EvidenceTogether)
+		l.Died(now, p, EvidenceTogether)
 	}
 }
 
@@ -155,40 +161,40 @@
 	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool {
 		late := now.Sub(x.at) > confirmFor
 		if late {
-			l.step(Step{Kind: StepUnconfirmed, Request: x.request, Instance: x.instance, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
+			l.step(Step{Kind: StepUnconfirmed, Request: x.request, Process: x.process, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
 		return late
 	})
 }
 
-// Died notes that an instance is seen to have died. Requests whose connections it
-// lost shortly before count.
-func (l *Ledger) Died(now time.Time, instance, evidence string) {
+// Died notes that a process is seen to have died. Requests whose connections it lost
+// shortly before count, once for each process.
+func (l *Ledger) Died(now time.Time, p Process, evidence string) {
 	kept := l.losses[:0]
 	for _, x := range l.losses {
-		if x.instance != instance {
+		if x.process != p {
 			kept = append(kept, x)
 			continue
 		}
-		if now.Sub(x.at) <= confirmFor && l.add(now, x.request, instance, x.at) {
-			l.outbox = append(l.outbox, DeathNote{Request: x.request, Instance: instance, Age: now.Sub(x.at)})
-			l.step(Step{Kind: StepDied, Request: x.request, Instance: instance, Evidence: evidence, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
+		if now.Sub(x.at) <= confirmFor && l.add(now, x.request, p, x.at) {
+			l.outbox = append(l.outbox, DeathNote{Request: x.request, Process: p, Age: now.Sub(x.at)})
+			l.step(Step{Kind: StepDied, Request: x.request, Process: p, Evidence: evidence, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
 	}
 	l.losses = kept
 }
 
 // add notes a death and tells whether it is news.
-func (l *Ledger) add(now time.Time, f Fingerprint, instance string, at time.Time) bool {
+func (l *Ledger) add(now time.Time, f Fingerprint, p Process, at time.Time) bool {
 	l.expire(now, f)
 	list := l.deaths[f]
-	if slices.ContainsFunc(list, func(d death) bool { return d.instance == instance }) {
+	if slices.ContainsFunc(list, func(d death) bool { return d.process == p }) {
 		return false
 	}
 	if list == nil && len(l.deaths) >= l.cfg.MaxNotes {
 		l.dropOldest()
 	}
-	l.deaths[f] = append(list, death{instance, at})
+	l.deaths[f] = append(list, death{p, at})
 	return true
 }
 
@@ -249,8 +255,8 @@
 // Merge takes the deaths that another VM saw.
 func (l *Ledger) Merge(now time.Time, notes []DeathNote) {
 	for _, n := range notes {
-		if n.Age >= 0 && n.Age <= l.cfg.Expiry && n.Instance != "" && l.add(now, n.Request, n.Instance, now.Add(-n.Age)) {
-			l.step(Step{Kind: StepHeard, Request: n.Request, Instance: n.Instance, Deaths: len(l.deaths[n.Request]), Age: n.Age})
+		if n.Age >= 0 && n.Age <= l.cfg.Expiry && n.Process.ID != "" && l.add(now, n.Request, n.Process, now.Add(-n.Age)) {
+			l.step(Step{Kind: StepHeard, Request: n.Request, Process: n.Process, Deaths: len(l.deaths[n.Request]), Age: n.Age})
 		}
 	}
 }
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -10,6 +10,8 @@
 	return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second)))
 }
 
+func process(id string) Process { return Process{ID: id, Born: 1} }
+
 func requestNumber(n byte) Fingerprint { return Fingerprint{n} }
 
 // Guards against a request that goes on crashing instances through other VMs.
@@ -25,8 +27,8 @@
 		}
 		crashed++
 		instance := fmt.Sprint("i", crashed)
-		l.Lost(now, requestNumber(1), instance)
-		l.Died(now.Add(200*time.Millisecond), instance, EvidenceRefused)
+		l.Lost(now, requestNumber(1), process(instance))
+		l.Died(now.Add(200*time.Millisecond), process(instance), EvidenceRefused)
 		for _, other := range vms {
 			if other != l {
 				other.Merge(now.Add(400*time.Millisecond), l.outbox)
@@ -44,15 +46,15 @@
 func TestInnocentRequestsPass(t *testing.T) {
 	l := NewLedger(LedgerConfig{})
 	for n := range 10 {
-		l.Lost(second(float64(n)), requestNumber(1), fmt.Sprint("i", n))
+		l.Lost(second(float64(n)), requestNumber(1), process(fmt.Sprint("i", n)))
 	}
 	if _, refused := l.Refuses(second(10), requestNumber(1)); refused {
 		t.Error("refused though no instance died")
 	}
 	for n := range 6 {
 		instance := fmt.Sprint("j", n)
-		l.Lost(second(20+float64(n)), requestNumber(2), instance)
-		l.Died(second(20.1+float64(n)), instance, EvidenceRefused)
+		l.Lost(second(20+float64(n)), requestNumber(2), process(instance))
+		l.Died(second(20.1+float64(n)), process(instance), EvidenceRefused)
 		if n%2 == 1 {
 			l.Succeeded(requestNumber(2))
 		}
@@ -62,8 +64,8 @@
 	}
 	for n := range 6 {
 		instance := fmt.Sprint("k", n)
-		l.Lost(second(100+20*float64(n)), requestNumber(3), instance)
-		l.Died(second(100.1+20*float64(n)), instance, EvidenceRefused)
+		l.Lost(second(100+20*float64(n)), requestNumber(3), process(instance))
+		l.Died(second(100.1+20*float64(n)), process(instance), EvidenceRefused)
 	}
 	if _, refused := l.Refuses(second(201), requestNumber(3)); refused {
 		t.Error("refused for deaths that are long past")
@@ -74,24 +76,40 @@
 // several times.
 func TestWhatCountsAsADeath(t *testing.T) {
 	l := NewLedger(LedgerConfig{Deaths: 1})
-	l.Lost(second(0), requestNumber(1), "a")
-	l.Died(second(5), "a", EvidenceRefused)
+	l.Lost(second(0), requestNumber(1), process("a"))
+	l.Died(second(5), process("a"), EvidenceRefused)
 	if _, refused := l.Refuses(second(5), requestNumber(1)); refused {
 		t.Error("a death 5 s later counts")
 	}
 	for n := range byte(togetherLeast) {
-		l.Lost(second(6), requestNumber(10+n), "b")
+		l.Lost(second(6), requestNumber(10+n), process("b"))
 	}
 	if wait, refused := l.Refuses(second(7), requestNumber(10)); !refused || wait != DefaultLedgerExpiry-time.Second {
 		t.Errorf("connections lost together: refused %v for %s", refused, wait)
 	}
 	two := NewLedger(LedgerConfig{Deaths: 2})
 	for n := range 3 {
-		two.Lost(second(float64(n)), requestNumber(1), "a")
-		two.Died(second(float64(n)+0.1), "a", EvidenceRefused)
+		two.Lost(second(float64(n)), requestNumber(1), process("a"))
+		two.Died(second(float64(n)+0.1), process("a"), EvidenceRefused)
 	}
 	if _, refused := two.Refuses(second(4), requestNumber(1)); refused {
-		t.Error("one instance counts twice")
+		t.Error("one process counts twice")
+	}
+}
+
+// Guards against a request that crashes the few instances of a small service without
+// end: each is back under its ID, with a later start, and dies again.
+func TestProcessesUnderOneIDCountEach(t *testing.T) {
+	l := NewLedger(LedgerConfig{})
+	for born := range int64(DefaultLedgerDeaths) {
+		if _, refused := l.Refuses(second(float64(born)), requestNumber(1)); refused {
+			t.Errorf("refused after %d deaths", born)
+		}
+		l.Lost(second(float64(born)), requestNumber(1), Process{"a", born})
+		l.Died(second(float64(born)+0.1), Process{"a", born}, EvidenceRecord)
+	}
+	if _, refused := l.Refuses(second(4), requestNumber(1)); !refused {
+		t.Error("not refused after three processes of one instance died")
 	}
 }
 
@@ -100,8 +118,8 @@
 	l := NewLedger(LedgerConfig{MaxNotes: 8})
 	for n := range 100 {
 		f := Fingerprint{byte(n), 1}
-		l.Lost(second(float64(n)/10), f, fmt.Sprint("i", n))
-		l.Died(second(float64(n)/10), fmt.Sprint("i", n), EvidenceRefused)
+		l.Lost(second(float64(n)/10), f, process(fmt.Sprint("i", n)))
+		l.Died(second(float64(n)/10), process(fmt.Sprint("i", n)), EvidenceRefused)
 	}
 	if len(l.deaths) > 8 || len(l.losses) > 8 {
 		t.Errorf("%d deaths, %d losses", len(l.deaths), len(l.losses))
--- a/entry/digestcodec.go
+++ b/entry/digestcodec.go
@@ -13,7 +13,7 @@
 
 // digestFormat is the first byte of a digest. It changes with the layout below, so
 // that VMs of two releases do not misread each other.
-const digestFormat = 4
+const digestFormat = 5
 
 // Resolution of shares and of rates per second in a digest.
 const (
@@ -42,7 +42,8 @@
 	}
 	b = number(b, int64(len(deaths)))
 	for _, n := range deaths {
-		b = number(text(append(b, n.Request[:]...), n.Instance), n.Age.Milliseconds())
+		b = binary.AppendVarint(text(append(b, n.Request[:]...), n.Process.ID), n.Process.Born)
+		b = number(b, n.Age.Milliseconds())
 	}
 	b = number(b, int64(len(d.Replaced)))
 	for _, key := range d.Replaced {
@@ -70,6 +71,17 @@
 	return int(v)
 }
 
+// signed reads a number of any size and sign.
+func (r *digestReader) signed() int64 {
+	v, size := binary.Varint(r.rest)
+	if r.err != nil || size <= 0 {
+		r.fail()
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return v
+}
+
 func (r *digestReader) bytes(n int) []byte {
 	if r.err != nil || n > len(r.rest) {
 		r.fail()
@@ -110,7 +122,8 @@
 	for n := r.number(); n > 0 && r.err == nil; n-- {
 		var note crashguard.DeathNote
 		copy(note.Request[:], r.bytes(len(note.Request)))
-		note.Instance, note.Age = r.text(), r.age()
+		note.Process.ID, note.Process.Born = r.text(), r.signed()
+		note.Age = r.age()
 		deaths = append(deaths, note)
 	}
 	for n := r.number(); n > 0 && r.err == nil; n-- {
--- a/entry/digestcodec_test.go
+++ b/entry/digestcodec_test.go
@@ -18,7 +18,7 @@
 		},
 	}
 	d.Replaced = []placement.InstanceKey{placement.KeyOf("i-4"), 7}
-	return d, []crashguard.DeathNote{{Request: crashguard.Fingerprint{1, 2, 3}, Instance: "i-3", Age: time.Second}}
+	return d, []crashguard.DeathNote{{Request: crashguard.Fingerprint{1, 2, 3}, Process: crashguard.Process{ID: "i-3", Born: 1_764_800_000_000}, Age: time.Second}}
 }
 
 // Guards against digests that say something else after their way.
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -55,7 +55,7 @@
 		if step.Kind == crashguard.StepDied {
 			ev = event.CrashNoted
 		}
-		ev.Log(s.log, "step", string(step.Kind), "fingerprint", hex.EncodeToString(step.Request[:8]), "id", step.Instance,
+		ev.Log(s.log, "step", string(step.Kind), "fingerprint", hex.EncodeToString(step.Request[:8]), "id", step.Process.ID, "born", step.Process.Born,
 			"evidence", step.Evidence, "deaths", step.Deaths, "age_ms", step.Age.Milliseconds(), "heard_from", from)
 	}
 }
@@ -89,22 +89,22 @@
 	s.picker.Update(now, list, gone)
 	for _, id := range gone {
 		if _, known := s.known[id]; known {
-			s.noteDeath(id, crashguard.EvidenceRecord)
+			s.noteDeath(crashguard.Process{ID: id, Born: s.known[id]}, crashguard.EvidenceRecord)
 			delete(s.known, id)
 		}
 	}
 	for k := range list {
 		i := &list[k]
 		if born, known := s.known[i.ID]; known && born != i.Born {
-			s.noteDeath(i.ID, crashguard.EvidenceRecord)
+			s.noteDeath(crashguard.Process{ID: i.ID, Born: born}, crashguard.EvidenceRecord)
 		}
 		s.known[i.ID] = i.Born
 	}
 }
 
-// noteDeath tells the ledger that an instance has gone. The lock is held.
-func (s *selector) noteDeath(instance, evidence string) {
-	s.ledger.Died(time.Now(), instance, evidence)
+// noteDeath tells the ledger that a process has gone. The lock is held.
+func (s *selector) noteDeath(p crashguard.Process, evidence string) {
+	s.ledger.Died(time.Now(), p, evidence)
 	s.logSteps("")
 }
 
@@ -227,17 +227,18 @@
 	defer c.s.mu.Unlock()
 	now := time.Now()
 	c.s.picker.Done(now, &c.ticket, out)
+	process := crashguard.Process{ID: c.ticket.Instance.ID, Born: c.ticket.Instance.Born}
 	switch {
 	case o.Cancelled:
 	case o.Verdict == verdict.Ran:
 		c.s.ledger.Succeeded(c.fingerprint)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
-		c.s.ledger.Lost(now, c.fingerprint, c.ticket.Instance.ID)
+		c.s.ledger.Lost(now, c.fingerprint, process)
 	case o.Reason == verdict.ReasonMisdirected:
 		event.InstanceLeft.Log(c.s.log, "id", c.ticket.Instance.ID, "heard_from", "")
-		c.s.noteDeath(c.ticket.Instance.ID, crashguard.EvidenceMisdirects)
+		c.s.noteDeath(process, crashguard.EvidenceMisdirects)
 	case o.Reason == verdict.ReasonConnectFailed:
-		c.s.noteDeath(c.ticket.Instance.ID, crashguard.EvidenceRefused)
+		c.s.noteDeath(process, crashguard.EvidenceRefused)
 	}
 	c.s.logSteps("")
 }
