See that an instance died of the request that it lost

Cause: a lost connection counted only if the same VM saw the instance refuse a connection or its record change within 2 s. A VM sends little to an instance that has just failed; the record of a crashed instance lapses after 4.5 s, and one that is back after 3 s changes it then. Change: after a lost connection the VM opens another one, which is kept for requests; if it is refused, the process died. Records count for 8 s instead of 2 s, also for requests that were given up at a host that went silent, and a request that ends after the death of its process was seen counts too. A later answer of the process ends the suspicion. False evidence is gone: instances that drain or are evacuated, dials that time out, and this VM's own bound on connections no longer count as deaths. TestWhatCountsAsADeath asked that a death 5 s after the loss does not count, which is when the platform shows it; it asks so for 8.1 s now, and that an answer in between ends the suspicion. Ruled out: an active health check of all instances; it is priced, and a connection in the place of the lost one tells enough. TestDeathsThatShowLateCount fails with the former 2 s.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -10,9 +10,12 @@
 	DefaultLedgerDeaths = 3
 	DefaultLedgerExpiry = 30 * time.Second
 	DefaultLedgerNotes  = 1024
-	// confirmFor is how long after a lost connection the death of its instance
-	// may show.
-	confirmFor = 2 * time.Second
+	// DefaultConfirmFor covers a record that lapses after three heartbeats of 1.5 s,
+	// its way to the VMs, and a removal that is held back for 2.2 s.
+	DefaultConfirmFor = 8 * time.Second
+	// aliveAfter is how long after a lost connection an answer of its process shows
+	// that it lives. Answers that were under way come sooner.
+	aliveAfter = 100 * time.Millisecond
 	// togetherFor is the time within which connections to one instance must be
 	// lost to show by themselves that it died, and togetherLeast their number.
 	togetherFor   = 100 * time.Millisecond
@@ -26,6 +29,9 @@
 	Deaths int
 	// Expiry is how long a death counts. Default 30 s.
 	Expiry time.Duration
+	// ConfirmFor is how long after a lost connection the death of its process may
+	// show. Default 8 s.
+	ConfirmFor time.Duration
 	// MaxNotes bounds the requests remembered. Default 1024.
 	MaxNotes int
 }
@@ -51,6 +57,8 @@
 type Ledger struct {
 	cfg    LedgerConfig
 	losses []loss
+	// dead are the processes that died within ConfirmFor.
+	dead   map[Process]time.Time
 	deaths map[Fingerprint][]death
 	outbox []DeathNote
 	steps  []Step
@@ -109,13 +117,18 @@
 	EvidenceRecord     = "record gone or of a later process"
 	EvidenceTogether   = "connections lost together"
 	EvidenceMisdirects = "another instance answers"
+	EvidenceBefore     = "seen to have died before"
+	// EvidenceAnswer shows that a process lives.
+	EvidenceAnswer = "answered later"
 )
 
-// loss is a connection that was lost while a request ran.
+// loss is a request that got no answer.
 type loss struct {
 	request Fingerprint
 	process Process
 	at      time.Time
+	// silent says that the connection did not end by itself.
+	silent bool
 }
 
 type death struct {
@@ -131,23 +144,21 @@
 	if cfg.Expiry <= 0 {
 		cfg.Expiry = DefaultLedgerExpiry
 	}
+	if cfg.ConfirmFor <= 0 {
+		cfg.ConfirmFor = DefaultConfirmFor
+	}
 	if cfg.MaxNotes <= 0 {
 		cfg.MaxNotes = DefaultLedgerNotes
 	}
-	return &Ledger{cfg: cfg, deaths: make(map[Fingerprint][]death)}
+	return &Ledger{cfg: cfg, dead: make(map[Process]time.Time), deaths: make(map[Fingerprint][]death)}
 }
 
 // Lost notes that the connection of a running request was lost.
 func (l *Ledger) Lost(now time.Time, f Fingerprint, p Process) {
-	l.dropOld(now)
-	if len(l.losses) >= l.cfg.MaxNotes {
-		l.losses = l.losses[1:]
-	}
-	l.losses = append(l.losses, loss{f, p, now})
-	l.step(Step{Kind: StepSuspected, Request: f, Process: p, Deaths: len(l.deaths[f])})
+	l.suspect(now, f, p)
 	together := 0
 	for _, x := range l.losses {
-		if x.process == p && now.Sub(x.at) <= togetherFor {
+		if x.process == p && !x.silent && now.Sub(x.at) <= togetherFor {
 			together++
 		}
 	}
@@ -156,27 +167,69 @@
 	}
 }
 
+// Unanswered notes that a request was given up before its process answered. One that
+// dies with its host closes no connection.
+func (l *Ledger) Unanswered(now time.Time, f Fingerprint, p Process) {
+	l.suspect(now, f, p)
+	if n := len(l.losses); n > 0 {
+		l.losses[n-1].silent = true
+	}
+}
+
+// suspect keeps a loss until its process is seen to have died, which may be so
+// already.
+func (l *Ledger) suspect(now time.Time, f Fingerprint, p Process) {
+	l.dropOld(now)
+	if len(l.losses) >= l.cfg.MaxNotes {
+		l.losses = l.losses[1:]
+	}
+	l.losses = append(l.losses, loss{request: f, process: p, at: now})
+	l.step(Step{Kind: StepSuspected, Request: f, Process: p, Deaths: len(l.deaths[f])})
+	if _, dead := l.dead[p]; dead {
+		l.Died(now, p, EvidenceBefore)
+	}
+}
+
+// Answered notes that a process answered: what it lost before it did not die of.
+func (l *Ledger) Answered(now time.Time, p Process) {
+	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool {
+		alive := x.process == p && now.Sub(x.at) > aliveAfter
+		if alive {
+			l.step(Step{Kind: StepUnconfirmed, Request: x.request, Process: p, Evidence: EvidenceAnswer, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
+		}
+		return alive
+	})
+}
+
 // dropOld drops the losses for which evidence would come too late.
 func (l *Ledger) dropOld(now time.Time) {
 	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool {
-		late := now.Sub(x.at) > confirmFor
+		late := now.Sub(x.at) > l.cfg.ConfirmFor
 		if late {
 			l.step(Step{Kind: StepUnconfirmed, Request: x.request, Process: x.process, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
 		return late
 	})
+	for p, at := range l.dead {
+		if now.Sub(at) > l.cfg.ConfirmFor {
+			delete(l.dead, p)
+		}
+	}
 }
 
 // Died notes that a process is seen to have died. Requests whose connections it lost
 // shortly before count, once for each process.
 func (l *Ledger) Died(now time.Time, p Process, evidence string) {
+	if _, known := l.dead[p]; !known && len(l.dead) < l.cfg.MaxNotes {
+		l.dead[p] = now
+	}
 	kept := l.losses[:0]
 	for _, x := range l.losses {
 		if x.process != p {
 			kept = append(kept, x)
 			continue
 		}
-		if now.Sub(x.at) <= confirmFor && l.add(now, x.request, p, x.at) {
+		if now.Sub(x.at) <= l.cfg.ConfirmFor && l.add(now, x.request, p, x.at) {
 			l.outbox = append(l.outbox, DeathNote{Request: x.request, Process: p, Age: now.Sub(x.at)})
 			l.step(Step{Kind: StepDied, Request: x.request, Process: p, Evidence: evidence, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -176,6 +176,7 @@
 	})
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
+	n.selector.probe = newDeathProbe(n.proxy.Client().Open, n.selector.refusedConnection)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		n.close()
@@ -191,6 +192,9 @@
 	} {
 		n.group.Go(run)
 	}
+	for range probeWorkers {
+		n.group.Go(func() { n.selector.probe.run(n.ctx) })
+	}
 	event.DaemonStarted.Log(n.log, "region", s.Region, "data_centre", s.DataCentre, "caller", n.self.Caller, "boot", n.self.Boot)
 	return n, nil
 }
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -22,6 +22,8 @@
 	log *slog.Logger
 	// pause holds requests after a pause of this VM. Nil means never.
 	pause *pauseGuard
+	// probe finds out whether the process at the end of a lost connection died.
+	probe *deathProbe
 
 	mu     sync.Mutex
 	picker *placement.Picker
@@ -88,10 +90,7 @@
 func (s *selector) change(now time.Time, list []placement.Instance, gone []string) {
 	s.picker.Update(now, list, gone)
 	for _, id := range gone {
-		if _, known := s.known[id]; known {
-			s.noteDeath(crashguard.Process{ID: id, Born: s.known[id]}, crashguard.EvidenceRecord)
-			delete(s.known, id)
-		}
+		delete(s.known, id)
 	}
 	for k := range list {
 		i := &list[k]
@@ -102,6 +101,19 @@
 	}
 }
 
+// recordGone tells the ledger that the record of a process lapsed without a word of
+// leaving.
+func (s *selector) recordGone(p crashguard.Process) { s.died(p, crashguard.EvidenceRecord) }
+
+// refusedConnection tells it that nothing listens at the address of a process.
+func (s *selector) refusedConnection(p crashguard.Process) { s.died(p, crashguard.EvidenceRefused) }
+
+func (s *selector) died(p crashguard.Process, evidence string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteDeath(p, evidence)
+}
+
 // noteDeath tells the ledger that a process has gone. The lock is held.
 func (s *selector) noteDeath(p crashguard.Process, evidence string) {
 	s.ledger.Died(time.Now(), p, evidence)
@@ -227,18 +239,28 @@
 	defer c.s.mu.Unlock()
 	now := time.Now()
 	c.s.picker.Done(now, &c.ticket, out)
-	process := crashguard.Process{ID: c.ticket.Instance.ID, Born: c.ticket.Instance.Born}
+	c.noteEnd(now, &o)
+}
+
+// noteEnd tells the ledger how the attempt ended. The lock is held.
+func (c *selection) noteEnd(now time.Time, o *proxy.Outcome) {
+	s, p := c.s, crashguard.Process{ID: c.ticket.Instance.ID, Born: c.ticket.Instance.Born}
 	switch {
-	case o.Cancelled:
 	case o.Verdict == verdict.Ran:
-		c.s.ledger.Succeeded(c.fingerprint)
+		s.ledger.Answered(now, p)
+		s.ledger.Succeeded(c.fingerprint)
+	case o.Reason == verdict.ReasonUpstreamRefused:
+		s.ledger.Answered(now, p)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
-		c.s.ledger.Lost(now, c.fingerprint, process)
+		s.ledger.Lost(now, c.fingerprint, p)
+		s.probe.ask(now, p, c.ticket.Instance.Address)
 	case o.Reason == verdict.ReasonMisdirected:
-		event.InstanceLeft.Log(c.s.log, "id", c.ticket.Instance.ID, "heard_from", "")
-		c.s.noteDeath(process, crashguard.EvidenceMisdirects)
-	case o.Reason == verdict.ReasonConnectFailed:
-		c.s.noteDeath(process, crashguard.EvidenceRefused)
+		event.InstanceLeft.Log(s.log, "id", p.ID, "heard_from", "")
+		s.noteDeath(p, crashguard.EvidenceMisdirects)
+	case o.Refused:
+		s.noteDeath(p, crashguard.EvidenceRefused)
+	case o.Verdict == verdict.MayHaveRun && o.Answered.IsZero():
+		s.ledger.Unanswered(now, c.fingerprint, p)
 	}
-	c.s.logSteps("")
+	s.logSteps("")
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/feed"
 	"github.com/currantferry/currantferry/inventory"
@@ -107,6 +108,9 @@
 			}
 		case inventory.OfInstance:
 			changed = append(changed, e.Change.ID)
+			if i := e.Change.Instance; e.Change.Removed && !e.Held && i != nil && !i.Draining {
+				n.selector.recordGone(crashguard.Process{ID: i.ID, Born: i.Born})
+			}
 		default:
 			// Evacuations and routes concern many instances.
 			all = true
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,8 @@
 
 	// written says that bytes of the request may have reached the instance.
 	written bool
+	// refused says that nothing listens at the instance's address.
+	refused bool
 	// answeredAt is when the header of the answer arrived, or zero.
 	answeredAt time.Time
 }
@@ -113,6 +116,7 @@
 	v := verdict.MayHaveRun
 	if !a.written {
 		v = verdict.NotRun
+		a.refused = errors.Is(err, syscall.ECONNREFUSED)
 	}
 	a.reader.detach()
 	switch {
@@ -143,7 +147,7 @@
 // finish ends the attempt and frees its place.
 func (a *attempt) finish(o Outcome) {
 	a.cancel()
-	o.Latency, o.Load, o.Answered, o.Status = a.latency, a.load, a.answeredAt, a.status
+	o.Latency, o.Load, o.Answered, o.Status, o.Refused = a.latency, a.load, a.answeredAt, a.status, a.refused
 	a.selection.Done(o)
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -90,6 +90,8 @@
 	Status int
 	// Load is what the instance reported with its answer, or nil.
 	Load *Load
+	// Refused says that nothing listens at the instance's address.
+	Refused bool
 	// Answered is when the header of the answer arrived, or zero.
 	Answered time.Time
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -187,15 +187,29 @@
 		}
 		n.close()
 	}
-	if !c.reserve(x.Address) {
+	return c.dial(ctx, x.Address)
+}
+
+// Open opens a connection and keeps it for the next request. An error that is
+// syscall.ECONNREFUSED says that nothing listens at the address.
+func (c *Client) Open(ctx context.Context, address string) error {
+	n, err := c.dial(ctx, address)
+	if err == nil {
+		c.keep(n)
+	}
+	return err
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	if !c.reserve(address) {
 		return nil, ErrConnectionLimit
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", x.Address)
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		c.release(x.Address)
+		c.release(address)
 		return nil, err
 	}
-	n := &conn{client: c, address: x.Address, raw: raw, idleFor: c.options.Idle}
+	n := &conn{client: c, address: address, raw: raw, idleFor: c.options.Idle}
 	n.reader = bufio.NewReaderSize(&n.bounded, bufferBytes)
 	n.bounded.from = raw
 	return n, nil
