Count the deaths of a request over all regions

What callers and instances saw: a request that crashes instances crashed three in each region: 9 instances in TestCrashingRequestIsStoppedInAllRegions, and 9 where 3 are allowed in TestDeathsInOneRegionCountInAll, which sends each 900 ms to another region. Cause: a death was told once, in one datagram, to VMs of the own region. More than 32 notes in one digest were dropped, and a VM that knew no other one of its region emptied its outbox without telling anybody. Evidence: with the losses confirmed, 9 = three regions times three. Change: a note goes twice to each VM of the region, and twice to the two VMs of each other region that come first for the request by rendezvous hashing; those tell their region. Notes wait while nobody is known, and 32 go at a time. A success is told in the same way, since deaths of a popular read now come together from more VMs (a data centre that loses power); a request that succeeds anywhere is cleared everywhere. TestBrokenDigest and the fuzz target go by the new layout. Ruled out: telling all VMs of all regions from each VM: 295 VMs and the deaths of a power cut would be megabytes for each VM.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -16,6 +16,9 @@
 	// aliveAfter is how long after a lost connection an answer of its process shows
 	// that it lives. Answers that were under way come sooner.
 	aliveAfter = 100 * time.Millisecond
+	// sameClear is the time within which two successes of a request are no news
+	// after one another.
+	sameClear = time.Second
 	// togetherFor is the time within which connections to one instance must be
 	// lost to show by themselves that it died, and togetherLeast their number.
 	togetherFor   = 100 * time.Millisecond
@@ -42,11 +45,23 @@
 	Born int64
 }
 
-// DeathNote says that an instance died while it ran a request.
-type DeathNote struct {
+// LedgerNote is what one VM tells the others of a request.
+type LedgerNote struct {
 	Request Fingerprint
+	// Process died while it ran the request. Its ID is empty in a note that says
+	// instead that the request succeeded, and deaths before that do not count.
 	Process Process
-	Age     time.Duration
+	// Age is the time since then.
+	Age time.Duration
+	// Local says that this VM saw it, and did not hear of it. It is not sent.
+	Local bool
+}
+
+// outgoing is a note with the number of times that it was handed out.
+type outgoing struct {
+	note  LedgerNote
+	at    time.Time
+	times int
 }
 
 // Ledger remembers which requests were running at instances that died. Unlike a
@@ -60,8 +75,10 @@
 	// dead are the processes that died within ConfirmFor.
 	dead   map[Process]time.Time
 	deaths map[Fingerprint][]death
-	outbox []DeathNote
-	steps  []Step
+	// cleared is when a request last succeeded after a death.
+	cleared map[Fingerprint]time.Time
+	outbox  []outgoing
+	steps   []Step
 }
 
 // StepKind is what a Step says.
@@ -87,9 +104,9 @@
 
 // Step is a change of what the ledger believes, for logs and counters.
 type Step struct {
-	Kind     StepKind
-	Request  Fingerprint
-	Process  Process
+	Kind    StepKind
+	Request Fingerprint
+	Process Process
 	// Evidence is what showed a death.
 	Evidence string
 	// Deaths is the number that now counts against the request.
@@ -150,7 +167,7 @@
 	if cfg.MaxNotes <= 0 {
 		cfg.MaxNotes = DefaultLedgerNotes
 	}
-	return &Ledger{cfg: cfg, dead: make(map[Process]time.Time), deaths: make(map[Fingerprint][]death)}
+	return &Ledger{cfg: cfg, dead: make(map[Process]time.Time), deaths: make(map[Fingerprint][]death), cleared: make(map[Fingerprint]time.Time)}
 }
 
 // Lost notes that the connection of a running request was lost.
@@ -230,7 +247,7 @@
 			continue
 		}
 		if now.Sub(x.at) <= l.cfg.ConfirmFor && l.add(now, x.request, p, x.at) {
-			l.outbox = append(l.outbox, DeathNote{Request: x.request, Process: p, Age: now.Sub(x.at)})
+			l.tell(LedgerNote{Request: x.request, Process: p, Local: true}, x.at)
 			l.step(Step{Kind: StepDied, Request: x.request, Process: p, Evidence: evidence, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
 	}
@@ -241,7 +258,7 @@
 func (l *Ledger) add(now time.Time, f Fingerprint, p Process, at time.Time) bool {
 	l.expire(now, f)
 	list := l.deaths[f]
-	if slices.ContainsFunc(list, func(d death) bool { return d.process == p }) {
+	if at.Before(l.cleared[f]) || slices.ContainsFunc(list, func(d death) bool { return d.process == p }) {
 		return false
 	}
 	if list == nil && len(l.deaths) >= l.cfg.MaxNotes {
@@ -271,12 +288,35 @@
 	delete(l.deaths, oldest)
 }
 
-// Succeeded clears a request that an instance ran to its end.
-func (l *Ledger) Succeeded(f Fingerprint) {
+// Succeeded clears a request that an instance ran to its end, here and at the VMs that
+// are told.
+func (l *Ledger) Succeeded(now time.Time, f Fingerprint) {
+	if len(l.deaths[f]) > 0 && l.clear(now, f, now) {
+		l.tell(LedgerNote{Request: f, Local: true}, now)
+	}
+}
+
+// clear drops the deaths before a time and tells whether it is news.
+func (l *Ledger) clear(now time.Time, f Fingerprint, at time.Time) bool {
+	if at.Sub(l.cleared[f]) < sameClear {
+		return false
+	}
+	for g, t := range l.cleared {
+		if now.Sub(t) > l.cfg.Expiry {
+			delete(l.cleared, g)
+		}
+	}
+	if len(l.cleared) < l.cfg.MaxNotes {
+		l.cleared[f] = at
+	}
 	if n := len(l.deaths[f]); n > 0 {
 		l.step(Step{Kind: StepCleared, Request: f, Deaths: n})
+	}
+	l.deaths[f] = slices.DeleteFunc(l.deaths[f], func(d death) bool { return !d.at.After(at) })
+	if len(l.deaths[f]) == 0 {
 		delete(l.deaths, f)
 	}
+	return true
 }
 
 // Refuses tells whether a request must not be sent, and for how long.
@@ -298,18 +338,47 @@
 	return times[len(times)-l.cfg.Deaths].Add(l.cfg.Expiry).Sub(now), true
 }
 
-// Outbox returns the deaths that this VM saw since the last call, for the others.
-func (l *Ledger) Outbox() []DeathNote {
-	out := l.outbox
-	l.outbox = nil
+// tell puts a note in the outbox.
+func (l *Ledger) tell(n LedgerNote, at time.Time) {
+	if len(l.outbox) < l.cfg.MaxNotes {
+		l.outbox = append(l.outbox, outgoing{note: n, at: at})
+	}
+}
+
+// Outbox returns up to most notes for the other VMs, the oldest first. Each is
+// returned the given number of times, since datagrams get lost.
+func (l *Ledger) Outbox(now time.Time, times, most int) []LedgerNote {
+	var out []LedgerNote
+	kept := l.outbox[:0]
+	for _, o := range l.outbox {
+		if len(out) < most {
+			o.note.Age = max(0, now.Sub(o.at))
+			out = append(out, o.note)
+			o.times++
+		}
+		if o.times < times {
+			kept = append(kept, o)
+		}
+	}
+	l.outbox = kept
 	return out
 }
 
-// Merge takes the deaths that another VM saw.
-func (l *Ledger) Merge(now time.Time, notes []DeathNote) {
+// Merge takes the notes of another VM. Pass tells to pass on what is news.
+func (l *Ledger) Merge(now time.Time, notes []LedgerNote, pass bool) {
 	for _, n := range notes {
-		if n.Age >= 0 && n.Age <= l.cfg.Expiry && n.Process.ID != "" && l.add(now, n.Request, n.Process, now.Add(-n.Age)) {
+		if n.Age < 0 || n.Age > l.cfg.Expiry {
+			continue
+		}
+		at := now.Add(-n.Age)
+		isNews := false
+		if n.Process.ID == "" {
+			isNews = l.clear(now, n.Request, at)
+		} else if isNews = l.add(now, n.Request, n.Process, at); isNews {
 			l.step(Step{Kind: StepHeard, Request: n.Request, Process: n.Process, Deaths: len(l.deaths[n.Request]), Age: n.Age})
 		}
+		if isNews && pass {
+			l.tell(LedgerNote{Request: n.Request, Process: n.Process}, at)
+		}
 	}
 }
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -29,12 +29,12 @@
 		instance := fmt.Sprint("i", crashed)
 		l.Lost(now, requestNumber(1), process(instance))
 		l.Died(now.Add(200*time.Millisecond), process(instance), EvidenceRefused)
+		notes := l.Outbox(now.Add(400*time.Millisecond), 1, 8)
 		for _, other := range vms {
 			if other != l {
-				other.Merge(now.Add(400*time.Millisecond), l.outbox)
+				other.Merge(now.Add(400*time.Millisecond), notes, false)
 			}
 		}
-		l.Outbox()
 	}
 	if crashed != DefaultLedgerDeaths {
 		t.Errorf("%d instances crashed, want %d", crashed, DefaultLedgerDeaths)
@@ -56,7 +56,7 @@
 		l.Lost(second(20+float64(n)), requestNumber(2), process(instance))
 		l.Died(second(20.1+float64(n)), process(instance), EvidenceRefused)
 		if n%2 == 1 {
-			l.Succeeded(requestNumber(2))
+			l.Succeeded(second(20.2+float64(n)), requestNumber(2))
 		}
 	}
 	if _, refused := l.Refuses(second(26), requestNumber(2)); refused {
@@ -127,8 +127,11 @@
 		l.Lost(second(float64(n)/10), f, process(fmt.Sprint("i", n)))
 		l.Died(second(float64(n)/10), process(fmt.Sprint("i", n)), EvidenceRefused)
 	}
-	if len(l.deaths) > 8 || len(l.losses) > 8 {
-		t.Errorf("%d deaths, %d losses", len(l.deaths), len(l.losses))
+	for n := range 100 {
+		l.Merge(second(11), []LedgerNote{{Request: Fingerprint{byte(n), 2}, Age: time.Second}}, true)
+	}
+	if len(l.deaths) > 8 || len(l.losses) > 8 || len(l.dead) > 8 || len(l.cleared) > 8 || len(l.outbox) > 8 {
+		t.Errorf("%d deaths, %d losses, %d dead processes, %d cleared, %d to tell", len(l.deaths), len(l.losses), len(l.dead), len(l.cleared), len(l.outbox))
 	}
 }
 
@@ -155,3 +158,61 @@
 		t.Error("requests that were given up together show no death")
 	}
 }
+
+// Guards against notes that are lost on their way, and against notes that go round
+// for ever.
+func TestNotesAreRepeatedAndPassedOnOnce(t *testing.T) {
+	a, b := NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{})
+	a.Lost(second(0), requestNumber(1), process("x"))
+	a.Died(second(0.1), process("x"), EvidenceRefused)
+	for n := range 3 {
+		notes := a.Outbox(second(1), 3, 8)
+		if len(notes) != 1 || !notes[0].Local || notes[0].Age != time.Second {
+			t.Fatalf("turn %d: %+v", n, notes)
+		}
+		b.Merge(second(1.1), notes, true)
+	}
+	if notes := a.Outbox(second(1), 3, 8); len(notes) != 0 {
+		t.Errorf("a fourth time: %+v", notes)
+	}
+	if notes := b.Outbox(second(1.2), 1, 8); len(notes) != 1 || notes[0].Local {
+		t.Errorf("passed on %+v", notes)
+	}
+	for n := range 5 {
+		a.Lost(second(2), requestNumber(2), process(fmt.Sprint(n)))
+		a.Died(second(2), process(fmt.Sprint(n)), EvidenceRefused)
+	}
+	if first, rest := a.Outbox(second(2), 1, 3), a.Outbox(second(2), 1, 3); len(first) != 3 || len(rest) != 2 {
+		t.Errorf("%d and %d of 5 notes, 3 at a time", len(first), len(rest))
+	}
+}
+
+// Guards against refusing a request everywhere that other VMs see succeed: each VM
+// saw one of its instances die, as when a data centre loses power.
+func TestSuccessElsewhereClears(t *testing.T) {
+	vms := []*Ledger{NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{})}
+	share := func(now time.Time) {
+		for _, from := range vms {
+			notes := from.Outbox(now, 1, 8)
+			for _, to := range vms {
+				if to != from {
+					to.Merge(now, notes, false)
+				}
+			}
+		}
+	}
+	for n, l := range vms {
+		l.Lost(second(0), requestNumber(1), process(fmt.Sprint(n)))
+		l.Died(second(0.1), process(fmt.Sprint(n)), EvidenceRefused)
+	}
+	share(second(0.2))
+	late := []LedgerNote{{Request: requestNumber(1), Process: process("0"), Age: 900 * time.Millisecond}}
+	vms[0].Succeeded(second(0.5), requestNumber(1))
+	share(second(0.6))
+	vms[1].Merge(second(0.9), late, false)
+	for n, l := range vms {
+		if _, refused := l.Refuses(second(1), requestNumber(1)); refused || len(l.deaths) > 0 {
+			t.Errorf("VM %d: refused %v, %d requests with deaths", n, refused, len(l.deaths))
+		}
+	}
+}
--- a/entry/digestcodec.go
+++ b/entry/digestcodec.go
@@ -21,14 +21,26 @@
 	rateSteps  = 10
 )
 
-// encodeDigest packs a digest: the format, the sender, then the shares, reports,
-// deaths and replaced processes, each after their number. Numbers are varints, texts
+// sender is the VM that a digest comes from. Far says that it is of another region
+// than the receiver.
+type sender struct {
+	id  string
+	far bool
+}
+
+// encodeDigest packs a digest: the format, the sender, then the shares, reports, notes
+// on requests and replaced processes, each after their number. Numbers are varints, texts
 // follow their length, and keys of instances have four bytes. A report takes about
 // 10 bytes.
-func encodeDigest(from string, d *placement.Digest, deaths []crashguard.DeathNote) []byte {
+func encodeDigest(from sender, d *placement.Digest, notes []crashguard.LedgerNote) []byte {
 	number := func(b []byte, v int64) []byte { return binary.AppendUvarint(b, uint64(max(v, 0))) }
 	text := func(b []byte, s string) []byte { return append(number(b, int64(len(s))), s...) }
-	b := text([]byte{digestFormat}, from)
+	b := text([]byte{digestFormat}, from.id)
+	if from.far {
+		b = number(b, 1)
+	} else {
+		b = number(b, 0)
+	}
 	b = number(b, int64(len(d.Shares)))
 	for name, share := range d.Shares {
 		b = number(number(text(b, name), int64(math.Round(share.Share*shareSteps))), int64(math.Round(share.Rate*rateSteps)))
@@ -40,8 +52,8 @@
 			b = number(b, v)
 		}
 	}
-	b = number(b, int64(len(deaths)))
-	for _, n := range deaths {
+	b = number(b, int64(len(notes)))
+	for _, n := range notes {
 		b = binary.AppendVarint(text(append(b, n.Request[:]...), n.Process.ID), n.Process.Born)
 		b = number(b, n.Age.Milliseconds())
 	}
@@ -103,12 +115,12 @@
 }
 
 // decodeDigest returns the digest of a datagram and its sender.
-func decodeDigest(data []byte) (from string, d *placement.Digest, deaths []crashguard.DeathNote, err error) {
+func decodeDigest(data []byte) (from sender, d *placement.Digest, notes []crashguard.LedgerNote, err error) {
 	if len(data) == 0 || data[0] != digestFormat {
-		return "", nil, nil, errors.New("digest of another format")
+		return sender{}, nil, nil, errors.New("digest of another format")
 	}
 	r := &digestReader{rest: data[1:]}
-	from = r.text()
+	from.id, from.far = r.text(), r.number() != 0
 	d = &placement.Digest{Shares: make(map[string]placement.Share)}
 	for n := r.number(); n > 0 && r.err == nil; n-- {
 		name := r.text()
@@ -120,11 +132,11 @@
 		d.Reports = append(d.Reports, placement.Report{Instance: key, Load: load, Age: r.age(), Ratio: float64(r.number()) / 100})
 	}
 	for n := r.number(); n > 0 && r.err == nil; n-- {
-		var note crashguard.DeathNote
+		var note crashguard.LedgerNote
 		copy(note.Request[:], r.bytes(len(note.Request)))
 		note.Process.ID, note.Process.Born = r.text(), r.signed()
 		note.Age = r.age()
-		deaths = append(deaths, note)
+		notes = append(notes, note)
 	}
 	for n := r.number(); n > 0 && r.err == nil; n-- {
 		d.Replaced = append(d.Replaced, placement.InstanceKey(binary.BigEndian.Uint32(r.bytes(4))))
@@ -133,7 +145,7 @@
 		r.err = errors.Errorf("digest with %d bytes too many", len(r.rest))
 	}
 	if r.err != nil {
-		return "", nil, nil, r.err
+		return sender{}, nil, nil, r.err
 	}
-	return from, d, deaths, nil
+	return from, d, notes, nil
 }
--- a/entry/digestcodec_test.go
+++ b/entry/digestcodec_test.go
@@ -9,7 +9,7 @@
 	"github.com/currantferry/currantferry/placement"
 )
 
-func sampleDigest() (*placement.Digest, []crashguard.DeathNote) {
+func sampleDigest() (*placement.Digest, []crashguard.LedgerNote) {
 	d := &placement.Digest{
 		Shares: map[string]placement.Share{"shop": {Share: 0.25, Rate: 31.5}, "press": {}},
 		Reports: []placement.Report{
@@ -18,16 +18,16 @@
 		},
 	}
 	d.Replaced = []placement.InstanceKey{placement.KeyOf("i-4"), 7}
-	return d, []crashguard.DeathNote{{Request: crashguard.Fingerprint{1, 2, 3}, Process: crashguard.Process{ID: "i-3", Born: 1_764_800_000_000}, Age: time.Second}}
+	return d, []crashguard.LedgerNote{{Request: crashguard.Fingerprint{1, 2, 3}, Process: crashguard.Process{ID: "i-3", Born: 1_764_800_000_000}, Age: time.Second}}
 }
 
 // Guards against digests that say something else after their way.
 func TestDigestSurvivesItsWay(t *testing.T) {
 	t.Parallel()
 	d, deaths := sampleDigest()
-	from, got, gotDeaths, err := decodeDigest(encodeDigest("vm-1", d, deaths))
-	if err != nil || from != "vm-1" || !reflect.DeepEqual(got, d) || !reflect.DeepEqual(gotDeaths, deaths) {
-		t.Fatalf("%q %+v %+v %v", from, got, gotDeaths, err)
+	from, got, gotDeaths, err := decodeDigest(encodeDigest(sender{"vm-1", true}, d, deaths))
+	if err != nil || from != (sender{"vm-1", true}) || !reflect.DeepEqual(got, d) || !reflect.DeepEqual(gotDeaths, deaths) {
+		t.Fatalf("%+v %+v %+v %v", from, got, gotDeaths, err)
 	}
 }
 
@@ -37,11 +37,11 @@
 	t.Parallel()
 	report := placement.Report{Instance: placement.KeyOf("i-1"), Load: placement.Load{Running: 9, Waiting: 12, Slots: 9, WorkPercent: 250}, Age: 200 * time.Millisecond}
 	d := &placement.Digest{Shares: map[string]placement.Share{"customer-portal": {Share: 0.1, Rate: 80}, "workshop": {Share: 0.1, Rate: 9}}}
-	empty := len(encodeDigest("edge-donau-1-7", d, nil))
+	empty := len(encodeDigest(sender{id: "edge-donau-1-7"}, d, nil))
 	for range 40 {
 		d.Reports = append(d.Reports, report)
 	}
-	if size := len(encodeDigest("edge-donau-1-7", d, nil)); empty > 64 || (size-empty)/40 > 12 {
+	if size := len(encodeDigest(sender{id: "edge-donau-1-7"}, d, nil)); empty > 64 || (size-empty)/40 > 12 {
 		t.Errorf("%d bytes without reports, %d with 40", empty, size)
 	}
 }
@@ -50,7 +50,7 @@
 func TestBrokenDigestSaysNothing(t *testing.T) {
 	t.Parallel()
 	d, deaths := sampleDigest()
-	whole := encodeDigest("vm-1", d, deaths)
+	whole := encodeDigest(sender{"vm-1", true}, d, deaths)
 	for n := range whole {
 		if _, got, notes, err := decodeDigest(whole[:n]); err == nil || got != nil || notes != nil {
 			t.Fatalf("the first %d of %d bytes were taken", n, len(whole))
@@ -64,7 +64,7 @@
 // Guards against datagrams that stop a VM.
 func FuzzDigest(f *testing.F) {
 	d, deaths := sampleDigest()
-	f.Add(encodeDigest("vm-1", d, deaths))
+	f.Add(encodeDigest(sender{"vm-1", true}, d, deaths))
 	f.Add([]byte{digestFormat, 255, 255, 255, 255, 255})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		from, d, deaths, err := decodeDigest(data)
@@ -73,8 +73,8 @@
 		}
 		p := placement.New(placement.Config{VM: "vm-2", Region: "r"})
 		p.SetInstances(time.Unix(1, 0), []placement.Instance{{ID: "i-1", Service: "shop", Region: "r", Slots: 4}})
-		p.Heard(time.Unix(2, 0), from, d)
+		p.Heard(time.Unix(2, 0), from.id, d)
 		p.Tick(time.Unix(3, 0))
-		crashguard.NewLedger(crashguard.LedgerConfig{}).Merge(time.Unix(2, 0), deaths)
+		crashguard.NewLedger(crashguard.LedgerConfig{}).Merge(time.Unix(2, 0), deaths, from.far)
 	})
 }
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -132,20 +132,24 @@
 	s.picker.SetBounds(b.ColdOver, b.ColdSlack, b.ShiftMost)
 }
 
-func (s *selector) digest(now time.Time) (placement.Digest, []crashguard.DeathNote) {
+func (s *selector) digest(now time.Time, noteTimes int) (placement.Digest, []crashguard.LedgerNote) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.picker.Digest(now), s.ledger.Outbox()
+	return s.picker.Digest(now), s.ledger.Outbox(now, noteTimes, notesMost)
 }
 
-func (s *selector) heard(now time.Time, from string, d *placement.Digest, deaths []crashguard.DeathNote) {
+// heard takes the digest of another VM. One of another region has notes only, which
+// this VM tells its own region.
+func (s *selector) heard(now time.Time, from sender, d *placement.Digest, notes []crashguard.LedgerNote) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, id := range s.picker.Heard(now, from, d) {
-		event.InstanceLeft.Log(s.log, "id", id, "heard_from", from)
+	if !from.far {
+		for _, id := range s.picker.Heard(now, from.id, d) {
+			event.InstanceLeft.Log(s.log, "id", id, "heard_from", from.id)
+		}
 	}
-	s.ledger.Merge(now, deaths)
-	s.logSteps(from)
+	s.ledger.Merge(now, notes, from.far)
+	s.logSteps(from.id)
 }
 
 // spillStep is the change of a share that is worth a line of the log.
@@ -248,7 +252,7 @@
 	switch {
 	case o.Verdict == verdict.Ran:
 		s.ledger.Answered(now, p)
-		s.ledger.Succeeded(c.fingerprint)
+		s.ledger.Succeeded(now, c.fingerprint)
 	case o.Reason == verdict.ReasonUpstreamRefused:
 		s.ledger.Answered(now, p)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
--- a/entry/view.go
+++ b/entry/view.go
@@ -70,6 +70,8 @@
 	// far are the first VMs of other regions, in an order that differs between
 	// regions. They relay while this region has no VM with a record.
 	far []string
+	// others are the VMs of the other regions, by region.
+	others map[string][]inventory.VM
 
 	// answers keeps those to callers, which all are asked for again and again.
 	mu      sync.Mutex
@@ -84,13 +86,14 @@
 // newView ranks the VMs of a region. The former view, which may be nil, tells who
 // has gone.
 func newView(before *view, now time.Time, vms []inventory.VM, region string) *view {
-	v := &view{vms: vms, answers: make(map[namedKey][]string)}
+	v := &view{vms: vms, others: make(map[string][]inventory.VM), answers: make(map[namedKey][]string)}
 	var others []inventory.VM
 	for i := range vms {
 		if vms[i].Region == region {
 			v.ranked = append(v.ranked, vms[i])
 		} else {
 			others = append(others, vms[i])
+			v.others[vms[i].Region] = append(v.others[vms[i].Region], vms[i])
 		}
 	}
 	sortByScore(v.ranked, "relay")
