Remember for 10 min which requests instances died of

What callers and instances saw: a request that crashes instances and comes each 20 s crashed one each time; refused for 30 s, it crashed another one as each death expired. Deaths of many requests, as when a data centre loses power, pushed out the one that was refused. Cause: deaths counted for 30 s, and a full ledger dropped by age only. Change: deaths count for 10 min, as with the guard of the product's own daemon; a full ledger drops the request with the fewest deaths. What protects innocents is that a success anywhere clears them.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -8,7 +8,7 @@
 // Defaults of LedgerConfig.
 const (
 	DefaultLedgerDeaths = 3
-	DefaultLedgerExpiry = 30 * time.Second
+	DefaultLedgerExpiry = DefaultExpiry
 	DefaultLedgerNotes  = 1024
 	// DefaultConfirmFor covers a record that lapses after three heartbeats of 1.5 s,
 	// its way to the VMs, and a removal that is held back for 2.2 s.
@@ -30,7 +30,7 @@
 	// Deaths is the number of processes that must have died while they ran a
 	// request before it is refused. Default 3.
 	Deaths int
-	// Expiry is how long a death counts. Default 30 s.
+	// Expiry is how long a death counts. Default 10 min, as for a Guard.
 	Expiry time.Duration
 	// ConfirmFor is how long after a lost connection the death of its process may
 	// show. Default 8 s.
@@ -262,7 +262,7 @@
 		return false
 	}
 	if list == nil && len(l.deaths) >= l.cfg.MaxNotes {
-		l.dropOldest()
+		l.dropLeast()
 	}
 	l.deaths[f] = append(list, death{p, at})
 	return true
@@ -277,15 +277,19 @@
 	}
 }
 
-func (l *Ledger) dropOldest() {
-	var oldest Fingerprint
+// dropLeast drops the request with the fewest deaths, of several the one whose last
+// death is the oldest.
+func (l *Ledger) dropLeast() {
+	var least Fingerprint
+	var number int
 	var at time.Time
 	for f, list := range l.deaths {
-		if last := list[len(list)-1].at; at.IsZero() || last.Before(at) {
-			oldest, at = f, last
+		n, last := len(list), list[len(list)-1].at
+		if number == 0 || n < number || (n == number && last.Before(at)) {
+			least, number, at = f, n, last
 		}
 	}
-	delete(l.deaths, oldest)
+	delete(l.deaths, least)
 }
 
 // Succeeded clears a request that an instance ran to its end, here and at the VMs that
--- a/event/feed.go
+++ b/event/feed.go
@@ -26,7 +26,7 @@
 	Announced      = define(2331, slog.LevelInfo, "this VM's record is written", "")
 	SpillChanged   = define(2340, slog.LevelInfo, "share of a service's objects that run in other regions", "")
 	DigestFailed   = define(2341, slog.LevelWarn, "a digest of loads could not be sent or received", "placement goes by this VM's own answers meanwhile")
-	CrashNoted     = define(2342, slog.LevelWarn, "an instance died while it ran a request", "after three such instances the request is refused for 30 s; look at what its caller sends")
+	CrashNoted     = define(2342, slog.LevelWarn, "an instance died while it ran a request", "after three such processes the request is refused for 10 min; look at what its caller sends")
 	InstanceLeft   = define(2343, slog.LevelInfo, "another instance has the address of this one, which gets no requests for a while", "")
 	CrashStep      = define(2344, slog.LevelInfo, "what this VM believes of a request whose instances died has changed", "step and deaths say how far it is from being refused; see OPERATIONS.md")
 	SettingsRead   = define(2350, slog.LevelInfo, "settings read again", "")
