Clear no deaths by an instance's own failure

What callers and instances saw: a request that crashes instances could go on once an instance answered it with a failure of its own, as instances in trouble do before they begin to run a request. Cause: every complete answer cleared the deaths of its request. Evidence: TestFailureAnswersClearNoDeaths, with 500 and 503 it was sent a fourth time before. Change: answers from 500 on show that the process lives, and nothing about the request. Measured: go test ./entry -run FailureAnswers -count 3 passes.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"log/slog"
 	"math"
+	"net/http"
 	"sync"
 	"time"
 
@@ -252,7 +253,10 @@
 	switch {
 	case o.Verdict == verdict.Ran:
 		s.ledger.Answered(now, p)
-		s.ledger.Succeeded(now, c.fingerprint)
+		if o.Status < http.StatusInternalServerError {
+			// An instance may fail a request before it begins to run it.
+			s.ledger.Succeeded(now, c.fingerprint)
+		}
 	case o.Reason == verdict.ReasonUpstreamRefused:
 		s.ledger.Answered(now, p)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
