Record which requests are refused since instances died of them

Cause: the deaths were in the memory of the VMs alone. Evidence: the ledger of a VM that starts is empty, and its peers tell each death twice only. All VMs follow it with the other records, also those that start later. A success clears it at the VMs, and the writer ends its lease. Ruled out: handing the ledger over between VMs; when all restart nobody has it.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -77,8 +77,10 @@
 	deaths map[Fingerprint][]death
 	// cleared is when a request last succeeded after a death.
 	cleared map[Fingerprint]time.Time
-	outbox  []outgoing
-	steps   []Step
+	// recorded are the requests that a record says to refuse.
+	recorded map[Fingerprint]bool
+	outbox   []outgoing
+	steps    []Step
 }
 
 // StepKind is what a Step says.
@@ -151,6 +153,8 @@
 type death struct {
 	process Process
 	at      time.Time
+	// local says that this VM saw it.
+	local bool
 }
 
 // NewLedger returns an empty ledger.
@@ -167,7 +171,7 @@
 	if cfg.MaxNotes <= 0 {
 		cfg.MaxNotes = DefaultLedgerNotes
 	}
-	return &Ledger{cfg: cfg, dead: make(map[Process]time.Time), deaths: make(map[Fingerprint][]death), cleared: make(map[Fingerprint]time.Time)}
+	return &Ledger{cfg: cfg, dead: make(map[Process]time.Time), deaths: make(map[Fingerprint][]death), cleared: make(map[Fingerprint]time.Time), recorded: make(map[Fingerprint]bool)}
 }
 
 // Lost notes that the connection of a running request was lost.
@@ -246,7 +250,7 @@
 			kept = append(kept, x)
 			continue
 		}
-		if now.Sub(x.at) <= l.cfg.ConfirmFor && l.add(now, x.request, p, x.at) {
+		if now.Sub(x.at) <= l.cfg.ConfirmFor && l.add(now, x.request, death{p, x.at, true}) {
 			l.tell(LedgerNote{Request: x.request, Process: p, Local: true}, x.at)
 			l.step(Step{Kind: StepDied, Request: x.request, Process: p, Evidence: evidence, Deaths: len(l.deaths[x.request]), Age: now.Sub(x.at)})
 		}
@@ -255,16 +259,16 @@
 }
 
 // add notes a death and tells whether it is news.
-func (l *Ledger) add(now time.Time, f Fingerprint, p Process, at time.Time) bool {
+func (l *Ledger) add(now time.Time, f Fingerprint, d death) bool {
 	l.expire(now, f)
 	list := l.deaths[f]
-	if at.Before(l.cleared[f]) || slices.ContainsFunc(list, func(d death) bool { return d.process == p }) {
+	if d.at.Before(l.cleared[f]) || slices.ContainsFunc(list, func(known death) bool { return known.process == d.process }) {
 		return false
 	}
 	if list == nil && len(l.deaths) >= l.cfg.MaxNotes {
 		l.dropLeast()
 	}
-	l.deaths[f] = append(list, death{p, at})
+	l.deaths[f] = append(list, d)
 	return true
 }
 
@@ -295,7 +299,7 @@
 // Succeeded clears a request that an instance ran to its end, here and at the VMs that
 // are told.
 func (l *Ledger) Succeeded(now time.Time, f Fingerprint) {
-	if len(l.deaths[f]) > 0 && l.clear(now, f, now) {
+	if (len(l.deaths[f]) > 0 || l.recorded[f]) && l.clear(now, f, now) {
 		l.tell(LedgerNote{Request: f, Local: true}, now)
 	}
 }
@@ -320,11 +324,40 @@
 	if len(l.deaths[f]) == 0 {
 		delete(l.deaths, f)
 	}
+	delete(l.recorded, f)
 	return true
 }
 
+// SetRecorded says whether a record that outlasts the VMs names a request as refused.
+func (l *Ledger) SetRecorded(f Fingerprint, recorded bool) {
+	switch {
+	case !recorded:
+		delete(l.recorded, f)
+	case len(l.recorded) < l.cfg.MaxNotes:
+		l.recorded[f] = true
+	}
+}
+
+// Unrecorded returns the refused requests without a record whose last death is older
+// than settle, if this VM saw one of their deaths. Until then a run that was under way
+// may still succeed.
+func (l *Ledger) Unrecorded(now time.Time, settle time.Duration) []Fingerprint {
+	var out []Fingerprint
+	for f, list := range l.deaths {
+		recent := func(d death) bool { return now.Sub(d.at) < settle }
+		local := func(d death) bool { return d.local }
+		if len(list) >= l.cfg.Deaths && !l.recorded[f] && !slices.ContainsFunc(list, recent) && slices.ContainsFunc(list, local) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Refuses tells whether a request must not be sent, and for how long.
 func (l *Ledger) Refuses(now time.Time, f Fingerprint) (wait time.Duration, refused bool) {
+	if l.recorded[f] {
+		return l.cfg.Expiry, true
+	}
 	if len(l.deaths[f]) == 0 {
 		return 0, false
 	}
@@ -378,7 +411,7 @@
 		isNews := false
 		if n.Process.ID == "" {
 			isNews = l.clear(now, n.Request, at)
-		} else if isNews = l.add(now, n.Request, n.Process, at); isNews {
+		} else if isNews = l.add(now, n.Request, death{n.Process, at, false}); isNews {
 			l.step(Step{Kind: StepHeard, Request: n.Request, Process: n.Process, Deaths: len(l.deaths[n.Request]), Age: n.Age})
 		}
 		if isNews && pass {
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -250,3 +250,32 @@
 		}
 	}
 }
+
+// Guards against records that nobody writes, that all VMs write, or that stand for a
+// request which has succeeded.
+func TestRefusedRequestsAreRecordedOnce(t *testing.T) {
+	saw, heard := NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{})
+	for n := range DefaultLedgerDeaths {
+		saw.Lost(second(float64(n)), requestNumber(1), process(fmt.Sprint(n)))
+		saw.Died(second(float64(n)), process(fmt.Sprint(n)), EvidenceRefused)
+		heard.Merge(second(float64(n)), saw.Outbox(second(float64(n)), 1, 8), false)
+	}
+	due := func(l *Ledger, s float64) int { return len(l.Unrecorded(second(s), time.Second)) }
+	if due(saw, 2.5) != 0 || due(saw, 3.1) != 1 || due(heard, 3.1) != 0 {
+		t.Errorf("to be recorded %d at once, %d later, %d where it was only heard of", due(saw, 2.5), due(saw, 3.1), due(heard, 3.1))
+	}
+	started := NewLedger(LedgerConfig{})
+	for _, l := range []*Ledger{saw, heard, started} {
+		l.SetRecorded(requestNumber(1), true)
+	}
+	if _, refused := started.Refuses(second(4), requestNumber(1)); !refused || due(saw, 4) != 0 {
+		t.Errorf("a VM that knows the record only: refused %v; %d to be recorded again", refused, due(saw, 4))
+	}
+	started.Succeeded(second(5), requestNumber(1))
+	saw.Merge(second(5), started.Outbox(second(5), 1, 8), false)
+	for _, l := range []*Ledger{saw, started} {
+		if _, refused := l.Refuses(second(6), requestNumber(1)); refused {
+			t.Error("refused after a success")
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -185,6 +185,7 @@
 	for _, run := range []func(){
 		func() { n.follower.Run(n.ctx) },
 		n.announceLoop,
+		n.recordRefused,
 		func() { n.every(tickInterval, n.tick) },
 		func() { n.every(digestInterval, n.sendDigest) },
 		n.receiveDigests,
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -15,6 +15,7 @@
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/placement"
 	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/store"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -153,6 +154,26 @@
 	s.logSteps(from.id)
 }
 
+// setRecorded says whether a record names a request as refused.
+func (s *selector) setRecorded(f crashguard.Fingerprint, recorded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.SetRecorded(f, recorded)
+}
+
+// unrecorded returns the requests that are to be recorded as refused, and those of the
+// written records that are not refused any more.
+func (s *selector) unrecorded(now time.Time, settle time.Duration, written map[crashguard.Fingerprint]store.LeaseID) (due, cleared []crashguard.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f := range written {
+		if _, refused := s.ledger.Refuses(now, f); !refused {
+			cleared = append(cleared, f)
+		}
+	}
+	return s.ledger.Unrecorded(now, settle), cleared
+}
+
 // spillStep is the change of a share that is worth a line of the log.
 const spillStep = 0.05
 
--- a/entry/state.go
+++ b/entry/state.go
@@ -21,6 +21,14 @@
 
 // decode translates a record: the entry VMs' own here, the others by the platform.
 func (n *Node) decode(r feed.Record) inventory.Change {
+	if text, ok := strings.CutPrefix(r.Key, refusedPrefix); ok {
+		c := inventory.Change{Kind: inventory.OfRefused, ID: text, Revision: r.Revision, Removed: r.Removed}
+		var f crashguard.Fingerprint
+		if err := f.UnmarshalText([]byte(text)); err != nil || f.String() != text {
+			c.Unusable = errors.Errorf("%s: no fingerprint", r.Key)
+		}
+		return c
+	}
 	id, ok := strings.CutPrefix(r.Key, vmPrefix)
 	if !ok {
 		return n.platform.Decode(r)
@@ -111,6 +119,12 @@
 			if i := e.Change.Instance; e.Change.Removed && !e.Held && i != nil && !i.Draining {
 				n.selector.recordGone(crashguard.Process{ID: i.ID, Born: i.Born})
 			}
+		case inventory.OfRefused:
+			var f crashguard.Fingerprint
+			// A name that is no fingerprint was logged when it was decoded.
+			if err := f.UnmarshalText([]byte(e.Change.ID)); err == nil && !e.Held && e.Change.Unusable == nil {
+				n.selector.setRecorded(f, !e.Change.Removed)
+			}
 		default:
 			// Evacuations and routes concern many instances.
 			all = true
@@ -159,6 +173,10 @@
 		ev = event.VMChanged
 	case c.Kind == inventory.OfRoutes:
 		ev = event.RoutesApplied
+	case c.Kind == inventory.OfRefused && c.Removed:
+		ev = event.RefusalEnded
+	case c.Kind == inventory.OfRefused:
+		ev = event.RefusalRecorded
 	case c.Kind == inventory.OfEvacuation && c.Removed:
 		ev = event.EvacuationEnded
 	case c.Kind == inventory.OfEvacuation:
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -22,12 +22,14 @@
 	OfVM
 	OfRoutes
 	OfEvacuation
+	// OfRefused records name a request that instances died of.
+	OfRefused
 )
 
 // Change is one decoded record. The fields of other kinds than Kind are empty.
 type Change struct {
 	Kind Kind
-	// ID of the instance, VM or evacuated data centre.
+	// ID of the instance, VM, evacuated data centre or refused request.
 	ID       string
 	Revision uint64
 	// Removed says that the record is gone.
