Know a resent request whatever its framing and service

What callers and instances saw: a request that crashes instances counted anew where its caller sent the body in chunks instead of with a length, or where the route's weights gave the resend to another service. Cause: the fingerprint had the declared length and the chosen service. Evidence: TestResendsHaveOneFingerprint, resends 0 and 2 had another one before. Change: the length is that of the body where it is held, and the crash guard's fingerprint has the host in the place of the service. That of idempotency keys keeps the service; a key whose request comes in chunks is now recognised as well. Measured: go test ./proxy ./node ./entry ./policybench passes.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -74,8 +74,9 @@
 		x.cancel()
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 	}
-	x.fingerprint = x.sum()
-	x.query.Fingerprint = x.fingerprint
+	x.fingerprint = x.sum(x.query.Service.Name)
+	// A route's weights may give a resend to another service.
+	x.query.Fingerprint = x.sum(x.r.Host, x.r.Header.Get(HeaderService))
 	return nil
 }
 
@@ -155,8 +156,9 @@
 	}
 }
 
-// sum is the fingerprint of the request: what would make two sends the same.
-func (x *exchange) sum() [32]byte {
+// sum is the fingerprint of the request at a target: what would make two sends the
+// same. A body that is held counts with its length, however it was framed.
+func (x *exchange) sum(target ...string) [32]byte {
 	s := sha256.New()
 	field := func(b []byte) {
 		var length [8]byte
@@ -164,10 +166,12 @@
 		s.Write(length[:])
 		s.Write(b)
 	}
-	field([]byte(x.query.Service.Name))
+	for _, t := range target {
+		field([]byte(t))
+	}
 	field([]byte(x.r.Method))
 	field([]byte(x.r.URL.RequestURI()))
-	field([]byte(strconv.FormatInt(x.r.ContentLength, 10)))
+	field([]byte(strconv.FormatInt(x.body.length, 10)))
 	field(x.body.prefix[:min(len(x.body.prefix), fingerprintBytes)])
 	var out [32]byte
 	s.Sum(out[:0])
