Clear no suspect of the product's own guard by a failure

What callers and instances saw: as on a platform, a request that crashes instances could be sent on after an instance in trouble had answered it with a failure. Cause: every complete answer counted as a success. Evidence: TestFailureAnswersClearNoSuspect, with 500 and 503 the request was no suspect any more before. Change: answers from 500 on say nothing about the request.

--- a/crashguard/crashguard.go
+++ b/crashguard/crashguard.go
@@ -84,7 +84,7 @@
 const (
 	// Unknown says nothing about the request: refused, cancelled, timed out.
 	Unknown Outcome = iota
-	// Success is a complete response, whatever its status.
+	// Success is a complete response that is no failure of the instance.
 	Success
 	// Died means that the connection ended while the instance ran the request.
 	Died
--- a/node/crash.go
+++ b/node/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"sync"
 	"time"
 
@@ -78,7 +79,8 @@
 	outcome := crashguard.Unknown
 	switch {
 	case o.Cancelled:
-	case o.Verdict == verdict.Ran:
+	case o.Verdict == verdict.Ran && o.Status < http.StatusInternalServerError:
+		// An instance may fail a request before it begins to run it.
 		outcome = crashguard.Success
 	case o.Reason == verdict.ReasonConnectionLost || o.Reason == verdict.ReasonTruncated:
 		outcome = crashguard.Died
--- /dev/null
+++ b/node/crash_test.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/crashguard"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Guards against a suspect that is forgiven because an instance in trouble failed it
+// before it began to run it.
+func TestFailureAnswersClearNoSuspect(t *testing.T) {
+	t.Parallel()
+	for status, cleared := range map[int]bool{200: true, 404: true, 500: false, 503: false} {
+		c := &crashNotes{guard: crashguard.New(crashguard.Config{VM: "vm-1", Settle: time.Millisecond})}
+		q := &proxy.Query{Service: &register.Service{Name: "shop"}, Fingerprint: [32]byte{1}}
+		run := func(instance string, o proxy.Outcome) {
+			ticket, err := c.begin(context.Background(), q, instance)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.end(ticket, o)
+		}
+		run("a", proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+		run("b", proxy.Outcome{Verdict: verdict.Ran, Status: status})
+		if c.isSuspect(q) == cleared {
+			t.Errorf("after an answer of %d cleared %v, want %v", status, !cleared, cleared)
+		}
+	}
+}
