Take what instances say about new requests in their answers

What callers and instances saw: an instance that says in each answer that it leaves got 2,503 requests later than 0.5 s after the first such answer, and 2,506 with the store silent, while its record said ready; one that refused with a time to stay away got 282 and 468 within that time; an only instance got all its requests. Cause: neither sign was read. Change: package availability holds, by process, that it leaves or until when it wants nothing from this VM; what a process says outweighs records of any age and ends with the process. It is taken when the head of the answer is read, before the answer is passed on, closes the connections to the instance that carry nothing, and keeps every choice away: the first, others, trials, cold shares and the last resort. A request that is chosen and not yet written is chosen again. One that nobody else may serve still goes to an instance in the first 0.4 of its drain time (new setting drain_time). Where all leave or asked to wait, the caller is refused at once with the earliest return; places are dealt out by the room that the instances then have, every other one kept for callers with less time. VMs of a region tell each other who leaves, by digest; a wait is one VM's own. A 429, or a 503 without a time, says nothing about other requests.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -31,9 +31,9 @@
 	return s
 }
 
-func orderQuery(fingerprint byte) *proxy.Query {
+func orderQuery() *proxy.Query {
 	return &proxy.Query{
-		Service: &register.Service{Name: "shop"}, Fingerprint: [32]byte{fingerprint}, Deadline: time.Now().Add(time.Second), Target: time.Second,
+		Service: &register.Service{Name: "shop"}, Fingerprint: [32]byte{1}, Deadline: time.Now().Add(time.Second), Target: time.Second,
 	}
 }
 
@@ -58,15 +58,15 @@
 	for status, cleared := range map[int]bool{200: true, 404: true, 500: false, 503: false} {
 		s := testSelector(t, 8)
 		for range crashguard.DefaultLedgerDeaths - 1 {
-			c := choose(t, s, orderQuery(1))
+			c := choose(t, s, orderQuery())
 			c.Done(proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
 			s.refusedConnection(crashguard.Process{ID: c.Instance().ID, Born: 1})
 		}
-		choose(t, s, orderQuery(1)).Done(proxy.Outcome{Verdict: verdict.Ran, Status: status})
-		c := choose(t, s, orderQuery(1))
+		choose(t, s, orderQuery()).Done(proxy.Outcome{Verdict: verdict.Ran, Status: status})
+		c := choose(t, s, orderQuery())
 		c.Done(proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
 		s.refusedConnection(crashguard.Process{ID: c.Instance().ID, Born: 1})
-		if _, err := s.Select(t.Context(), orderQuery(1)); (err == nil) != cleared {
+		if _, err := s.Select(t.Context(), orderQuery()); (err == nil) != cleared {
 			t.Errorf("after an answer of %d: %v", status, err)
 		}
 	}
--- a/entry/digest.go
+++ b/entry/digest.go
@@ -50,7 +50,7 @@
 		n.sendDatagram(encodeDigest(sender{n.self.ID, true}, new(placement.Digest), some), address)
 	}
 	peers := v.ranked
-	if len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(notes) == 0 || len(peers) < 2 {
+	if len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(digest.Leaving)+len(notes) == 0 || len(peers) < 2 {
 		return
 	}
 	data := encodeDigest(sender{n.self.ID, false}, &digest, notes)
--- a/entry/digestcodec.go
+++ b/entry/digestcodec.go
@@ -61,6 +61,10 @@
 	for _, key := range d.Replaced {
 		b = binary.BigEndian.AppendUint32(b, uint32(key))
 	}
+	b = number(b, int64(len(d.Leaving)))
+	for _, l := range d.Leaving {
+		b = number(binary.BigEndian.AppendUint64(b, l.Process), l.Age.Milliseconds())
+	}
 	return b
 }
 
@@ -141,6 +145,9 @@
 	for n := r.number(); n > 0 && r.err == nil; n-- {
 		d.Replaced = append(d.Replaced, placement.InstanceKey(binary.BigEndian.Uint32(r.bytes(4))))
 	}
+	for n := r.number(); n > 0 && r.err == nil; n-- {
+		d.Leaving = append(d.Leaving, placement.LeavingProcess{Process: binary.BigEndian.Uint64(r.bytes(8)), Age: r.age()})
+	}
 	if r.err == nil && len(r.rest) > 0 {
 		r.err = errors.Errorf("digest with %d bytes too many", len(r.rest))
 	}
--- a/entry/digestcodec_test.go
+++ b/entry/digestcodec_test.go
@@ -17,6 +17,7 @@
 			{Instance: placement.KeyOf("i-2"), Age: time.Millisecond},
 		},
 	}
+	d.Leaving = []placement.LeavingProcess{{Process: 1 << 63, Age: 300 * time.Millisecond}}
 	d.Replaced = []placement.InstanceKey{placement.KeyOf("i-4"), 7}
 	return d, []crashguard.LedgerNote{{Request: crashguard.Fingerprint{1, 2, 3}, Process: crashguard.Process{ID: "i-3", Born: 1_764_800_000_000}, Age: time.Second}}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -162,7 +162,7 @@
 	}
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
-		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, ShiftMost: s.ShiftMost,
+		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, ShiftMost: s.ShiftMost, DrainFor: s.DrainTime,
 	}, n.log, n.metrics.Scope())
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
@@ -176,6 +176,7 @@
 	})
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
+	n.selector.forget = n.proxy.Client().Forget
 	n.selector.probe = newDeathProbe(n.proxy.Client().Open, n.selector.refusedConnection)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -26,6 +26,8 @@
 	pause *pauseGuard
 	// probe finds out whether the process at the end of a lost connection died.
 	probe *deathProbe
+	// forget closes the idle connections to an address.
+	forget func(address string)
 
 	mu     sync.Mutex
 	picker *placement.Picker
@@ -36,6 +38,8 @@
 	spill map[string]float64
 	// steps counts those of the ledger, by kind.
 	steps map[crashguard.StepKind]tally.Counter
+	// words counts what instances said about new requests.
+	words map[string]tally.Counter
 }
 
 var _ proxy.Selector = (*selector)(nil)
@@ -43,11 +47,15 @@
 func newSelector(cfg placement.Config, log *slog.Logger, scope tally.Scope) *selector {
 	s := &selector{
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
-		known: make(map[string]int64), spill: make(map[string]float64), steps: make(map[crashguard.StepKind]tally.Counter),
+		known: make(map[string]int64), spill: make(map[string]float64), steps: make(map[crashguard.StepKind]tally.Counter), words: make(map[string]tally.Counter),
+		forget: func(string) {},
 	}
 	for _, kind := range crashguard.StepKinds() {
 		s.steps[kind] = scope.Tagged(map[string]string{"step": string(kind)}).Counter("crash_steps")
 	}
+	for _, word := range []string{wordLeaving, wordHeard, wordWait, wordUnusable} {
+		s.words[word] = scope.Tagged(map[string]string{"word": word}).Counter("instance_words")
+	}
 	return s
 }
 
@@ -131,7 +139,7 @@
 func (s *selector) setBounds(b *Settings) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.picker.SetBounds(b.ColdOver, b.ColdSlack, b.ShiftMost)
+	s.picker.SetBounds(b.ColdOver, b.ColdSlack, b.ShiftMost, b.DrainTime)
 }
 
 func (s *selector) digest(now time.Time, noteTimes int) (placement.Digest, []crashguard.LedgerNote) {
@@ -146,9 +154,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !from.far {
-		for _, id := range s.picker.Heard(now, from.id, d) {
+		left, leaving := s.picker.Heard(now, from.id, d)
+		for _, id := range left {
 			event.InstanceLeft.Log(s.log, "id", id, "heard_from", from.id)
 		}
+		for k := range leaving {
+			s.noteLeaving(&leaving[k], wordHeard, from.id)
+		}
 	}
 	s.ledger.Merge(now, notes, from.far)
 	s.logSteps(from.id)
@@ -256,7 +268,7 @@
 // Done implements proxy.Selection.
 func (c *selection) Done(o proxy.Outcome) {
 	out := placement.Outcome{
-		Verdict: o.Verdict, Reason: o.Reason, Latency: o.Latency, Cancelled: o.Cancelled, Failed: o.Status >= 500 && o.Verdict != verdict.NotRun,
+		Verdict: o.Verdict, Reason: o.Reason, Latency: o.Latency, Cancelled: o.Cancelled || o.Reason == verdict.ReasonWithdrawn, Failed: o.Status >= 500 && o.Verdict != verdict.NotRun,
 	}
 	if o.Load != nil {
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
@@ -282,7 +294,10 @@
 		s.ledger.Answered(now, p)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
 		s.ledger.Lost(now, c.fingerprint, p)
-		s.probe.ask(now, p, c.ticket.Instance.Address)
+		if said := s.picker.StateOf(&c.ticket); !said.IsLeaving() && !said.IsWaiting(now) {
+			// One that leaves ends, and one that asked to wait is not probed.
+			s.probe.ask(now, p, c.ticket.Instance.Address)
+		}
 	case o.Reason == verdict.ReasonMisdirected:
 		event.InstanceLeft.Log(s.log, "id", p.ID, "heard_from", "")
 		s.noteDeath(p, crashguard.EvidenceMisdirects)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,7 @@
 	RetryRatio, RetrySlack float64
 	StopGrace              time.Duration
 	StableWindow           time.Duration
+	DrainTime              time.Duration
 	LookupTTLMost          time.Duration
 }
 
@@ -70,6 +71,7 @@
 	number("bounds", "retry_ratio", "", "0.1", 1, "attempts after the first per request of a service, over all VMs", func(s *Settings) *float64 { return &s.RetryRatio }),
 	number("bounds", "retry_slack", "attempts", "0", 1e6, "added to that bound in each window of 10 s, over all VMs", func(s *Settings) *float64 { return &s.RetrySlack }),
 	duration("bounds", "stop_grace", "6", "time between SIGTERM and the end of the process", func(s *Settings) *time.Duration { return &s.StopGrace }),
+	duration("bounds", "drain_time", "2.5", "time for which an instance that leaves still serves", func(s *Settings) *time.Duration { return &s.DrainTime }),
 	duration("bounds", "stable_window", "4", "time after a disturbance from which bounds hold again; a VM that died is known for about as long", func(s *Settings) *time.Duration { return &s.StableWindow }),
 	duration("bounds", "lookup_ttl_most", "5", "longest time for which callers keep an answer", func(s *Settings) *time.Duration { return &s.LookupTTLMost }),
 }
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -19,6 +19,7 @@
 		{"answers", "counter", "`service`, `status`", "answers of instances that were passed on"},
 		{"answer_seconds", "histogram", "`service`, `status`", "time from the arrival of a request to the end of its answer"},
 		{"crash_steps", "counter", "`step` (`suspected`, `unconfirmed`, `died`, `heard`, `cleared`)", "on a platform: what the VM came to believe of requests whose instances died, see event 2344"},
+		{"instance_words", "counter", "`word` (`leaving`, `heard-leaving`, `wait`, `unusable`)", "on a platform: what instances said about new requests, see events 2348 to 2351"},
 		{"peer_calls", "counter", "`call`", "calls to other VMs, and with `-served` those of other VMs; `connect` counts connections"},
 		{"peer_refusals", "counter", "`reason`", "calls and connections between VMs that were refused or given up on, by the bound or fault"},
 		{"peer_bytes_in", "counter", "", "bytes received from other VMs"},
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -46,6 +46,8 @@
 	// Replaced are processes of instances at whose addresses others answered. It
 	// takes long until each VM has found out, and costs a request each.
 	Replaced []InstanceKey
+	// Leaving are processes that said that they leave.
+	Leaving []LeavingProcess
 }
 
 // Digest returns the reports that this VM heard from instances of its region since
@@ -61,6 +63,10 @@
 				i.toldReplaced = true
 				d.Replaced = append(d.Replaced, i.processKey())
 			}
+			if i.said.IsLeaving() && i.said.HeardFrom == "" && i.toldLeaving < leavingTurns && len(d.Leaving) < reportsMost {
+				i.toldLeaving++
+				d.Leaving = append(d.Leaving, LeavingProcess{i.processHash(), now.Sub(i.said.LeavingSince)})
+			}
 		}
 		for _, i := range s.regions[p.cfg.Region] {
 			if age := now.Sub(i.loadAt); !i.told && !i.loadAt.IsZero() && age <= reportFresh {
@@ -109,8 +115,8 @@
 }
 
 // Heard takes the digest of another VM. It returns the IDs of instances that are left
-// because of it.
-func (p *Picker) Heard(now time.Time, from string, d *Digest) (left []string) {
+// because others answer at their addresses, and those that are now known to leave.
+func (p *Picker) Heard(now time.Time, from string, d *Digest) (left []string, leaving []Instance) {
 	for name, share := range d.Shares {
 		if s := p.services[name]; s != nil && share.Share >= 0 && share.Share <= spillMost && share.Rate >= 0 {
 			s.peers[from] = peerShare{share, now}
@@ -119,6 +125,9 @@
 	if len(d.Replaced) > 0 {
 		left = p.heardReplaced(now, d.Replaced)
 	}
+	if len(d.Leaving) > 0 {
+		leaving = p.heardLeaving(now, from, d.Leaving)
+	}
 	for k := range d.Reports {
 		r := &d.Reports[k]
 		if r.Age < 0 || r.Age > loadKeep || r.Load.Running < 0 || r.Load.Waiting < 0 || r.Load.WorkPercent < 0 {
@@ -133,7 +142,24 @@
 			}
 		}
 	}
-	return left
+	return left, leaving
+}
+
+// heardLeaving takes what another VM says of processes that leave.
+func (p *Picker) heardLeaving(now time.Time, from string, list []LeavingProcess) (out []Instance) {
+	ages := make(map[uint64]time.Duration, len(list))
+	for _, l := range list {
+		ages[l.Process] = l.Age
+	}
+	for _, s := range p.services {
+		for _, i := range s.instances {
+			if age, named := ages[i.processHash()]; named && p.said.Leaving(now, now.Add(-age), i.process(), from) {
+				i.said = p.said.Of(i.process())
+				out = append(out, i.Instance)
+			}
+		}
+	}
+	return out
 }
 
 // heardReplaced takes what another VM says of processes that have died.
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/currantferry/currantferry/availability"
 	"github.com/currantferry/currantferry/rendezvous"
 	"github.com/currantferry/currantferry/verdict"
 )
@@ -78,6 +79,11 @@
 	// recovered.
 	trial bool
 
+	// said is what the process said about new requests, or nil.
+	said *availability.State
+	// toldLeaving counts the digests that said so.
+	toldLeaving int
+
 	coldTokens float64
 	coldAt     time.Time
 }
@@ -127,6 +133,16 @@
 	return i.failures * decay(now.Sub(i.failuresAt), failureHalf)
 }
 
+// takesNew tells whether the process said nothing against new requests.
+func (i *instance) takesNew(now time.Time) bool { return !i.said.IsLeaving() && !i.said.IsWaiting(now) }
+
+// process names this start of the instance.
+func (i *instance) process() availability.Process { return processOf(&i.Instance) }
+
+func processOf(i *Instance) availability.Process {
+	return availability.Process{ID: i.ID, Address: i.Address, Born: i.Born}
+}
+
 // isOut tells whether the instance is ejected, and whether a trial is due.
 func (i *instance) isOut(now time.Time) (out, trialDue bool) {
 	if i.ejectFor == 0 {
@@ -236,8 +252,10 @@
 
 // processKey stands for this process of the instance in digests: a later one under
 // the same ID is another one.
-func (i *instance) processKey() InstanceKey {
-	return InstanceKey(rendezvous.Mix(i.hash ^ 3*hashOf(i.Address) ^ uint64(i.Born)))
+func (i *instance) processKey() InstanceKey { return InstanceKey(i.processHash()) }
+
+func (i *instance) processHash() uint64 {
+	return rendezvous.Mix(i.hash ^ 3*hashOf(i.Address) ^ uint64(i.Born))
 }
 
 // takeCold takes one request of this VM's share of a cold instance's rate.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -84,7 +84,12 @@
 		}
 	}
 	if best == nil {
-		return Ticket{}, refused
+		if best = p.notLeft(now, s, r, key); best == nil {
+			if e := p.unavailable(now, s, r); e != nil {
+				return Ticket{}, e
+			}
+			return Ticket{}, refused
+		}
 	}
 	if !p.isWorthwhile(now, r, best, allowed) {
 		after := min(max(best.wait, minRetryAfter), maxRetryAfter)
@@ -200,7 +205,9 @@
 func (s *service) room(region string, group []*instance) float64 {
 	slots := 0
 	for _, i := range group {
-		slots += i.Slots
+		if !i.said.IsLeaving() {
+			slots += i.Slots
+		}
 	}
 	switch busy := s.lasting[region]; {
 	case busy < pressureHigh:
@@ -290,6 +297,9 @@
 func (p *Picker) top(now time.Time, group []*instance, r *Request, key uint64, skipped []*instance, copies int) []candidate {
 	top := make([]candidate, 0, candidates+1)
 	for _, i := range group {
+		if !i.takesNew(now) {
+			continue
+		}
 		out, trialDue := i.isOut(now)
 		if out && (!trialDue || !r.Idempotent) {
 			continue
@@ -381,7 +391,7 @@
 			continue
 		}
 		// The address of a replaced instance belongs to another one.
-		if i.replaced || slices.Contains(r.Exclude, i.ID) {
+		if i.replaced || !i.takesNew(now) || slices.Contains(r.Exclude, i.ID) {
 			continue
 		}
 		if best == nil || i.ejectedAt.Before(best.ejectedAt) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/currantferry/currantferry/availability"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -30,6 +31,8 @@
 	ShiftWindow time.Duration
 	// RegionDelay is the time to another region and back. Default 110 ms.
 	RegionDelay time.Duration
+	// DrainFor is how long an instance that leaves still serves. Default 2.5 s.
+	DrainFor time.Duration
 }
 
 func (c *Config) defaults() {
@@ -45,6 +48,9 @@
 	if c.RegionDelay <= 0 {
 		c.RegionDelay = 110 * time.Millisecond
 	}
+	if c.DrainFor <= 0 {
+		c.DrainFor = 2500 * time.Millisecond
+	}
 }
 
 // Instance is one upstream process of a service.
@@ -135,6 +141,8 @@
 	// shares.
 	overflow float64
 	recent   recentTable
+	// said is what processes said about new requests.
+	said *availability.Tracker
 }
 
 // service is the state of one service.
@@ -159,6 +167,8 @@
 	routes      map[string]*routeWork
 	// peers are the shares of the other VMs of the region, by VM.
 	peers map[string]peerShare
+	// returns deals out when refused callers come back.
+	returns returns
 	// objects are those asked for lately, by the hash of their key.
 	objects map[uint64]time.Time
 	// forgotten is when old objects were dropped last.
@@ -182,12 +192,12 @@
 // New returns a picker without instances.
 func New(cfg Config) *Picker {
 	cfg.defaults()
-	return &Picker{cfg: cfg, services: make(map[string]*service), vms: []VM{{cfg.VM, 1}}}
+	return &Picker{cfg: cfg, services: make(map[string]*service), vms: []VM{{cfg.VM, 1}}, said: availability.NewTracker()}
 }
 
 // SetBounds changes the bounds of Config.
-func (p *Picker) SetBounds(coldOver, coldSlack, shiftMost float64) {
-	p.cfg.ColdOver, p.cfg.ColdSlack, p.cfg.ShiftMost = coldOver, coldSlack, shiftMost
+func (p *Picker) SetBounds(coldOver, coldSlack, shiftMost float64, drainFor time.Duration) {
+	p.cfg.ColdOver, p.cfg.ColdSlack, p.cfg.ShiftMost, p.cfg.DrainFor = coldOver, coldSlack, shiftMost, drainFor
 	p.cfg.defaults()
 }
 
@@ -243,7 +253,7 @@
 				touched[s] = true
 			}
 		}
-		own.put(now, i)
+		own.put(now, i, p.said.Of(processOf(i)))
 		touched[own] = true
 	}
 	for s := range touched {
@@ -254,7 +264,7 @@
 }
 
 // put adds an instance, or changes what is known of it.
-func (s *service) put(now time.Time, i *Instance) {
+func (s *service) put(now time.Time, i *Instance, said *availability.State) {
 	old := s.instances[i.ID]
 	if old != nil && old.Born == i.Born && old.Address == i.Address && old.Region == i.Region {
 		old.Instance = *i
@@ -262,6 +272,7 @@
 	}
 	s.remove(i.ID)
 	fresh := newInstance(now, *i)
+	fresh.said = said
 	s.instances[i.ID] = fresh
 	if _, taken := s.byKey[KeyOf(i.ID)]; taken {
 		s.byKey[KeyOf(i.ID)] = nil
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -53,10 +53,15 @@
 		return
 	}
 	o := &a.x.h.options
-	res, err := a.x.h.client.Do(a.ctx, &upstream.Exchange{
+	x := upstream.Exchange{
 		Address: a.selection.Instance().Address, Request: req, Repeatable: a.x.query.Idempotent,
 		Belongs: func(res *http.Response) upstream.Belonging { return o.Protocol.Belongs(&a.x.meta, res) },
-	})
+	}
+	hears, isListener := a.selection.(listener)
+	if isListener {
+		x.Wanted = hears.IsWanted
+	}
+	res, err := a.x.h.client.Do(a.ctx, &x)
 	a.latency = o.Now().Sub(a.started)
 	if err != nil {
 		a.err = a.classify(err)
@@ -69,6 +74,12 @@
 	if load, ok := o.Protocol.Load(res.Header); ok && why != verdict.ReasonMisdirected {
 		a.load = &load
 	}
+	// Nor is what it says about new requests.
+	if word := o.Protocol.Word(res); isListener && !word.IsSilent() && why != verdict.ReasonMisdirected {
+		// The connection to an instance that leaves is not kept.
+		res.Close = res.Close || word.Leaving
+		hears.Said(word)
+	}
 	if why != "" {
 		// Reading to the end keeps the connection.
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, refusalBytes))
@@ -128,6 +139,8 @@
 		return verdict.Wrap(err, v, verdict.ReasonSlowUpstream)
 	case failed != nil && failed.Stray > 0:
 		return a.x.advise(verdict.Wrap(err, v, verdict.ReasonAnswerMismatch))
+	case errors.Is(err, upstream.ErrWithdrawn):
+		return verdict.Wrap(err, v, verdict.ReasonWithdrawn)
 	case v == verdict.NotRun:
 		return verdict.Wrap(err, v, verdict.ReasonConnectFailed)
 	default:
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/availability"
 	"github.com/currantferry/currantferry/register"
 	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
@@ -42,6 +43,8 @@
 	// is ReasonUpstreamRefused or ReasonMisdirected, and when to come back, or
 	// zero. Empty means that it does not say so.
 	NotRun(res *http.Response) (why verdict.Reason, retryAfter time.Duration)
+	// Word reads what an answer of the instance says about new requests.
+	Word(res *http.Response) availability.Word
 	// Load reads the load report of an answer.
 	Load(h http.Header) (Load, bool)
 	// Refusal sets the headers of an answer of this VM's own and returns its
@@ -84,6 +87,11 @@
 
 var _ Protocol = native{}
 
+// Word implements Protocol.
+func (native) Word(res *http.Response) availability.Word {
+	return availability.WordOf(res.StatusCode, res.Header.Get("Retry-After"), res.Header.Get(HeaderLeaving) == "true")
+}
+
 func (native) Caller(r *http.Request) (Meta, error) {
 	m := Meta{ID: r.Header.Get(HeaderRequestID), Caller: callerOf(r), Key: r.Header.Get(HeaderKey)}
 	if text := r.Header.Get(HeaderTimeout); text != "" {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/currantferry/currantferry/availability"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/invariant"
 	"github.com/currantferry/currantferry/metric"
@@ -27,6 +28,8 @@
 	HeaderTimeout = "Currantferry-Timeout-Ms"
 	// HeaderReplayed marks a kept answer of an earlier send.
 	HeaderReplayed = "Currantferry-Replayed"
+	// HeaderLeaving is "true" in the answers of an instance that leaves.
+	HeaderLeaving = "Currantferry-Leaving"
 	// HeaderKey is the idempotency key.
 	HeaderKey = "Idempotency-Key"
 	// HeaderRequestID is passed on; where the upstream repeats it, it must match.
@@ -121,6 +124,16 @@
 	LogAttrs() []any
 }
 
+// listener is implemented by selections that take what instances say about new
+// requests.
+type listener interface {
+	// Said takes what the instance's answer says, before it is passed on.
+	Said(w availability.Word)
+	// IsWanted tells whether the instance still takes the request, which is about to
+	// be written.
+	IsWanted() bool
+}
+
 // explain returns the log fields of a selection, the instance at least.
 func explain(s Selection) []any {
 	if e, ok := s.(explainer); ok {
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -84,7 +84,7 @@
 	}
 	switch err.Reason {
 	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonRegionLimit,
-		verdict.ReasonLinkLimit, verdict.ReasonShiftCap, verdict.ReasonDeadlineAhead, verdict.ReasonCrashGuard:
+		verdict.ReasonLinkLimit, verdict.ReasonShiftCap, verdict.ReasonDeadlineAhead, verdict.ReasonCrashGuard, verdict.ReasonAskedToWait:
 		// The selector or the guard refused; it would refuse again.
 		return err
 	}
@@ -94,7 +94,7 @@
 	if !x.body.isRepeatable() {
 		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonBodyNotRepeating, RetryAfter: x.h.options.RetryAdvice, Err: err}
 	}
-	if err.Reason == verdict.ReasonConnectFailed {
+	if err.Reason == verdict.ReasonConnectFailed || err.Reason == verdict.ReasonWithdrawn {
 		// Nothing reached an instance, so the retry adds nothing to its load.
 		if x.unsent++; x.unsent <= maxUnsent {
 			return nil
@@ -115,7 +115,8 @@
 	return x.query.Exclude[len(x.query.Exclude)-1]
 }
 
-// maxUnsent bounds the instances of one request that can't be connected to.
+// maxUnsent bounds the instances of one request that can't be connected to, or that
+// are left before it is sent.
 const maxUnsent = 3
 
 // attemptOnce makes one attempt, hedged if it is a slow read, and passes the
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -112,6 +112,9 @@
 	Repeatable bool
 	// Belongs tells whose an answer is. Nil takes every answer as the request's.
 	Belongs func(*http.Response) Belonging
+	// Wanted is asked once there is a connection, before anything is written. False
+	// gives the request up with ErrWithdrawn. Nil means yes.
+	Wanted func() bool
 }
 
 // Error is a failed exchange.
@@ -133,6 +136,9 @@
 // ErrConnectionLimit means that MaxConnections are in use.
 var ErrConnectionLimit = errors.New("upstream: connection limit of the instance reached")
 
+// ErrWithdrawn means that the request was no longer wanted when it was to be written.
+var ErrWithdrawn = errors.New("upstream: not wanted any more when there was a connection")
+
 // Client keeps connections to instances. It is safe for concurrent use.
 type Client struct {
 	options Options
@@ -172,6 +178,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if x.Wanted != nil && !x.Wanted() {
+		n.close()
+		return nil, &Error{Err: ErrWithdrawn}
+	}
 	return n.exchange(ctx, x)
 }
 
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -39,6 +39,8 @@
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonSlowUpstream     Reason = "slow-upstream"
 	ReasonBodyNotRepeating Reason = "body-not-repeatable"
+	ReasonAskedToWait      Reason = "asked-to-wait"
+	ReasonWithdrawn        Reason = "withdrawn"
 )
 
 // Describe returns each reason with its meaning, in the order of the docs.
@@ -85,6 +87,8 @@
 	{ReasonStopping, http.StatusServiceUnavailable, "proxy_internal_response", "this VM is stopping"},
 	{ReasonOverloaded, http.StatusServiceUnavailable, "connection_limit_reached", "this VM is at its own limit"},
 	{ReasonSlowUpstream, http.StatusGatewayTimeout, "http_response_timeout", "a hedged read overtook a slow instance"},
+	{ReasonAskedToWait, http.StatusServiceUnavailable, "destination_unavailable", "every instance that may serve the request leaves or asked for a pause"},
+	{ReasonWithdrawn, http.StatusServiceUnavailable, "destination_unavailable", "the instance asked for no more requests before this one was sent"},
 	{ReasonBodyNotRepeating, http.StatusBadGateway, "connection_terminated", "the body was partly sent and cannot be sent again"},
 }
 
