Say in refusals which instances or which fingerprint decided

Cause: a refusal for asked-to-wait or crash-guard names no instance, so the trace of its request did not lead to the events about it. Change: the line of the refusal has the number of instances that leave or wait, the first to return, or the fingerprint of events 2342 to 2346.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/currantferry/currantferry/crashguard"
@@ -227,7 +228,9 @@
 	var fingerprint crashguard.Fingerprint
 	copy(fingerprint[:], q.Fingerprint[:])
 	if wait, refused := s.ledger.Refuses(now, fingerprint); refused {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonCrashGuard, wait)
+		e := verdict.New(verdict.NotRun, verdict.ReasonCrashGuard, wait)
+		e.Err = errors.Errorf("fingerprint %s, see events 2342 to 2346", hex.EncodeToString(fingerprint[:8]))
+		return nil, e
 	}
 	t, refused := s.picker.Pick(now, &r)
 	if refused != nil {
--- a/placement/said.go
+++ b/placement/said.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -116,18 +117,20 @@
 // wait, and tells when to come back. It returns nil if others are there.
 func (p *Picker) unavailable(now time.Time, s *service, r *Request) *verdict.Error {
 	var earliest time.Time
-	slots := 0
+	var first string
+	slots, leaving := 0, 0
 	all := s.mayServe(r, p.cfg.Region)
 	for _, i := range all {
 		if i.takesNew(now) {
 			return nil
 		}
 		if i.said.IsLeaving() {
+			leaving++
 			continue
 		}
 		switch until := i.said.WaitUntil; {
 		case earliest.IsZero() || until.Before(earliest):
-			earliest, slots = until, max(1, i.Slots)
+			earliest, first, slots = until, i.ID, max(1, i.Slots)
 		case until.Sub(earliest) < returnTogether:
 			slots += max(1, i.Slots)
 		}
@@ -135,13 +138,30 @@
 	if len(all) == 0 {
 		return nil
 	}
+	refusal := verdict.New(verdict.NotRun, verdict.ReasonAskedToWait, defaultRetryAfter)
+	refusal.Err = &nobodyTakes{instances: len(all), leaving: leaving, first: first, until: earliest}
 	if earliest.IsZero() {
-		return verdict.New(verdict.NotRun, verdict.ReasonAskedToWait, defaultRetryAfter)
+		return refusal
 	}
 	work := s.work(r.Route)
 	rate := float64(slots) / work.Seconds() / float64(max(1, len(p.vms)))
-	back := s.returns.place(earliest, rate, r.Deadline.Add(-work))
-	return verdict.New(verdict.NotRun, verdict.ReasonAskedToWait, back.Sub(now))
+	refusal.RetryAfter = s.returns.place(earliest, rate, r.Deadline.Add(-work)).Sub(now)
+	return refusal
+}
+
+// nobodyTakes says what decided for a refusal.
+type nobodyTakes struct {
+	instances, leaving int
+	// first is the instance that returns first, at until. It is empty if none does.
+	first string
+	until time.Time
+}
+
+func (e *nobodyTakes) Error() string {
+	if e.first == "" {
+		return fmt.Sprintf("all %d instances leave", e.instances)
+	}
+	return fmt.Sprintf("%d of %d instances leave, the others asked to wait, %s until %s", e.leaving, e.instances, e.first, e.until.Format(time.RFC3339Nano))
 }
 
 const (
