Give the product's own daemon both signs of its instances

What callers and instances saw: as on a platform before, an instance of the product's own protocol could only leave by its load report or the register, and a 503 with Retry-After kept nothing away. Change: Currantferry-Leaving: true and a 503 with Retry-After are read by the same state machine (package availability, which now also deals out returns). The pool of a region takes such an instance out as a draining one, and back at the pace of one that has just started. Requests that wait for a slot are refused at once when nobody takes any, with the earliest return. Ruled out: requests that nobody else may serve on an instance that leaves; the register's drains allow none either.

--- a/node/node.go
+++ b/node/node.go
@@ -275,6 +275,7 @@
 		Metrics: n.metrics, Log: n.log, Zone: s.Lookup.Zone,
 		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: noLimit(s.Request.MaxBody), DefaultTimeout: s.Request.DefaultTimeout,
 	})
+	n.selector.log, n.selector.forget = n.log, n.proxy.Client().Forget
 }
 
 func (n *Node) openLookups() error {
--- a/node/pool.go
+++ b/node/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/availability"
 	"github.com/currantferry/currantferry/balance"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/verdict"
@@ -19,15 +20,30 @@
 	mu        sync.Mutex
 	balancer  *balance.Balancer
 	addresses map[string]string
-	waiters   map[uint64]chan balance.Event
+	waiters   map[uint64]waiter
 	refusing  refusing
+
+	// listed are the instances as the register has them.
+	listed []balance.Instance
+	// words is what they said about new requests, and returning when the next one
+	// that asked to wait takes requests again, or zero.
+	words     *availability.Tracker
+	returning time.Time
+	returns   availability.Returns
+}
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	ticket  balance.Ticket
+	started chan balance.Event
 }
 
 func newPool(cfg balance.Config, seed uint64) *pool {
 	return &pool{
 		balancer:  balance.New(cfg, seed),
 		addresses: make(map[string]string),
-		waiters:   make(map[uint64]chan balance.Event),
+		waiters:   make(map[uint64]waiter),
+		words:     availability.NewTracker(),
 		refusing:  refusing{instances: make(map[string]time.Time)},
 	}
 }
@@ -37,8 +53,8 @@
 	defer p.mu.Unlock()
 	p.addresses = addresses
 	p.refusing.keep(addresses)
-	p.balancer.SetInstances(now, instances)
-	p.tick(now)
+	p.listed = instances
+	p.apply(now)
 }
 
 func (p *pool) setPeers(n, rank int) {
@@ -54,13 +70,17 @@
 		p.mu.Unlock()
 		return balance.Ticket{}, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, time.Second)
 	}
+	if err := p.nobodyTakes(time.Now(), r.Deadline); err != nil {
+		p.mu.Unlock()
+		return balance.Ticket{}, err
+	}
 	ticket, err := p.balancer.Pick(time.Now(), r)
 	if err != nil || !ticket.Waiting() {
 		p.mu.Unlock()
 		return ticket, err
 	}
 	started := make(chan balance.Event, 1)
-	p.waiters[ticket.Key()] = started
+	p.waiters[ticket.Key()] = waiter{ticket, started}
 	p.mu.Unlock()
 	select {
 	case e := <-started:
@@ -185,12 +205,12 @@
 // tick starts waiting requests. The caller holds the lock.
 func (p *pool) tick(now time.Time) {
 	for _, e := range p.balancer.Tick(now) {
-		started := p.waiters[e.Ticket.Key()]
-		if started == nil {
+		w, waits := p.waiters[e.Ticket.Key()]
+		if !waits {
 			continue
 		}
 		delete(p.waiters, e.Ticket.Key())
-		started <- e
+		w.started <- e
 	}
 }
 
@@ -200,6 +220,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.balancer.SetPressed(pressed)
+	if !p.returning.IsZero() && !now.Before(p.returning) {
+		p.apply(now)
+	}
 	if len(p.waiters) > 0 {
 		p.tick(now)
 	}
@@ -232,7 +255,7 @@
 // outcomeOf translates what the request path saw for the balancer.
 func outcomeOf(o proxy.Outcome) balance.Outcome {
 	switch {
-	case o.Cancelled:
+	case o.Cancelled, o.Reason == verdict.ReasonWithdrawn:
 		return balance.Cancelled
 	case o.Verdict == verdict.Ran:
 		return balance.Answered
--- a/node/selector.go
+++ b/node/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -31,6 +32,10 @@
 
 	crash    *crashNotes
 	observed *observations
+
+	// log takes events, or is nil. forget closes the idle connections to an address.
+	log    *slog.Logger
+	forget func(address string)
 }
 
 type poolKey struct{ service, region string }
@@ -38,7 +43,8 @@
 func newSelector(gate *plan.Gate, crash *crashNotes, observed *observations) *selector {
 	return &selector{
 		gate: gate, crash: crash, observed: observed,
-		pools: make(map[poolKey]*pool), work: make(map[string]*workMeter), queues: make(map[string]*gateQueue),
+		forget: func(string) {},
+		pools:  make(map[poolKey]*pool), work: make(map[string]*workMeter), queues: make(map[string]*gateQueue),
 	}
 }
 
@@ -103,7 +109,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonDeadlineAhead:
+	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonDeadlineAhead, verdict.ReasonAskedToWait:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/node/words_test.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/availability"
+	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/metric"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/standin"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// oneService is the register and the budget of a handler under test.
+type oneService struct{}
+
+func (oneService) Service(name string) *register.Service { return &register.Service{Name: name} }
+func (oneService) Sent(string, string)                   {}
+func (oneService) Retry(string, string) bool             { return true }
+
+// wordsFixture is a handler before two stand-ins.
+func wordsFixture(t *testing.T) (send func() *httptest.ResponseRecorder, upstreams [2]*standin.Upstream) {
+	t.Helper()
+	s := newTestSelector(2, 4)
+	p := s.pool("s", "")
+	addresses := make(map[string]string)
+	for k, i := range p.listed {
+		u, err := standin.StartUpstream(standin.UpstreamOptions{ID: i.ID})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = u.Close() })
+		upstreams[k], addresses[i.ID] = u, u.Address()
+	}
+	p.set(time.Now(), p.listed, addresses)
+	metrics := metric.New()
+	t.Cleanup(func() { _ = metrics.Close() })
+	h := proxy.New(proxy.Options{Services: oneService{}, Selector: s, Budget: oneService{}, Metrics: metrics})
+	s.forget = h.Client().Forget
+	h.SetReady(true)
+	go func() {
+		for t.Context().Err() == nil {
+			time.Sleep(5 * time.Millisecond)
+			p.poll(time.Now(), false)
+		}
+	}()
+	return func() *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodGet, "http://s/page", http.NoBody)
+		r.Header.Set(proxy.HeaderService, "s")
+		h.ServeHTTP(w, r)
+		return w
+	}, upstreams
+}
+
+// Guards against requests of the product's own daemon for an instance that says that it
+// leaves or wants none for a while, and against one that is not used again.
+func TestNativeInstancesAreLeftAlone(t *testing.T) {
+	t.Parallel()
+	send, u := wordsFixture(t)
+	all := func(what string) {
+		t.Helper()
+		for n := range 40 {
+			if w := send(); w.Code != http.StatusOK {
+				t.Fatalf("%s, request %d: %d %s", what, n, w.Code, w.Body)
+			}
+		}
+	}
+	all("at first")
+	u[0].SetWait("0.5")
+	before := u[0].Arrived()
+	began := time.Now()
+	all("while one waits")
+	if n := u[0].Arrived() - before; n > 1 && time.Since(began) < 500*time.Millisecond {
+		t.Errorf("%d requests reached the instance", n)
+	}
+	u[0].SetWait("")
+	time.Sleep(time.Until(began.Add(600 * time.Millisecond)))
+	before = u[0].Arrived()
+	// It gets requests at the pace of one that has just started.
+	for end := time.Now().Add(5 * time.Second); u[0].Arrived() == before; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not used again")
+		}
+		all("after the wait")
+	}
+	u[1].SetLeaving(true)
+	for send().Header().Get(standin.HeaderLeaving) == "" {
+	}
+	before = u[1].Arrived()
+	all("while one leaves")
+	if n := u[1].Arrived() - before; n > 0 {
+		t.Errorf("%d requests reached the instance that leaves", n)
+	}
+}
+
+// Guards against callers that wait until their deadline when no instance takes requests.
+func TestNativeRefusalTellsTheReturn(t *testing.T) {
+	t.Parallel()
+	send, u := wordsFixture(t)
+	u[0].SetWait("5")
+	u[1].SetWait("3")
+	send()
+	send()
+	began := time.Now()
+	w := send()
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get(verdict.HeaderReason) != string(verdict.ReasonAskedToWait) || time.Since(began) > time.Second {
+		t.Errorf("%d %v after %s", w.Code, w.Header(), time.Since(began))
+	}
+	// Callers before it have the first places; the header has whole seconds.
+	if after := w.Header().Get("Retry-After"); after != "3" && after != "4" {
+		t.Errorf("Retry-After %q", after)
+	}
+	if n := u[0].Arrived() + u[1].Arrived(); n != 2 {
+		t.Errorf("%d requests reached the instances", n)
+	}
+}
+
+// Guards against requests that wait for a slot until their deadline when the instances
+// ask for none meanwhile.
+func TestQueuedRequestsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newTestSelector(1, 1)
+	p := s.pool("s", "")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var held []balance.Ticket
+	for range 64 {
+		short, stop := context.WithTimeout(ctx, 20*time.Millisecond)
+		ticket, err := p.pick(short, balance.Request{Deadline: time.Now().Add(10 * time.Second)})
+		stop()
+		if err != nil {
+			break
+		}
+		held = append(held, ticket)
+	}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := p.pick(ctx, balance.Request{Deadline: time.Now().Add(10 * time.Second)})
+		failed <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	p.said(time.Now(), "i-1", availability.Word{Wait: 5 * time.Second})
+	select {
+	case err := <-failed:
+		var e *verdict.Error
+		if !errors.As(err, &e) || e.Reason != verdict.ReasonAskedToWait || e.RetryAfter < 4*time.Second {
+			t.Errorf("%v", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("still waiting")
+	}
+	for _, h := range held {
+		p.done(h, balance.Answered)
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -168,7 +168,7 @@
 	// peers are the shares of the other VMs of the region, by VM.
 	peers map[string]peerShare
 	// returns deals out when refused callers come back.
-	returns returns
+	returns availability.Returns
 	// objects are those asked for lately, by the hash of their key.
 	objects map[uint64]time.Time
 	// forgotten is when old objects were dropped last.
--- a/placement/said.go
+++ b/placement/said.go
@@ -15,6 +15,8 @@
 	leavingShare = 0.4
 	// leavingTurns is how many digests tell that a process leaves: datagrams get lost.
 	leavingTurns = 2
+	// returnTogether is the time within which instances count as returning together.
+	returnTogether = 100 * time.Millisecond
 )
 
 // LeavingProcess is a process that leaves, in a digest.
@@ -145,7 +147,7 @@
 	}
 	work := s.work(r.Route)
 	rate := float64(slots) / work.Seconds() / float64(max(1, len(p.vms)))
-	refusal.RetryAfter = s.returns.place(earliest, rate, r.Deadline.Add(-work)).Sub(now)
+	refusal.RetryAfter = s.returns.Place(earliest, rate, r.Deadline.Add(-work)).Sub(now)
 	return refusal
 }
 
@@ -163,37 +165,3 @@
 	}
 	return fmt.Sprintf("%d of %d instances leave, the others asked to wait, %s until %s", e.leaving, e.instances, e.first, e.until.Format(time.RFC3339Nano))
 }
-
-const (
-	// returnTogether is the time within which instances count as returning together.
-	returnTogether = 100 * time.Millisecond
-	// returnsMost bounds the places that are kept of callers who come back.
-	returnsMost = 4096
-	// patientPlaces is how many places later a caller must still be in time to leave
-	// every other place to those with less time.
-	patientPlaces = 8
-)
-
-// returns deals out the times at which refused callers come back, so that they find
-// room one after the other. Callers with time to spare take every second place: the
-// others are for callers with less, and for those that come then for the first time.
-type returns struct {
-	from time.Time
-	// nextEven and nextOdd are the first free places.
-	nextEven, nextOdd int
-}
-
-// place returns when a caller comes back to instances that return at a time and then
-// take requests at a rate. Latest is when it must be back to be served in time.
-func (q *returns) place(from time.Time, rate float64, latest time.Time) time.Time {
-	if !q.from.Equal(from) {
-		*q = returns{from: from, nextOdd: 1}
-	}
-	at := func(n int) time.Time { return from.Add(time.Duration(float64(n) / rate * float64(time.Second))) }
-	n, next := q.nextEven, &q.nextEven
-	if isPatient := latest.After(at(n + patientPlaces)); !isPatient && q.nextOdd < n {
-		n, next = q.nextOdd, &q.nextOdd
-	}
-	*next = min(n+2, returnsMost)
-	return at(n)
-}
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -35,6 +35,8 @@
 	HeaderTruncate = "X-Truncate"
 	// HeaderBodySum is the SHA-256 of the request body that arrived.
 	HeaderBodySum = "X-Body-Sha256"
+	// HeaderLeaving is "true" in the answers of an instance that leaves.
+	HeaderLeaving = "Currantferry-Leaving"
 	// HeaderInstance names the instance that answered.
 	HeaderInstance = "X-Instance"
 )
@@ -71,6 +73,9 @@
 	running  int
 	shed     bool
 	draining bool
+	leaving  bool
+	wait     string
+	arrived  int
 	factor   float64
 	lastNew  time.Time
 	crashes  int
@@ -164,6 +169,46 @@
 	u.draining = draining
 }
 
+// SetLeaving makes the answers say that the instance leaves.
+func (u *Upstream) SetLeaving(leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = leaving
+}
+
+// SetWait makes the instance refuse all new work and ask to be left alone for a number
+// of seconds. Empty ends it.
+func (u *Upstream) SetWait(seconds string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.wait = seconds
+}
+
+// Arrived returns the requests that reached the instance, refused ones included.
+func (u *Upstream) Arrived() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.arrived
+}
+
+// word sets what the answers say, and tells whether the request is refused.
+func (u *Upstream) word(w http.ResponseWriter) (refused bool) {
+	u.mu.Lock()
+	leaving, wait := u.leaving, u.wait
+	u.arrived++
+	u.mu.Unlock()
+	if leaving {
+		w.Header().Set(HeaderLeaving, "true")
+	}
+	if wait == "" {
+		return false
+	}
+	w.Header().Set(verdict.HeaderVerdict, verdict.NotRun.String())
+	w.Header().Set("Retry-After", wait)
+	http.Error(w, "not now", http.StatusServiceUnavailable)
+	return true
+}
+
 // LastNew returns when the instance last began a request.
 func (u *Upstream) LastNew() time.Time {
 	u.mu.Lock()
@@ -235,6 +280,9 @@
 }
 
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	if u.word(w) {
+		return
+	}
 	if !u.enter() {
 		w.Header().Set(verdict.HeaderVerdict, verdict.NotRun.String())
 		w.Header().Set("Retry-After", "1")
