Let the soak play instances that leave or ask to wait, and crashes

Change: three kinds of faults, checked from what callers and instances see, by VM, with the excuses of the platform's rules; instances that crash are back under their ID and address. Three daemons are broken on purpose for it. Two of the older ones could not be built any more since (draining instances, evacuated data centres); they are mended, and TestBrokenBuildsApply holds all against the source.

--- a/node/words_test.go
+++ b/node/words_test.go
@@ -91,7 +91,10 @@
 		all("after the wait")
 	}
 	u[1].SetLeaving(true)
-	for send().Header().Get(standin.HeaderLeaving) == "" {
+	for n := 0; send().Header().Get(standin.HeaderLeaving) == ""; n++ {
+		if n > 100 {
+			t.Fatal("the instance is not used")
+		}
 	}
 	before = u[1].Arrived()
 	all("while one leaves")
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -55,13 +55,26 @@
 		kinds: []faultKind{changeRoutes}, noticed: "although it was written",
 	},
 	"draining instances get new work": {
-		file: "inventory/view.go", old: "i.Draining || ", with: "",
+		file: "inventory/view.go", old: " || i.Draining {", with: " {",
 		kinds: []faultKind{drainInstance}, noticed: "after its drain began",
 	},
 	"evacuated data centres get new work": {
-		file: "inventory/view.go", old: "|| evacuated[i.DataCentre]", with: "|| (evacuated[i.DataCentre] && i.Slots == 0)",
+		file: "inventory/view.go", old: "return evacuation == nil || !evacuation.removed.IsZero()", with: "return evacuation == nil || i.Slots > 0",
 		kinds: []faultKind{evacuate}, noticed: "after it was to be empty",
 	},
+	"instances that said they leave get new work": {
+		file: "platform/protocol.go", old: "res.Header.Get(headerLeaving) == leavingYes", with: "res.Header.Get(headerLeaving) == leavingYes && res == nil",
+		kinds: []faultKind{leaveUnregistered}, noticed: "after the VM had passed on that it leaves",
+	},
+	"requests that crash instances are sent on": {
+		file: "entry/selector.go", old: "s.ledger.Refuses(now, fingerprint); refused {", with: "s.ledger.Refuses(now, fingerprint); refused && wait < 0 {",
+		// Rare requests of this kind: several would leave no instance to crash.
+		kinds: append(slices.Repeat([]faultKind{changeRoutes}, 9), crashInstances), noticed: "later than 4s after the third",
+	},
+	"instances that asked to wait get new work": {
+		file: "availability/availability.go", old: "w.Wait = time.Duration(seconds * float64(time.Second))", with: "w.Wait = 0 * time.Duration(seconds)",
+		kinds: []faultKind{askToWait}, noticed: "though it had asked to wait",
+	},
 	"retries have no budget": {
 		file: "budget/retry.go", old: "if s.tokens < 1-rounding || c.tokens < 1-rounding {", with: "if false {",
 		kinds: []faultKind{overloadInstances}, noticed: "were sent to instances for",
@@ -100,6 +113,20 @@
 	}
 }
 
+// Guards against broken builds that can't be built any more, and are not noticed as long
+// as the seed draws others.
+func TestBrokenBuildsApply(t *testing.T) {
+	for name, b := range brokenBuilds {
+		source, err := os.ReadFile(filepath.Join("..", b.file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := strings.Count(string(source), b.old); n != 1 {
+			t.Errorf("%s: %s has the text to replace %d times, not once", name, b.file, n)
+		}
+	}
+}
+
 // build builds the daemon with the mistake, and leaves the source as it is.
 func (b *brokenBuild) build(t *testing.T) string {
 	t.Helper()
--- a/soak/play_test.go
+++ b/soak/play_test.go
@@ -72,6 +72,9 @@
 	harmWayToInstance
 	overloadInstances
 	evacuate
+	leaveUnregistered
+	askToWait
+	crashInstances
 	faultKinds
 )
 
@@ -140,6 +143,9 @@
 	case revokeVMs:
 		w.store.RevokeAll("vm/")
 	case harmWayToInstance:
+		w.mu.Lock()
+		u.harmed = true
+		w.mu.Unlock()
 		u.relay.Set(testkit.Mode(w.rng.IntN(int(testkit.Modes))))
 	case overloadInstances:
 		u.SetBehaviour(shed)
@@ -148,6 +154,12 @@
 			time.Sleep(length)
 			u.SetBehaviour(behaviourOf)
 		}()
+	case leaveUnregistered:
+		w.leaveUnregistered()
+	case askToWait:
+		w.askToWait(u)
+	case crashInstances:
+		w.sendCrashing()
 	case evacuate:
 		w.evacuate(zoneOf(w.rng.IntN(w.size.regions), w.rng.IntN(2)))
 	}
@@ -226,7 +238,8 @@
 		time.Sleep(length)
 		w.signal(v, syscall.SIGCONT)
 		w.mu.Lock()
-		v.paused, v.disturbed = false, time.Now()
+		v.paused = false
+		v.disturb()
 		w.mu.Unlock()
 		w.cutOff(v.region)
 	}()
@@ -310,6 +323,8 @@
 			}
 		}
 	}
+	out = append(out, w.ignoredWords()...)
+	out = append(out, w.endlessCrashes(informed)...)
 	for id, n := range w.extraRuns {
 		runs[id] += n
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/currantferry/currantferry/platform/standin"
 )
 
 // regressionSeeds are seeds that failed once, each with its cause. They were drawn
@@ -87,8 +89,35 @@
 			w.note(&sent{id: "x", order: true, status: 503})
 			w.extraRuns["x"] = 1
 		},
-		"another answer":      func(w *world) { w.note(&sent{id: "x", status: 200, body: "ran y" + padding}) },
-		"half an answer":      func(w *world) { w.note(&sent{id: "x", status: 200, body: "ran x"}) },
+		"another answer": func(w *world) { w.note(&sent{id: "x", status: 200, body: "ran y" + padding}) },
+		"half an answer": func(w *world) { w.note(&sent{id: "x", status: 200, body: "ran x"}) },
+		"leaving instance used": func(w *world) {
+			w.vms = []*vm{{number: 0}}
+			w.note(&sent{id: "x", status: 200, body: "ran x" + padding, leaving: "i", began: w.began})
+			w.note(&sent{id: "y", status: 200, body: "ran y" + padding, began: w.began.Add(leavingLimit + time.Second)})
+			w.addArrivals(t, "i", standin.Arrival{ID: "y", At: w.began.Add(leavingLimit + time.Second)})
+		},
+		"crashes without end": func(w *world) {
+			w.vms = []*vm{{number: 0}}
+			runs := make([]standin.Run, 0, 7)
+			for n := range 7 {
+				id := fmt.Sprint("crash-1-", n)
+				w.note(&sent{id: id, status: 502, informed: true})
+				runs = append(runs, standin.Run{ID: id, At: w.began.Add(time.Duration(n) * 5 * time.Second)})
+			}
+			w.addRuns(t, "i", runs...)
+		},
+		"asked to wait and used": func(w *world) {
+			w.vms = []*vm{{number: 0}}
+			arrivals := []standin.Arrival{{ID: "x", At: w.began, Wait: 3 * time.Second}}
+			for n := range 4 {
+				id := fmt.Sprint("y", n)
+				w.note(&sent{id: id, status: 200, body: "ran " + id + padding})
+				arrivals = append(arrivals, standin.Arrival{ID: id, At: w.began.Add(time.Second)})
+			}
+			w.note(&sent{id: "x", status: 200, body: "ran x" + padding})
+			w.addArrivals(t, "i", arrivals...)
+		},
 		"planned stop felt":   func(w *world) { w.note(&sent{id: "x", cut: true, calm: true, vm: 0}) },
 		"held past its limit": func(w *world) { w.note(&sent{id: "x", status: 504, calm: true, took: 5 * time.Second}) },
 	} {
--- /dev/null
+++ b/soak/words_test.go
@@ -0,0 +1,118 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/platform/standin"
+)
+
+const (
+	// leavingLimit and waitMargin are the platform's bounds for what instances say in
+	// their answers, and waitMost the requests that may still reach one.
+	leavingLimit = 2500 * time.Millisecond
+	waitMargin   = 500 * time.Millisecond
+	waitMost     = 2
+)
+
+// leaveUnregistered lets an instance say in its answers that it leaves, while its record
+// says that it is ready until it is gone.
+func (w *world) leaveUnregistered() {
+	w.mu.Lock()
+	i := w.instances[0]
+	w.instances = w.instances[1:]
+	count := len(w.all)
+	w.mu.Unlock()
+	w.addInstance(count)
+	i.SetBehaviour(func(id string) standin.Behaviour {
+		b := behaviourOf(id)
+		b.Leaving = true
+		return b
+	})
+	time.AfterFunc(drainWatched, func() {
+		w.store.Unregister(i.Instance)
+		i.Close()
+	})
+}
+
+// askToWait lets an instance refuse requests for a moment, and ask to be left alone for
+// longer.
+func (w *world) askToWait(u *upstream) {
+	wait := strconv.FormatFloat(1.5+2.5*w.rng.Float64(), 'f', 2, 64)
+	length := time.Duration(100+w.rng.IntN(500)) * time.Millisecond
+	u.SetBehaviour(func(string) standin.Behaviour { return standin.Behaviour{RetryAfter: wait} })
+	go func() {
+		time.Sleep(length)
+		u.SetBehaviour(behaviourOf)
+	}()
+}
+
+// isCalm tells whether no fault touched the process of a VM in a time.
+func (v *vm) isCalm(from, to time.Time) bool {
+	return !v.paused && !slices.ContainsFunc(v.disturbances, func(t time.Time) bool { return !t.Before(from) && !t.After(to) })
+}
+
+// ignoredWords lists the requests that reached instances against their word. The lock is
+// held.
+func (w *world) ignoredWords() []string {
+	requests := make(map[string]*sent, len(w.requests))
+	// passedOn are the answers that say that an instance leaves.
+	passedOn := make(map[string][]*sent)
+	for _, r := range w.requests {
+		requests[r.id] = r
+		if r.leaving != "" {
+			passedOn[r.leaving] = append(passedOn[r.leaving], r)
+		}
+	}
+	var out []string
+	for _, u := range w.all {
+		arrivals := u.Arrived()
+		for _, a := range arrivals {
+			r := requests[a.ID]
+			if r == nil {
+				continue
+			}
+			for _, said := range passedOn[u.ID()] {
+				at := said.began.Add(said.took)
+				if said.vm == r.vm && r.began.Sub(at) > leavingLimit && w.vms[r.vm].isCalm(at, a.At) {
+					out = append(out, fmt.Sprintf("request %s reached instance %s %s after the VM had passed on that it leaves", r.id, u.ID(), a.At.Sub(at)))
+					break
+				}
+			}
+			if until := a.At.Add(a.Wait); a.Wait > 0 && !u.harmed && w.vms[r.vm].isCalm(a.At, until) {
+				n := 0
+				for _, later := range arrivals {
+					if other := requests[later.ID]; other != nil && other.vm == r.vm && later.At.After(a.At.Add(waitMargin)) && later.At.Before(until) {
+						n++
+					}
+				}
+				if n > waitMost {
+					out = append(out, fmt.Sprintf("%d requests of VM %d reached instance %s though it had asked to wait %s", n, r.vm, u.ID(), a.Wait))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// addRuns adds an instance with runs that did not happen, for tests of the checks.
+func (w *world) addRuns(t *testing.T, id string, runs ...standin.Run) {
+	t.Helper()
+	w.addArrivals(t, id)
+	w.all[len(w.all)-1].AddRuns(runs...)
+}
+
+// addArrivals adds an instance with arrivals that nobody sent, for tests of the checks.
+func (w *world) addArrivals(t *testing.T, id string, arrivals ...standin.Arrival) {
+	t.Helper()
+	i, err := standin.StartInstance("127.0.0.1:0", id, 1, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(i.Close)
+	i.AddArrivals(arrivals...)
+	w.all = append(w.all, &upstream{Instance: i})
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -72,6 +72,8 @@
 	// touched its way to the store or the store either.
 	calm, informed bool
 	took           time.Duration
+	// leaving is the instance that said in the answer that it leaves, or empty.
+	leaving string
 	// began is when the request was sent; version, if positive, is the version of
 	// the routes that it asked for, and owed says that it must be in force.
 	began   time.Time
@@ -96,9 +98,11 @@
 	// on. harmed says that its way to the store is not sound.
 	disturbed time.Time
 	cutOff    time.Time
-	harmed    bool
-	stopping  bool
-	paused    bool
+	// disturbances are all times at which a fault touched the process.
+	disturbances []time.Time
+	harmed       bool
+	stopping     bool
+	paused       bool
 	// seen is the newest version of the routes that this process was seen to have.
 	seen int
 }
@@ -110,6 +114,10 @@
 	relay *testkit.Relay
 	// drained is when its record began to say so, or zero.
 	drained time.Time
+	// harmed says that the way to it was not always sound.
+	harmed bool
+	// reviving says that it crashed and is being started again.
+	reviving bool
 }
 
 // evacuation is the time for which a data centre was to be empty.
@@ -168,6 +176,7 @@
 	for n := range fleet.instances {
 		w.addInstance(n)
 	}
+	go w.reviveInstances()
 	for n := range fleet.vms {
 		w.vms = append(w.vms, w.newVM(n))
 	}
@@ -230,6 +239,8 @@
 func behaviourOf(id string) standin.Behaviour {
 	b := standin.Behaviour{Work: time.Duration(5+len(id)%7*5) * time.Millisecond}
 	switch {
+	case strings.HasPrefix(id, crashPrefix):
+		b.Crash = true
 	case strings.HasSuffix(id, "00"):
 		b.Lose = true
 	case strings.HasSuffix(id, "17"):
@@ -294,7 +305,7 @@
 	}()
 	w.mu.Lock()
 	v.cmd, v.exited, v.log, v.stopping, v.paused, v.seen = cmd, exited, log, false, false, 0
-	v.disturbed = time.Now()
+	v.disturb()
 	w.restarts++
 	w.mu.Unlock()
 	w.t.Cleanup(func() {
@@ -330,10 +341,16 @@
 // disturb notes that a fault touches the process of a VM now.
 func (w *world) disturb(v *vm) {
 	w.mu.Lock()
-	v.disturbed = time.Now()
+	v.disturb()
 	w.mu.Unlock()
 }
 
+// disturb notes a fault of the process. The lock is held.
+func (v *vm) disturb() {
+	v.disturbed = time.Now()
+	v.disturbances = append(v.disturbances, v.disturbed)
+}
+
 // cutOff notes that a fault begins, changes or ends now that touches what the VMs
 // of a region hear of the store, or those of all regions if it is negative.
 func (w *world) cutOff(region int) {
@@ -448,7 +465,7 @@
 		var data []byte
 		data, err = io.ReadAll(res.Body)
 		res.Body.Close()
-		r.status, r.body = res.StatusCode, string(data)
+		r.status, r.body, r.leaving = res.StatusCode, string(data), standin.LeavingInstance(res)
 	}
 	r.cut, r.took = err != nil, time.Since(began)
 	w.mu.Lock()
