Let every success clear, and every answer show life

What callers would see: a request refused although it had just succeeded, or counted against a process that lives. Found by reading the ledger. Cause: a success within 1 s of another cleared nothing; a process whose record was away for a while counted as dead for 8 s although it answered; a request that was given up at a process known as dead marked the loss of another one as silent. Evidence: TestEachSuccessClears and TestLivingProcessesCountForNothing fail in these three places before. Change: a success always clears what is older, and is told when that changed something; an answer ends the belief that its process is dead; the loss itself says whether it was silent. Measured: go test ./crashguard ./entry passes.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -176,7 +176,7 @@
 
 // Lost notes that the connection of a running request was lost.
 func (l *Ledger) Lost(now time.Time, f Fingerprint, p Process) {
-	l.suspect(now, f, p)
+	l.suspect(now, loss{request: f, process: p, at: now})
 	together := 0
 	for _, x := range l.losses {
 		if x.process == p && !x.silent && now.Sub(x.at) <= togetherFor {
@@ -191,28 +191,29 @@
 // Unanswered notes that a request was given up before its process answered. One that
 // dies with its host closes no connection.
 func (l *Ledger) Unanswered(now time.Time, f Fingerprint, p Process) {
-	l.suspect(now, f, p)
-	if n := len(l.losses); n > 0 {
-		l.losses[n-1].silent = true
-	}
+	l.suspect(now, loss{request: f, process: p, at: now, silent: true})
 }
 
 // suspect keeps a loss until its process is seen to have died, which may be so
 // already.
-func (l *Ledger) suspect(now time.Time, f Fingerprint, p Process) {
+func (l *Ledger) suspect(now time.Time, x loss) {
 	l.dropOld(now)
 	if len(l.losses) >= l.cfg.MaxNotes {
 		l.losses = l.losses[1:]
 	}
-	l.losses = append(l.losses, loss{request: f, process: p, at: now})
-	l.step(Step{Kind: StepSuspected, Request: f, Process: p, Deaths: len(l.deaths[f])})
-	if _, dead := l.dead[p]; dead {
-		l.Died(now, p, EvidenceBefore)
+	l.losses = append(l.losses, x)
+	l.step(Step{Kind: StepSuspected, Request: x.request, Process: x.process, Deaths: len(l.deaths[x.request])})
+	if _, dead := l.dead[x.process]; dead {
+		l.Died(now, x.process, EvidenceBefore)
 	}
 }
 
-// Answered notes that a process answered: what it lost before it did not die of.
+// Answered notes that a process answered: what it lost before it did not die of, and a
+// record that was gone says nothing.
 func (l *Ledger) Answered(now time.Time, p Process) {
+	if at, dead := l.dead[p]; dead && now.Sub(at) > aliveAfter {
+		delete(l.dead, p)
+	}
 	l.losses = slices.DeleteFunc(l.losses, func(x loss) bool {
 		alive := x.process == p && now.Sub(x.at) > aliveAfter
 		if alive {
@@ -305,27 +306,27 @@
 }
 
 // clear drops the deaths before a time and tells whether it is news.
-func (l *Ledger) clear(now time.Time, f Fingerprint, at time.Time) bool {
-	if at.Sub(l.cleared[f]) < sameClear {
-		return false
-	}
+func (l *Ledger) clear(now time.Time, f Fingerprint, at time.Time) (isNews bool) {
+	isNews = l.recorded[f] || at.Sub(l.cleared[f]) >= sameClear
 	for g, t := range l.cleared {
 		if now.Sub(t) > l.cfg.Expiry {
 			delete(l.cleared, g)
 		}
 	}
-	if len(l.cleared) < l.cfg.MaxNotes {
+	if _, known := l.cleared[f]; at.After(l.cleared[f]) && (known || len(l.cleared) < l.cfg.MaxNotes) {
 		l.cleared[f] = at
 	}
-	if n := len(l.deaths[f]); n > 0 {
-		l.step(Step{Kind: StepCleared, Request: f, Deaths: n})
-	}
+	before := len(l.deaths[f])
 	l.deaths[f] = slices.DeleteFunc(l.deaths[f], func(d death) bool { return !d.at.After(at) })
+	if cleared := before - len(l.deaths[f]); cleared > 0 {
+		l.step(Step{Kind: StepCleared, Request: f, Deaths: cleared})
+		isNews = true
+	}
 	if len(l.deaths[f]) == 0 {
 		delete(l.deaths, f)
 	}
 	delete(l.recorded, f)
-	return true
+	return isNews
 }
 
 // SetRecorded says whether a record that outlasts the VMs names a request as refused.
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -279,3 +279,36 @@
 		}
 	}
 }
+
+// Guards against a success that clears nothing since another one came just before it.
+func TestEachSuccessClears(t *testing.T) {
+	l := NewLedger(LedgerConfig{Deaths: 1})
+	for _, s := range []float64{0, 0.4, 0.8} {
+		l.Lost(second(s), requestNumber(1), process(fmt.Sprint(s)))
+		l.Died(second(s), process(fmt.Sprint(s)), EvidenceRefused)
+		l.Succeeded(second(s+0.2), requestNumber(1))
+		if _, refused := l.Refuses(second(s+0.2), requestNumber(1)); refused {
+			t.Errorf("refused after the success at %g", s+0.2)
+		}
+	}
+}
+
+// Guards against deaths of a process whose record was only away for a while, and against
+// a request that was given up which changes what is known of others.
+func TestLivingProcessesCountForNothing(t *testing.T) {
+	l := NewLedger(LedgerConfig{Deaths: 1})
+	l.Died(second(0), process("a"), EvidenceRecord)
+	l.Answered(second(1), process("a"))
+	l.Lost(second(2), requestNumber(1), process("a"))
+	if _, refused := l.Refuses(second(2), requestNumber(1)); refused {
+		t.Error("counts though the process answered after its record was gone")
+	}
+	l.Died(second(3), process("b"), EvidenceRefused)
+	for n := range byte(togetherLeast) {
+		l.Lost(second(3.05), requestNumber(10+n), process("c"))
+		l.Unanswered(second(3.05), requestNumber(20+n), process("b"))
+	}
+	if _, refused := l.Refuses(second(3.1), requestNumber(10)); !refused {
+		t.Error("connections lost together count for nothing")
+	}
+}
