Count words of a process that came before its record

What callers and instances saw: soak seed 14026, a request reached an instance 3.0 s after the VM had passed on that it leaves. Cause: the instance had crashed and was back under its ID and address; it said that it leaves while the VM still had the record of its former start. The word counted for that one, and when the new record came, 3 s late, the instance was used once more. Read from the VM's lines 2348 and 2310. Ruled out: the relay of the test, and a send before the word. Change: when a later start of an instance becomes known, what was said after it, by the clocks of both, is taken as its own; likewise a wish to be left alone. Measured: TestWordsBeforeTheRecordCount fails without it; the seed is kept and passes.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -70,8 +70,9 @@
 	LeavingSince time.Time
 	// HeardFrom is the VM that told of it, or empty if it was the process.
 	HeardFrom string
-	// WaitUntil is the end of the longest wait that it asked for, or zero.
-	WaitUntil time.Time
+	// WaitUntil is the end of the longest wait that it asked for, or zero, and WaitSaid
+	// when it asked for that.
+	WaitUntil, WaitSaid time.Time
 }
 
 // IsLeaving tells whether the process leaves.
@@ -83,15 +84,44 @@
 // Tracker holds the states of processes.
 type Tracker struct {
 	states map[Process]*State
+	// last is the process that spoke last under an ID, by the record known then.
+	last map[string]Process
 }
 
 // NewTracker returns a tracker that has heard nothing.
-func NewTracker() *Tracker { return &Tracker{states: make(map[Process]*State)} }
+func NewTracker() *Tracker {
+	return &Tracker{states: make(map[Process]*State), last: make(map[string]Process)}
+}
 
 // Of returns the state of a process, or nil if it said nothing. It stays the state of
 // that process; other processes of the instance have their own.
 func (t *Tracker) Of(p Process) *State { return t.states[p] }
 
+// Started takes that a process is known from its record. Its record may come later than
+// its first answers, which then counted for the process before: what was said after its
+// start, by the clocks of both machines, was said by it.
+func (t *Tracker) Started(now time.Time, p Process) {
+	last, spoke := t.last[p.ID]
+	if !spoke || last.Address != p.Address || last.Born >= p.Born || t.states[p] != nil {
+		return
+	}
+	before := t.states[last]
+	isLater := func(said time.Time) bool { return !said.IsZero() && said.UnixMilli() >= p.Born }
+	if before == nil || (!isLater(before.LeavingSince) && !isLater(before.WaitSaid)) {
+		return
+	}
+	s := t.state(now, p)
+	if s == nil {
+		return
+	}
+	if isLater(before.LeavingSince) {
+		s.LeavingSince, s.HeardFrom = before.LeavingSince, before.HeardFrom
+	}
+	if isLater(before.WaitSaid) {
+		s.WaitUntil, s.WaitSaid = before.WaitUntil, before.WaitSaid
+	}
+}
+
 // Leaving takes that a process leaves, as heard from it or from another VM since. It
 // tells whether that is news.
 func (t *Tracker) Leaving(now, since time.Time, p Process, heardFrom string) bool {
@@ -114,7 +144,7 @@
 	if s == nil || !until.After(s.WaitUntil) {
 		return false
 	}
-	s.WaitUntil = until
+	s.WaitUntil, s.WaitSaid = until, now
 	return true
 }
 
@@ -131,6 +161,9 @@
 	}
 	s = new(State)
 	t.states[p] = s
+	if last, spoke := t.last[p.ID]; !spoke || last.Address != p.Address || last.Born <= p.Born {
+		t.last[p.ID] = p
+	}
 	return s
 }
 
@@ -139,6 +172,9 @@
 	for p, s := range t.states {
 		if !s.IsWaiting(now) && (!s.IsLeaving() || now.Sub(s.LeavingSince) > keepLeaving) {
 			delete(t.states, p)
+			if t.last[p.ID] == p {
+				delete(t.last, p.ID)
+			}
 		}
 	}
 }
--- a/availability/availability_test.go
+++ b/availability/availability_test.go
@@ -52,6 +52,36 @@
 	}
 }
 
+// Guards against a process that is used again once its record comes, since it spoke
+// before and its words counted for the process before it. Soak seed 14026.
+func TestWordsBeforeTheRecordCount(t *testing.T) {
+	tr := NewTracker()
+	process := func(started float64) Process {
+		return Process{ID: "i", Address: "10.0.0.1:80", Born: second(started).UnixMilli()}
+	}
+	// The first process left at 1 s; the one that started at 5 s speaks at 6 s and 7 s.
+	tr.Leaving(second(1), second(1), process(0), "")
+	tr.Wait(second(6), process(0), 4*time.Second)
+	tr.Started(second(8), process(5))
+	if s := tr.Of(process(5)); s.IsLeaving() || !s.IsWaiting(second(9)) || s.IsWaiting(second(10)) {
+		t.Errorf("%+v", s)
+	}
+	tr.Leaving(second(12), second(12), process(5), "vm-2")
+	tr.Started(second(13), process(11))
+	if s := tr.Of(process(11)); !s.IsLeaving() || s.LeavingSince != second(12) || s.IsWaiting(second(9)) {
+		t.Errorf("%+v", s)
+	}
+	tr.Started(second(14), process(13))
+	if s := tr.Of(process(13)); s.IsLeaving() {
+		t.Errorf("%+v: started after the last word", s)
+	}
+	// An older record says nothing about the process that is known.
+	tr.Started(second(15), process(3))
+	if tr.Of(process(3)).IsLeaving() || !tr.Of(process(11)).IsLeaving() {
+		t.Error("an older record changes what is known")
+	}
+}
+
 // Guards against times that overflow or that take an instance out for ever.
 func TestUnusableWaits(t *testing.T) {
 	for _, bad := range []string{"-1", "NaN", "Inf", "1e300", "1e999", "3600.5", "soon", "Fri, 04 Dec 2026 12:00:00 GMT", "0x", "5 s"} {
--- a/node/words.go
+++ b/node/words.go
@@ -96,6 +96,7 @@
 	p.returning = time.Time{}
 	for k := range list {
 		i := &list[k]
+		p.words.Started(now, p.process(i))
 		if p.takesNew(now, i) {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -255,6 +255,7 @@
 				touched[s] = true
 			}
 		}
+		p.said.Started(now, processOf(i))
 		own.put(now, i, p.said.Of(processOf(i)))
 		touched[own] = true
 	}
--- a/placement/said_test.go
+++ b/placement/said_test.go
@@ -81,7 +81,7 @@
 		t.Error("the process is used again")
 	}
 	next := same
-	next.Born = 2
+	next.Born = at(5.5).UnixMilli()
 	p.SetInstances(at(6), []Instance{next})
 	if _, e := ask(p, at(6), time.Second, "k"); e != nil {
 		t.Errorf("the next process is not used: %v", e)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,9 @@
 var regressionSeeds = []uint64{
 	3009, // one port was given to two listeners of a VM
 	7009, // the test's relay closed connections in order when it cut them
+	// an instance that crashed and came back said that it leaves before its record came,
+	// and the word counted for its former process
+	14026,
 }
 
 const (
