Reset the connection of a request that is given up

The instance had been cut off from 19.064 s to 24.657 s. Cause: the VM closed the connection in order. The kernel goes on to deliver what it holds of the request once the cut heals. Ruled out: a second send; the VM sent it once, before the cut was noticed. Change: an exchange that is cancelled or fails resets its connection, which drops what is held. Evidence: TestGivenUpRequestsAreReset fails before: the instance sees an orderly end. Measured: go test ./upstream ./proxy passes.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -40,6 +40,17 @@
 	})
 }
 
+// abort closes a connection whose exchange is given up. What the kernel still holds of
+// the request is dropped with it: behind a cut it would arrive once the cut heals, long
+// after the caller was told that the request is given up.
+func (n *conn) abort() {
+	if tcp, ok := n.raw.(*net.TCPConn); ok {
+		// A failure means that the connection has ended.
+		_ = tcp.SetLinger(0)
+	}
+	n.close()
+}
+
 // ErrTooLong means that an instance sent more than an answer may have.
 var ErrTooLong = errors.New("upstream: header or skipped answer is too long")
 
@@ -80,7 +91,7 @@
 // context closes the connection at any time until the body of the answer ends.
 func (n *conn) exchange(ctx context.Context, x *Exchange) (*http.Response, error) {
 	e := &running{n: n, x: x}
-	e.unwatch = context.AfterFunc(ctx, n.close)
+	e.unwatch = context.AfterFunc(ctx, n.abort)
 	length := x.Request.ContentLength
 	if length >= 0 && length <= inlineBytes {
 		if err := e.write(); err != nil {
@@ -213,6 +224,7 @@
 }
 
 func (e *running) fail(err error) *Error {
+	e.n.abort()
 	e.end(false)
 	return &Error{Written: e.sent.Load() > 0, Answered: e.answered, Stray: e.stray, Err: err}
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -290,3 +291,41 @@
 		t.Errorf("%d %q %v", res.StatusCode, data, err)
 	}
 }
+
+// Guards against a request that reaches an instance seconds after it was given up: bytes
+// that a cut holds back are lost only if their sender resets the connection.
+func TestGivenUpRequestsAreReset(t *testing.T) {
+	for name, limit := range map[string]time.Duration{"caller left": 100 * time.Millisecond, "answer is none": 5 * time.Second} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		ended := make(chan error, 1)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			defer c.Close()
+			if name == "answer is none" {
+				_, _ = io.WriteString(c, "no answer\r\n\r\n")
+			}
+			_, err = io.Copy(io.Discard, c)
+			ended <- err
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr().String()+"/roll", strings.NewReader("roll"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := New(Options{}).Do(ctx, &Exchange{Address: l.Addr().String(), Request: req}); err == nil {
+			t.Errorf("%s: answered", name)
+		}
+		if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: the instance saw %v, want a reset", name, err)
+		}
+		cancel()
+	}
+}
