--- a/drain/drain.go
+++ b/drain/drain.go
@@ -4,6 +4,7 @@
 package drain
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -118,6 +119,16 @@
 	t.forget()
 }
 
+// Snapshot returns what the tracker says at present, without the requests in flight. A
+// later Set does not change it, so that it may be read while another goroutine sets.
+func (t *Tracker) Snapshot() *Tracker {
+	// Set replaces the other maps as a whole.
+	return &Tracker{
+		cfg: t.cfg, drains: t.drains, windows: t.windows, cancelled: maps.Clone(t.cancelled),
+		instances: t.instances, regions: t.regions,
+	}
+}
+
 func (t *Tracker) locate(reg *register.Register) {
 	t.regions = make(map[string]string)
 	for i := range reg.Regions {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -126,3 +126,29 @@
 		t.Error("the check holds on new work at a drained instance")
 	}
 }
+
+// TestSnapshotStays guards against a planner that reads drains while a configuration
+// sets them: one half of its plan would follow other drains than the other.
+func TestSnapshotStays(t *testing.T) {
+	d := rules.Drain{ID: "d", Kind: rules.TargetInstance, Target: "i1", Start: start}
+	tr, reg := testTracker(d)
+	before := tr.Snapshot()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100 {
+			if before.Instance(at(time.Minute), "i1") != 0 || before.Instance(at(time.Minute), "i2") != 1 {
+				t.Error("the snapshot has changed")
+				return
+			}
+		}
+	}()
+	for n := range 100 {
+		other := rules.Drain{ID: "e", Kind: rules.TargetInstance, Target: []string{"i1", "i2"}[n%2], Start: start}
+		tr.Set(at(time.Minute), reg, &rules.Rules{Drains: []rules.Drain{other}})
+	}
+	<-done
+	if tr.Instance(at(time.Minute), "i2") != 0 {
+		t.Error("the tracker itself did not change")
+	}
+}
--- a/node/planner.go
+++ b/node/planner.go
@@ -229,7 +229,7 @@
 	}
 	in := &plan.Input{
 		Now: now, ChangeID: rand.Text(), Register: p.n.snapshot.Register, Rules: p.n.snapshot.Rules,
-		Drains: p.n.drains, Previous: previous,
+		Drains: p.n.drains.Snapshot(), Previous: previous,
 	}
 	demand := make(map[[2]string]*plan.Demand)
 	for _, m := range members {
