Log answer headers of the protocol that are not known

Protocols name their prefixes and known headers. Others are counted (unknown_headers) and logged once per name and service (event 1605), at most 64 pairs per process.

--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -18,6 +18,7 @@
 		{"lookups", "counter", "`protocol` (`http`, `dns`), `outcome` (`answered`, `truncated`, `no-data` or the reason of a failure)", "lookups of entry VMs; `truncated` ones are repeated over TCP"},
 		{"answers", "counter", "`service`, `status`", "answers of instances that were forwarded to callers"},
 		{"answer_seconds", "histogram", "`service`, `status`", "time from the arrival of a request to the end of its answer"},
+		{"unknown_headers", "counter", "", "headers in the answers of instances that belong to the protocol and that this release does not know, see event 1605"},
 		{"crash_steps", "counter", "`step` (`suspected`, `unconfirmed`, `died`, `heard`, `cleared`)", "on a platform: steps of the crash ledger for requests that crashed instances, see event 2344"},
 		{"instance_words", "counter", "`word` (`leaving`, `heard-leaving`, `wait`, `unusable`)", "on a platform: notices of instances about new requests, see events 2348 to 2351"},
 		{"peer_calls", "counter", "`call`", "calls to other VMs, and with the suffix `-served` calls received from them; `connect` counts connections"},
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -69,6 +69,9 @@
 	}
 	a.written, a.answeredAt = true, o.Now()
 	a.status = res.StatusCode
+	if names := o.Protocol.UnknownHeaders(res.Header); names != nil {
+		a.x.h.unknownHeaders.record(a.x.query.Service.Name, a.selection.Instance().ID, names)
+	}
 	reason, retryAfter := o.Protocol.NotRunReason(res)
 	// A misdirected request was answered by another instance, so neither the load
 	// nor the notice of its answer is about the selected one.
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -43,6 +44,9 @@
 	// the request: ReasonUpstreamRefused or ReasonMisdirected. retryAfter is the
 	// instance's advice, or zero. Otherwise the reason is empty.
 	NotRunReason(res *http.Response) (reason verdict.Reason, retryAfter time.Duration)
+	// UnknownHeaders returns the names of the answer's headers that have a prefix reserved
+	// for the protocol but no known meaning. It is nil if there are none.
+	UnknownHeaders(h http.Header) []string
 	// Notice returns the instance's notice about new requests.
 	Notice(res *http.Response) availability.Notice
 	// Load returns the load report of an answer, or false if there is none.
@@ -92,6 +96,29 @@
 	return availability.ParseNotice(res.StatusCode, res.Header.Get("Retry-After"), res.Header.Get(HeaderLeaving) == "true")
 }
 
+// nativeHeaders are the headers with the prefix of the native protocol.
+var nativeHeaders = map[string]bool{
+	HeaderService: true, HeaderTimeout: true, HeaderReplayed: true, HeaderLeaving: true,
+	verdict.HeaderVerdict: true, verdict.HeaderReason: true,
+}
+
+// UnknownHeaders implements Protocol.
+func (nativeProtocol) UnknownHeaders(h http.Header) []string {
+	return UnknownHeaders(h, nativeHeaders, "Currantferry-")
+}
+
+// UnknownHeaders returns the names of headers that begin with one of the prefixes and are
+// not known, in alphabetical order.
+func UnknownHeaders(h http.Header, known map[string]bool, prefixes ...string) (names []string) {
+	for name := range h {
+		if !known[name] && slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(name, p) }) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (nativeProtocol) ParseRequest(r *http.Request) (Meta, error) {
 	m := Meta{ID: r.Header.Get(HeaderRequestID), Caller: callerAddress(r), Key: r.Header.Get(HeaderKey)}
 	if text := r.Header.Get(HeaderTimeout); text != "" {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -265,6 +265,8 @@
 	client  *upstream.Client
 	meters  *meters
 	gate    gate
+
+	unknownHeaders *unknownHeaders
 }
 
 // New returns a handler that refuses all requests until SetReady.
@@ -298,6 +300,7 @@
 	}
 	o.Upstream.MaxConnections = o.MaxConnections
 	h := &Handler{options: o, client: upstream.New(o.Upstream), gate: gate{limit: o.MaxConcurrent}}
+	h.unknownHeaders = newUnknownHeaders(o.Log, o.Metrics)
 	if o.Metrics != nil {
 		h.meters = &meters{scope: o.Metrics.Scope(), answers: make(map[answerKey]answerMeter)}
 	}
