Share the limit that an instance names between all VMs

The VMs sent as before: no code read the header.

Cause: a fact that an instance's answer tells one VM, and that binds all of them, had no way into the product. Reading the header in each VM alone would break the rule as well: 11 VMs with one request each are over the bound of 2.4 a second.

Change: availability keeps the newest limit of a process, whatever the order in which answers and reports of other VMs arrive. Package quotalease shares it by leased tokens: one VM of the instance's region keeps a token bucket and leases whole tokens to VMs that ask, a standby leases a third as much to those that cannot reach it. The sum of both keeps 1.5 times the limit + 5 in any 4 s, so no agreement is needed. placement counts an instance without a token as closed in every choice, trial and fallback, and a picked request is withdrawn before it is written unless it gets one. If all instances are at their limits, requests are refused at once (at-limit) with spread times to come back, and more urgent ones get the room first.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -1,5 +1,6 @@
 // Package availability tracks the notices that upstream instances send in their
-// answers: that they are leaving, or that they want no new requests for a while. A
+// answers: that they are leaving, that they want no new requests for a while, or how many
+// requests per second they take from all VMs together. A
 // notice overrides the record of the process, which may be older, and is valid only for
 // that process.
 //
@@ -35,6 +36,12 @@
 	// Unusable means that the Retry-After is ignored because it is not a number, is
 	// negative or exceeds MaxWait.
 	Unusable bool
+	// HasLimit means that the answer names Limit, the requests per second that the process
+	// takes from all VMs together.
+	HasLimit bool
+	Limit    float64
+	// LimitUnusable means that the limit in the answer is ignored, see ParseLimit.
+	LimitUnusable bool
 }
 
 // IsEmpty reports whether the answer contained no notice.
@@ -76,6 +83,11 @@
 	// WaitUntil is the end of the longest wait that the process asked for, or zero.
 	// WaitReceived is when it asked for that wait.
 	WaitUntil, WaitReceived time.Time
+	// Limit is the newest report about the limit of the process. It was never limited if
+	// ReceivedAt is zero.
+	Limit Limit
+	// HasUnusableLimit means that the process named a limit that was ignored.
+	HasUnusableLimit bool
 }
 
 // IsLeaving reports whether the process is leaving.
@@ -112,7 +124,7 @@
 	}
 	previousState := t.states[previous]
 	isSinceStart := func(received time.Time) bool { return !received.IsZero() && received.UnixMilli() >= p.StartMillis }
-	if previousState == nil || (!isSinceStart(previousState.LeavingSince) && !isSinceStart(previousState.WaitReceived)) {
+	if previousState == nil || (!isSinceStart(previousState.LeavingSince) && !isSinceStart(previousState.WaitReceived) && !isSinceStart(previousState.Limit.Since)) {
 		return
 	}
 	s := t.stateFor(now, p)
@@ -125,6 +137,9 @@
 	if isSinceStart(previousState.WaitReceived) {
 		s.WaitUntil, s.WaitReceived = previousState.WaitUntil, previousState.WaitReceived
 	}
+	if isSinceStart(previousState.Limit.Since) {
+		s.Limit = previousState.Limit
+	}
 }
 
 // RecordLeaving records that a process is leaving, announced by itself or reported by
@@ -173,10 +188,11 @@
 	return s
 }
 
-// forget drops states that are neither waiting nor recently leaving.
+// forget drops states that are neither waiting nor recently leaving or limited.
 func (t *Tracker) forget(now time.Time) {
 	for p, s := range t.states {
-		if !s.IsWaiting(now) && (!s.IsLeaving() || now.Sub(s.LeavingSince) > leavingTTL) {
+		isLimited := s.IsLimited() && now.Sub(s.Limit.ReceivedAt) <= leavingTTL
+		if !isLimited && !s.IsWaiting(now) && (!s.IsLeaving() || now.Sub(s.LeavingSince) > leavingTTL) {
 			delete(t.states, p)
 			if t.lastNotifier[p.ID] == p {
 				delete(t.lastNotifier, p.ID)
--- a/entry/digest.go
+++ b/entry/digest.go
@@ -47,12 +47,12 @@
 		return
 	}
 	rounds := (len(v.ranked) + maxDigestPeers - 1) / maxDigestPeers
-	digest, crashes := n.selector.buildDigest(now, crashReportRepeats*max(1, rounds))
+	digest, crashes := n.selector.buildDigest(now, max(1, rounds))
 	for address, reports := range remoteCrashReports(v, crashes) {
 		n.sendDatagram(encodeDigest(sender{n.self.ID, true}, new(placement.Digest), reports), address)
 	}
 	peers := v.ranked
-	if len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(digest.Leaving)+len(crashes) == 0 || len(peers) < 2 {
+	if len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(digest.Leaving)+len(digest.Limits)+len(crashes) == 0 || len(peers) < 2 {
 		return
 	}
 	data := encodeDigest(sender{n.self.ID, false}, &digest, crashes)
@@ -120,6 +120,10 @@
 			}
 			return
 		}
+		if size > 0 && buffer[0] == quotaFormat {
+			n.receiveQuota(buffer[:size])
+			continue
+		}
 		from, digest, crashes, err := decodeDigest(buffer[:size])
 		if err != nil {
 			// A malformed datagram is dropped as a whole; the next digest follows soon.
--- a/entry/digestcodec.go
+++ b/entry/digestcodec.go
@@ -13,7 +13,7 @@
 
 // digestFormat is the first byte of a digest. It changes with the layout below, so
 // that VMs of two releases don't misread each other's digests.
-const digestFormat = 5
+const digestFormat = 6
 
 // Steps per unit in which shares and rates per second are encoded in a digest.
 const (
@@ -29,7 +29,7 @@
 }
 
 // encodeDigest encodes a digest: the format, the sender, then the shares, load reports,
-// crash reports, replaced instances and leaving processes, each list preceded by its
+// crash reports, replaced instances, leaving processes and limits, each list preceded by its
 // length. Numbers are varints, strings follow their length, and keys of instances take
 // four bytes. A load report takes about 10 bytes.
 func encodeDigest(from sender, d *placement.Digest, crashes []crashguard.LedgerReport) []byte {
@@ -65,6 +65,10 @@
 	for _, l := range d.Leaving {
 		b = number(binary.BigEndian.AppendUint64(b, l.Process), l.Age.Milliseconds())
 	}
+	b = number(b, int64(len(d.Limits)))
+	for k := range d.Limits {
+		b = appendLimitReport(b, &d.Limits[k])
+	}
 	return b
 }
 
@@ -150,6 +154,9 @@
 	for n := r.number(); n > 0 && r.err == nil; n-- {
 		d.Leaving = append(d.Leaving, placement.LeavingProcess{Process: binary.BigEndian.Uint64(r.bytes(8)), Age: r.age()})
 	}
+	for n := r.number(); n > 0 && r.err == nil; n-- {
+		d.Limits = append(d.Limits, r.limitReport())
+	}
 	if r.err == nil && len(r.rest) > 0 {
 		r.err = errors.Errorf("digest has %d trailing bytes", len(r.rest))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -164,7 +165,7 @@
 	}
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
-		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime,
+		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: rand.Float64,
 	}, n.log, n.metrics.Scope())
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
@@ -179,6 +180,7 @@
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
 	n.selector.closeIdle = n.proxy.Client().CloseIdleTo
+	n.selector.requestQuota = n.requestQuota
 	n.selector.probe = newCrashProbe(n.proxy.Client().Open, n.selector.onConnRefused)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -14,6 +14,19 @@
 	noticeLeavingReceived = "heard-leaving"
 	noticeWait            = "wait"
 	noticeUnusable        = "unusable"
+	noticeLimit           = "limit"
+	noticeLimitReceived   = "heard-limit"
+	noticeLimitEnded      = "limit-ended"
+	noticeLimitUnusable   = "limit-unusable"
+)
+
+// Values of label "step" of counter quota_tokens: tokens that this VM asked for, leased to
+// others or itself as a coordinator, received, and gave back.
+const (
+	quotaWanted   = "wanted"
+	quotaLeased   = "leased"
+	quotaReceived = "received"
+	quotaReturned = "returned"
 )
 
 // ReceiveNotice applies an instance's notice about new requests, which came with an
@@ -28,10 +41,20 @@
 		s.noticeCounters[noticeUnusable].Inc(1)
 		event.WaitUnusable.Log(s.log, "id", i.ID, "born", i.StartMillis)
 	}
+	if notice.LimitUnusable {
+		s.noticeCounters[noticeLimitUnusable].Inc(1)
+		if s.picker.RecordUnusableLimit(now, &c.ticket) {
+			event.LimitUnusable.Log(s.log, "id", i.ID, "born", i.StartMillis)
+		}
+	}
 	wasLeaving := s.picker.StateOf(&c.ticket).IsLeaving()
+	limit := s.picker.LimitOf(&c.ticket)
 	if !s.picker.ApplyNotice(now, &c.ticket, notice) {
 		return
 	}
+	if l := s.picker.LimitOf(&c.ticket); l.InForce != limit.InForce || l.PerSecond != limit.PerSecond {
+		s.logLimit(&placement.LimitChange{Instance: *i, Limit: l})
+	}
 	if notice.Leaving && !wasLeaving {
 		s.recordLeaving(i, noticeLeaving, "")
 	}
@@ -54,5 +77,5 @@
 func (c *selection) CanSend() bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	return c.s.picker.CanSend(time.Now(), &c.ticket)
+	return c.s.picker.SetSent(time.Now(), &c.ticket)
 }
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -41,6 +41,15 @@
 	stepCounters map[crashguard.StepKind]tally.Counter
 	// noticeCounters counts the instances' notices about new requests by kind.
 	noticeCounters map[string]tally.Counter
+	// quotaCounters counts the tokens of limited instances by step.
+	quotaCounters map[string]tally.Counter
+	// failedCoordinators holds the coordinator that does not answer, by region.
+	failedCoordinators map[string]string
+	limitUsageAt       time.Time
+	// requestQuota asks for tokens of limited instances. quotaReplied is closed, and
+	// replaced, when a reply has arrived.
+	requestQuota func(now time.Time, interval time.Duration)
+	quotaReplied chan struct{}
 }
 
 var _ proxy.Selector = (*selector)(nil)
@@ -49,14 +58,18 @@
 	s := &selector{
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
-		closeIdle: func(string) {},
+		closeIdle: func(string) {}, quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
+		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}),
 	}
 	for _, kind := range crashguard.StepKinds() {
 		s.stepCounters[kind] = scope.Tagged(map[string]string{"step": string(kind)}).Counter("crash_steps")
 	}
-	for _, notice := range []string{noticeLeaving, noticeLeavingReceived, noticeWait, noticeUnusable} {
+	for _, notice := range []string{noticeLeaving, noticeLeavingReceived, noticeWait, noticeUnusable, noticeLimit, noticeLimitReceived, noticeLimitEnded, noticeLimitUnusable} {
 		s.noticeCounters[notice] = scope.Tagged(map[string]string{"word": notice}).Counter("instance_words")
 	}
+	for _, step := range []string{quotaWanted, quotaLeased, quotaReceived, quotaReturned} {
+		s.quotaCounters[step] = scope.Tagged(map[string]string{"step": step}).Counter("quota_tokens")
+	}
 	return s
 }
 
@@ -134,10 +147,11 @@
 	s.logSteps("")
 }
 
-func (s *selector) setVMs(vms []placement.VM) {
+func (s *selector) setVMs(vms []placement.VM, coordinators map[string][]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.SetVMs(vms)
+	s.picker.SetCoordinators(coordinators)
 }
 
 func (s *selector) setBounds(b *Settings) {
@@ -146,10 +160,12 @@
 	s.picker.SetBounds(b.ColdOver, b.ColdSlack, b.MaxShift, b.DrainTime)
 }
 
-func (s *selector) buildDigest(now time.Time, repeats int) (placement.Digest, []crashguard.LedgerReport) {
+// buildDigest returns the next digest. Each VM of the region gets one of as many digests as
+// there are rounds.
+func (s *selector) buildDigest(now time.Time, rounds int) (placement.Digest, []crashguard.LedgerReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.picker.Digest(now), s.ledger.Outbox(now, repeats, maxCrashReports)
+	return s.picker.Digest(now, rounds), s.ledger.Outbox(now, crashReportRepeats*rounds, maxCrashReports)
 }
 
 // receiveDigest merges the digest of another VM. A digest from another region has crash
@@ -158,13 +174,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !from.remote {
-		left, leaving := s.picker.ApplyDigest(now, from.id, d)
-		for _, id := range left {
+		effects := s.picker.ApplyDigest(now, from.id, d)
+		for _, id := range effects.Replaced {
 			event.InstanceReplaced.Log(s.log, "id", id, "heard_from", from.id)
 		}
-		for k := range leaving {
-			s.recordLeaving(&leaving[k], noticeLeavingReceived, from.id)
+		for k := range effects.Leaving {
+			s.recordLeaving(&effects.Leaving[k], noticeLeavingReceived, from.id)
 		}
+		s.logLimits(effects.Limits)
 	}
 	s.ledger.Merge(now, crashes, from.remote)
 	s.logSteps(from.id)
@@ -197,6 +214,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Tick(now)
+	s.logLimitUsage(now)
 	for service, share := range s.picker.SpillShares() {
 		if math.Abs(share-s.loggedSpill[service]) < minLoggedSpillChange && (share != 0 || s.loggedSpill[service] == 0) {
 			continue
@@ -217,12 +235,13 @@
 		}
 		s.pause.wait(ctx, refreshed)
 	}
-	now := time.Now()
 	r := placement.Request{
 		Service: q.Service.Name, Route: q.Route.Prefix, Key: q.AffinityKey, Idempotent: q.Idempotent,
 		Target: q.Target, Deadline: q.Deadline, Regions: q.Regions, Exclude: q.Exclude,
 		Timeout: q.Timeout, Priority: q.Priority,
 	}
+	s.awaitToken(ctx, &r)
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !q.IsRetry {
--- a/entry/state.go
+++ b/entry/state.go
@@ -96,6 +96,7 @@
 	n.applyEffects(now, n.inv.Tick(now))
 	n.mu.Unlock()
 	n.selector.tick(now)
+	n.tickQuota(now)
 }
 
 // applyEffects applies changes of the inventory to all parts of the node. The lock is held.
@@ -201,7 +202,13 @@
 	for i := range v.ranked {
 		vms = append(vms, placement.VM{ID: v.ranked[i].ID, Weight: weightOf(&v.ranked[i])})
 	}
-	n.selector.setVMs(vms)
+	coordinators := make(map[string][]string)
+	for _, region := range n.settings.Regions {
+		if coordinators[region] == nil {
+			coordinators[region] = coordinatorsOf(v.vms, region, n.self.ID)
+		}
+	}
+	n.selector.setVMs(vms, coordinators)
 }
 
 // changeInstances applies changes of single instances. The lock is held.
--- a/node/notices.go
+++ b/node/notices.go
@@ -21,6 +21,9 @@
 
 // ReceiveNotice records the leaving or wait notice in the answer of the instance.
 func (c *selection) ReceiveNotice(notice availability.Notice) {
+	if notice.IsEmpty() {
+		return
+	}
 	id := c.ticket.Instance
 	if notice.Unusable {
 		event.WaitUnusable.Log(c.s.log, "id", id)
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -51,12 +52,16 @@
 	Replaced []InstanceKey
 	// Leaving are processes that sent a leaving notice.
 	Leaving []LeavingProcess
+	// Limits are processes that named another limit, or none, in a recent answer.
+	Limits []LimitReport
 }
 
 // Digest returns the load reports that this VM received from instances of its region
 // since the last call, newest first, its spill shares, and the processes that were
 // replaced or are leaving.
-func (p *Picker) Digest(now time.Time) Digest {
+//
+// Rounds is the number of digests after which each VM of the region got one.
+func (p *Picker) Digest(now time.Time, rounds int) Digest {
 	d := Digest{Shares: make(map[string]Share)}
 	for _, s := range p.services {
 		if s.hasTraffic {
@@ -69,7 +74,11 @@
 			}
 			if i.state.IsLeaving() && i.state.ReportedBy == "" && i.numLeavingSent < maxLeavingSends && len(d.Leaving) < maxDigestReports {
 				i.numLeavingSent++
-				d.Leaving = append(d.Leaving, LeavingProcess{i.processHash(), now.Sub(i.state.LeavingSince)})
+				d.Leaving = append(d.Leaving, LeavingProcess{i.processID, now.Sub(i.state.LeavingSince)})
+			}
+			if report, known := i.limitReport(now); known && i.numLimitSent < maxLimitSends*rounds && len(d.Limits) < maxDigestReports {
+				i.numLimitSent++
+				d.Limits = append(d.Limits, report)
 			}
 		}
 		for _, i := range s.regions[p.cfg.Region] {
@@ -119,20 +128,31 @@
 	return mean / total, true
 }
 
-// ApplyDigest applies the digest of another VM. It returns the IDs of instances that are
-// ejected because other instances answer at their addresses, and the instances newly
-// known to be leaving.
-func (p *Picker) ApplyDigest(now time.Time, from string, d *Digest) (replaced []string, leaving []Instance) {
+// DigestEffects are the changes that a digest of another VM caused.
+type DigestEffects struct {
+	// Replaced are the IDs of instances that are ejected because other instances answer at
+	// their addresses.
+	Replaced []string
+	// Leaving are the instances newly known to be leaving.
+	Leaving []Instance
+	Limits  []LimitChange
+}
+
+// ApplyDigest applies the digest of another VM.
+func (p *Picker) ApplyDigest(now time.Time, from string, d *Digest) (e DigestEffects) {
 	for name, share := range d.Shares {
 		if s := p.services[name]; s != nil && share.Share >= 0 && share.Share <= maxSpill && share.Rate >= 0 {
 			s.peers[from] = peerShare{share, now}
 		}
 	}
 	if len(d.Replaced) > 0 {
-		replaced = p.applyReplaced(now, d.Replaced)
+		e.Replaced = p.applyReplaced(now, d.Replaced)
 	}
 	if len(d.Leaving) > 0 {
-		leaving = p.applyLeaving(now, from, d.Leaving)
+		e.Leaving = p.applyLeaving(now, from, d.Leaving)
+	}
+	if len(d.Limits) > 0 {
+		e.Limits = p.applyLimits(now, from, d.Limits)
 	}
 	for k := range d.Reports {
 		r := &d.Reports[k]
@@ -148,7 +168,27 @@
 			}
 		}
 	}
-	return replaced, leaving
+	return e
+}
+
+// applyLimits applies the limits that another VM received.
+func (p *Picker) applyLimits(now time.Time, from string, list []LimitReport) (out []LimitChange) {
+	reports := make(map[uint64]*LimitReport, len(list))
+	for k := range list {
+		reports[list[k].Process] = &list[k]
+	}
+	for _, s := range p.services {
+		for _, i := range s.instances {
+			if r := reports[i.processID]; r != nil {
+				if change, changed := p.applyLimitReport(now, now, from, i, r); changed {
+					// The VM that received the answer tells the whole region.
+					i.numLimitSent = math.MaxInt
+					out = append(out, change)
+				}
+			}
+		}
+	}
+	return out
 }
 
 // applyLeaving applies the leaving notices that another VM received.
@@ -159,7 +199,7 @@
 	}
 	for _, s := range p.services {
 		for _, i := range s.instances {
-			if age, listed := ages[i.processHash()]; listed && p.notices.RecordLeaving(now, now.Add(-age), i.process(), from) {
+			if age, listed := ages[i.processID]; listed && p.notices.RecordLeaving(now, now.Add(-age), i.process(), from) {
 				i.state = p.notices.Of(i.process())
 				out = append(out, i.Instance)
 			}
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/currantferry/currantferry/availability"
+	"github.com/currantferry/currantferry/quotalease"
 	"github.com/currantferry/currantferry/rendezvous"
 	"github.com/currantferry/currantferry/verdict"
 )
@@ -48,6 +49,8 @@
 type instance struct {
 	Instance
 	hash uint64
+	// processID is a hash of the process.
+	processID uint64
 
 	// outstanding is the number of this VM's requests in flight.
 	outstanding int
@@ -88,13 +91,21 @@
 	state *availability.State
 	// numLeavingSent is the number of digests that announced that the process is leaving.
 	numLeavingSent int
+	// holding is this VM's tokens for the instance if it names a limit. Nil means none.
+	holding *quotalease.Holding
+	// numLimitSent is the number of digests that announced the present limit.
+	numLimitSent int
 
 	coldTokens float64
 	coldAt     time.Time
 }
 
 func newInstance(now time.Time, i Instance) *instance {
-	return &instance{Instance: i, hash: hashOf(i.ID), slowness: 1, slownessAt: now, failuresAt: now, coldAt: now}
+	hash := hashOf(i.ID)
+	return &instance{
+		Instance: i, hash: hash, processID: rendezvous.Mix(hash ^ 3*hashOf(i.Address) ^ uint64(i.StartMillis)),
+		slowness: 1, slownessAt: now, failuresAt: now, coldAt: now,
+	}
 }
 
 // decay returns the remaining weight of a value with the given age and half-life.
@@ -140,8 +151,10 @@
 }
 
 // isOpen reports whether the process accepts new requests: it has neither announced
-// that it is leaving nor asked to wait.
-func (i *instance) isOpen(now time.Time) bool { return !i.state.IsLeaving() && !i.state.IsWaiting(now) }
+// that it is leaving nor asked to wait, and its limit allows one.
+func (i *instance) isOpen(now time.Time) bool {
+	return !i.state.IsLeaving() && !i.state.IsWaiting(now) && i.hasRoom(now)
+}
 
 // process identifies the running process of the instance.
 func (i *instance) process() availability.Process { return processOf(&i.Instance) }
@@ -263,11 +276,7 @@
 
 // processKey is the short form of processHash for digests. A later process with the
 // same ID has another key.
-func (i *instance) processKey() InstanceKey { return InstanceKey(i.processHash()) }
-
-func (i *instance) processHash() uint64 {
-	return rendezvous.Mix(i.hash ^ 3*hashOf(i.Address) ^ uint64(i.StartMillis))
-}
+func (i *instance) processKey() InstanceKey { return InstanceKey(i.processID) }
 
 // takeColdToken takes a token for one request from this VM's part of a cold instance's
 // rate.
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -248,7 +248,7 @@
 	old, restarted := s.vms["noord"][0], s.vms["noord"][1]
 	old.RecordArrival("proofs")
 	old.services["proofs"].spill = 0.05
-	d := old.Digest(s.now)
+	d := old.Digest(s.now, 1)
 	restarted.ApplyDigest(s.now, old.cfg.VM, &d)
 	s.now = s.now.Add(100 * time.Millisecond)
 	restarted.Tick(s.now)
@@ -279,7 +279,7 @@
 				t.Fatalf("a spill share moved by %.4f in one tick, the cap is %.4f", moved, maxStep)
 			}
 		}
-		da, db := a.Digest(s.now), b.Digest(s.now)
+		da, db := a.Digest(s.now, 1), b.Digest(s.now, 1)
 		a.ApplyDigest(s.now, b.cfg.VM, &db)
 		b.ApplyDigest(s.now, a.cfg.VM, &da)
 	}
@@ -295,7 +295,7 @@
 	a, b := s.vms["noord"][0], s.vms["noord"][1]
 	a.services["proofs"].instances["i-noord-0"].applyReport(s.now, Load{Running: 9, Waiting: 3, Slots: 9})
 	now := s.now.Add(100 * time.Millisecond)
-	d := a.Digest(now)
+	d := a.Digest(now, 1)
 	if len(d.Reports) != 1 || d.Reports[0].Age != 100*time.Millisecond {
 		t.Fatalf("%+v", d)
 	}
@@ -310,10 +310,10 @@
 			t.Errorf("an invalid report of %s is accepted", id)
 		}
 	}
-	if again := b.Digest(now); len(again.Reports) != 0 {
+	if again := b.Digest(now, 1); len(again.Reports) != 0 {
 		t.Errorf("gossiped again by the receiver: %+v", again.Reports)
 	}
-	if again := a.Digest(now); len(again.Reports) != 0 {
+	if again := a.Digest(now, 1); len(again.Reports) != 0 {
 		t.Errorf("gossiped twice: %+v", again.Reports)
 	}
 }
@@ -347,7 +347,7 @@
 		key := fmt.Sprint("object-", at)
 		for _, vm := range []*Picker{p, peer} {
 			send(vm, now, key)
-			d := vm.Digest(now)
+			d := vm.Digest(now, 1)
 			for _, other := range []*Picker{p, peer} {
 				if other != vm {
 					other.ApplyDigest(now, vm.cfg.VM, &d)
@@ -396,7 +396,7 @@
 	s := newSim(seedOf(t), threeRegions, steady(1))
 	a, b := s.vms["randstad"][0], s.vms["randstad"][1]
 	a.services["proofs"].instances["i-randstad-0"].markReplaced(s.now)
-	d := a.Digest(s.now)
+	d := a.Digest(s.now, 1)
 	if len(d.Replaced) != 1 {
 		t.Fatalf("%+v", d)
 	}
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -38,10 +38,15 @@
 		isNew = p.notices.RecordLeaving(now, now, process, "")
 	}
 	isNew = p.notices.RecordWait(now, process, notice.Wait) || isNew
+	isNew = p.applyLimit(now, t, process, &notice) || isNew
 	// The instance may have been replaced by another process since the ticket was issued.
 	if t.service != nil {
 		if i := t.service.instances[t.Instance.ID]; i != nil && i.process() == process {
 			i.state = p.notices.Of(process)
+			if isNew {
+				i.numLimitSent = 0
+				t.service.updateLimited()
+			}
 		}
 	}
 	return isNew
@@ -50,7 +55,15 @@
 // CanSend reports whether the instance of a ticket still accepts its request.
 func (p *Picker) CanSend(now time.Time, t *Ticket) bool {
 	state := p.notices.Of(processOf(&t.Instance))
-	return !state.IsWaiting(now) && (!state.IsLeaving() || (t.isLeaving && p.canServeWhileLeaving(now, state)))
+	if state.IsWaiting(now) || (state.IsLeaving() && !(t.isLeaving && p.canServeWhileLeaving(now, state))) {
+		return false
+	}
+	if state.IsLimited() && !t.hasToken {
+		// The request was picked before the limit was known.
+		t.hasToken = t.inst != nil && t.inst.process() == processOf(&t.Instance) && t.inst.takeToken(now)
+		return t.hasToken
+	}
+	return true
 }
 
 // StateOf returns the notices of the ticket's instance, or nil if there are none.
@@ -97,7 +110,7 @@
 	}
 	tried := make(map[string]bool)
 	for _, i := range all {
-		if i.isOpen(now) && !tried[i.Region] {
+		if p.isOpenFor(now, i, r) && !tried[i.Region] {
 			tried[i.Region] = true
 			if c, _ := p.pickIn(now, s, r, key, i.Region); c != nil {
 				return c
@@ -108,7 +121,7 @@
 	var best *candidate
 	for _, i := range all {
 		ejected, _ := i.isEjected(now)
-		if ejected || i.isCold(now) || !i.state.IsLeaving() || i.state.IsWaiting(now) || !p.canServeWhileLeaving(now, i.state) || slices.Contains(r.Exclude, i.ID) {
+		if ejected || i.isCold(now) || !i.state.IsLeaving() || i.state.IsWaiting(now) || !i.hasRoom(now) || !p.canServeWhileLeaving(now, i.state) || slices.Contains(r.Exclude, i.ID) {
 			continue
 		}
 		if wait := i.wait(now, work); best == nil || wait < best.wait {
@@ -127,7 +140,7 @@
 	slots, numLeaving := 0, 0
 	all := s.eligible(r, p.cfg.Region)
 	for _, i := range all {
-		if i.isOpen(now) {
+		if i.isOpen(now) && !(r.reserved && i.state.IsLimited()) {
 			return nil
 		}
 		if i.state.IsLeaving() {
@@ -144,6 +157,9 @@
 	if len(all) == 0 {
 		return nil
 	}
+	if e := p.limitError(now, s, r, all); e != nil {
+		return e
+	}
 	refusal := verdict.New(verdict.NotRun, verdict.ReasonAskedToWait, defaultRetryAfter)
 	refusal.Err = &allUnavailableError{numInstances: len(all), numLeaving: numLeaving, first: first, until: earliest}
 	if earliest.IsZero() {
--- a/placement/notice_test.go
+++ b/placement/notice_test.go
@@ -212,7 +212,7 @@
 			}
 			if withDigests && now.Sub(at(0))%(200*time.Millisecond) == 0 {
 				for n, from := range all {
-					d := from.Digest(now)
+					d := from.Digest(now, 1)
 					for k, to := range all {
 						if k != n {
 							to.ApplyDigest(now, fmt.Sprint("vm-", n), &d)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -77,6 +77,7 @@
 	if r.Key != "" {
 		s.recordObject(now, key)
 	}
+	r.reserved = s.isReservedForUrgent(now, r.Priority)
 	home := p.regionFor(s, r, key)
 	best, refused := p.pickIn(now, s, r, key, home)
 	allowed := s.allowedWait(r)
@@ -137,6 +138,9 @@
 // objectHash returns the hash of the request's object. Requests without an object get
 // varying hashes, which spread them over the instances.
 func (p *Picker) objectHash(r *Request) uint64 {
+	if r.hasObject {
+		return r.object
+	}
 	if r.Key == "" {
 		p.numUnkeyed++
 		return rendezvous.Mix(hashOf(p.cfg.VM) + p.numUnkeyed*0x9e3779b97f4a7c15)
@@ -146,6 +150,7 @@
 
 func (p *Picker) ticket(now time.Time, s *service, r *Request, key uint64, c *candidate) Ticket {
 	i := c.inst
+	hasToken := i.state.IsLimited() && i.takeToken(now)
 	i.recordSent()
 	if c.isTrial {
 		i.isTrialPending = true
@@ -156,7 +161,7 @@
 	}
 	t := Ticket{
 		Instance: i.Instance, Rank: c.rank, Spilled: i.Region != p.cfg.Region, Wait: c.wait, Work: c.work, LoadAge: age,
-		inst: i, service: s, route: r.Route, isLeaving: i.state.IsLeaving(),
+		inst: i, service: s, route: r.Route, isLeaving: i.state.IsLeaving(), hasToken: hasToken,
 	}
 	if r.Key != "" {
 		t.warmKey = rendezvous.Mix(key ^ i.hash)
@@ -303,7 +308,7 @@
 func (p *Picker) topRanked(now time.Time, group []*instance, r *Request, key uint64, skipped []*instance, copies int) []candidate {
 	top := make([]candidate, 0, maxCandidates+1)
 	for _, i := range group {
-		if !i.isOpen(now) {
+		if !p.isOpenFor(now, i, r) {
 			continue
 		}
 		ejected, trialDue := i.isEjected(now)
@@ -332,6 +337,12 @@
 	return top
 }
 
+// isOpenFor reports whether an instance accepts a request. Room within the limit of an
+// instance may be kept for more urgent requests.
+func (p *Picker) isOpenFor(now time.Time, i *instance, r *Request) bool {
+	return i.isOpen(now) && !(r.reserved && i.state.IsLimited())
+}
+
 func (p *Picker) estimate(now time.Time, r *Request, key uint64, work time.Duration, c *candidate) {
 	i := c.inst
 	slow := i.slowdown(now)
@@ -397,7 +408,7 @@
 			continue
 		}
 		// The address of a replaced instance now belongs to another instance.
-		if i.isReplaced || !i.isOpen(now) || slices.Contains(r.Exclude, i.ID) {
+		if i.isReplaced || !p.isOpenFor(now, i, r) || slices.Contains(r.Exclude, i.ID) {
 			continue
 		}
 		if best == nil || i.ejectedAt.Before(best.ejectedAt) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,9 +32,14 @@
 	RegionRTT time.Duration
 	// DrainTime is how long a leaving instance still serves requests. Default 2.5 s.
 	DrainTime time.Duration
+	// Random returns random numbers in [0, 1). Default 0.5.
+	Random func() float64
 }
 
 func (c *Config) defaults() {
+	if c.Random == nil {
+		c.Random = func() float64 { return 0.5 }
+	}
 	if c.ColdOver <= 0 {
 		c.ColdOver = 1
 	}
@@ -88,6 +93,12 @@
 	Regions []string
 	// Exclude lists the IDs of instances that were tried already.
 	Exclude []string
+
+	// reserved says that the room of limited instances is kept for more urgent requests.
+	reserved bool
+	// object is the result of objectHash if it was computed before.
+	object    uint64
+	hasObject bool
 }
 
 // Ticket is a chosen instance together with the reservation of the request there.
@@ -110,6 +121,10 @@
 	// isLeaving says that the instance was chosen although it is leaving, because no other
 	// instance may serve the request.
 	isLeaving bool
+	// hasToken says that a token of the instance's limit was used.
+	hasToken bool
+	// sentAt is when the request is written.
+	sentAt time.Time
 }
 
 // Load is the load that an instance reports about itself.
@@ -148,6 +163,7 @@
 	recent         recentTable
 	// notices are the leaving and wait notices of processes.
 	notices *availability.Tracker
+	quota   quota
 }
 
 // service is the state of one service.
@@ -176,6 +192,13 @@
 	peers map[string]peerShare
 	// returns schedules when refused callers come back.
 	returns availability.ReturnSchedule
+	// limitRefusals holds, by priority, when a request was last refused because all
+	// instances were at their limits, and limitReturnAt the last time at which such a caller
+	// was told to come back.
+	limitRefusals map[int]time.Time
+	// hasLimited says that an instance names a limit.
+	hasLimited    bool
+	limitReturnAt time.Time
 	// objects holds the last request times of recent objects, by the hash of their key.
 	objects map[uint64]time.Time
 	// objectsExpiredAt is the last time that old objects were dropped.
@@ -199,7 +222,7 @@
 // New returns a picker without any instances.
 func New(cfg Config) *Picker {
 	cfg.defaults()
-	return &Picker{cfg: cfg, services: make(map[string]*service), vms: []VM{{cfg.VM, 1}}, notices: availability.NewTracker()}
+	return &Picker{cfg: cfg, services: make(map[string]*service), vms: []VM{{cfg.VM, 1}}, notices: availability.NewTracker(), quota: newQuota(cfg.Random)}
 }
 
 // SetBounds changes the bounds given in Config. Values of zero or less select the
@@ -333,6 +356,7 @@
 		s = &service{
 			name: name, instances: make(map[string]*instance), regions: make(map[string][]*instance), byKey: make(map[InstanceKey]*instance),
 			pressure: make(map[string]float64), longPressure: make(map[string]float64), routes: make(map[string]*routeWork), objects: make(map[uint64]time.Time), peers: make(map[string]peerShare),
+			limitRefusals: make(map[int]time.Time),
 		}
 		p.services[name] = s
 	}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -247,7 +247,7 @@
 	for _, region := range s.regions {
 		vms := s.vms[region]
 		for k, from := range vms {
-			d := from.Digest(s.now)
+			d := from.Digest(s.now, 1)
 			s.digestRound++
 			for n, to := range vms {
 				offset := (n - k - s.digestRound*s.digestPeers) % len(vms)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -78,7 +78,7 @@
 	if load, ok := o.Protocol.Load(res.Header); ok && reason != verdict.ReasonMisdirected {
 		a.load = &load
 	}
-	if notice := o.Protocol.Notice(res); isReceiver && !notice.IsEmpty() && reason != verdict.ReasonMisdirected {
+	if notice := o.Protocol.Notice(res); isReceiver && reason != verdict.ReasonMisdirected {
 		// The connection to a leaving instance is not reused.
 		res.Close = res.Close || notice.Leaving
 		receiver.ReceiveNotice(notice)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -135,6 +135,7 @@
 // about new requests, such as leaving and wait notices.
 type noticeReceiver interface {
 	// ReceiveNotice is called with the notice in an answer before the answer is forwarded.
+	// The notice may be empty, which ends a limit that the instance named before.
 	ReceiveNotice(notice availability.Notice)
 	// CanSend reports whether the request may still be sent to the instance. It
 	// is called once there is a connection, just before the request is written.
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -85,7 +85,7 @@
 	}
 	switch err.Reason {
 	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonRegionLimit,
-		verdict.ReasonLinkLimit, verdict.ReasonShiftCap, verdict.ReasonDeadlineAhead, verdict.ReasonCrashGuard, verdict.ReasonAskedToWait:
+		verdict.ReasonLinkLimit, verdict.ReasonShiftCap, verdict.ReasonDeadlineAhead, verdict.ReasonCrashGuard, verdict.ReasonAskedToWait, verdict.ReasonAtLimit:
 		// The selector or the crash guard refused and would refuse again.
 		return err
 	}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -40,6 +40,7 @@
 	ReasonSlowUpstream      Reason = "slow-upstream"
 	ReasonBodyNotRepeatable Reason = "body-not-repeatable"
 	ReasonAskedToWait       Reason = "asked-to-wait"
+	ReasonAtLimit           Reason = "at-limit"
 	ReasonWithdrawn         Reason = "withdrawn"
 )
 
@@ -88,6 +89,7 @@
 	{ReasonOverloaded, http.StatusServiceUnavailable, "connection_limit_reached", "this VM is at its own limit"},
 	{ReasonSlowUpstream, http.StatusGatewayTimeout, "http_response_timeout", "a hedged read overtook a slow instance"},
 	{ReasonAskedToWait, http.StatusServiceUnavailable, "destination_unavailable", "every instance that may serve the request leaves or asked for a pause"},
+	{ReasonAtLimit, http.StatusServiceUnavailable, "connection_limit_reached", "every instance that may serve the request is at the limit that it named, leaves or asked for a pause"},
 	{ReasonWithdrawn, http.StatusServiceUnavailable, "destination_unavailable", "the instance asked for no more requests before this one was sent"},
 	{ReasonBodyNotRepeatable, http.StatusBadGateway, "connection_terminated", "the body was partly sent and cannot be sent again"},
 }
