Let a majority of the region's VMs decide who coordinates a limit

A VM that restarts keeps a list in which it coordinates, while the others left it out: both leased 0.9 of the limit. The fixed parts of a coordinator and its standby hold only while lists agree.

Change: the requests for tokens are votes. Each VM of the instances' region votes for one coordinator at a time; one with a majority leases 0.9 of the limit, one with fewer votes a part of 0.66 in proportion to them, none below a fifth. VMs without demand vote as well while an instance of their region is limited. A standby that all VMs turn to gets the whole rate, not a third.

Also asks for one token, not two, for a single request: with 300 VMs and even demand a limit of 40 was used to just under 80 %.

--- a/entry/quota.go
+++ b/entry/quota.go
@@ -29,7 +29,7 @@
 	maxQuotaInterval   = 400 * time.Millisecond
 	// limitUsageInterval is how often the use of limited instances is logged.
 	limitUsageInterval = 5 * time.Second
-	// maxCoordinators is a primary and its standby.
+	// maxCoordinators is a coordinator and its standby.
 	maxCoordinators = 2
 )
 
@@ -39,9 +39,9 @@
 	quotaReplyKind   = 2
 )
 
-// coordinatorsOf returns the VMs that coordinate the limits of a region's instances. They are
-// VMs of the region, or of any region if it has none.
-func coordinatorsOf(vms []inventory.VM, region, self string) []string {
+// electorateOf returns the VMs that choose the coordinator for the limited instances of a
+// region: the VMs of the region, or all VMs if it has none.
+func electorateOf(vms []inventory.VM, region, self string) placement.Electorate {
 	var local, all []inventory.VM
 	for i := range vms {
 		if vms[i].Starting {
@@ -56,14 +56,17 @@
 		local = all
 	}
 	if len(local) == 0 {
-		return []string{self}
+		return placement.Electorate{Coordinators: []string{self}, NumVMs: 1, Votes: true}
 	}
 	sortByScore(local, "limits:"+region)
-	var out []string
-	for i := range local[:min(len(local), maxCoordinators)] {
-		out = append(out, local[i].ID)
+	e := placement.Electorate{NumVMs: len(local)}
+	for i := range local {
+		e.Votes = e.Votes || local[i].ID == self
+		if i < maxCoordinators {
+			e.Coordinators = append(e.Coordinators, local[i].ID)
+		}
 	}
-	return out
+	return e
 }
 
 // tickQuota asks the coordinators for tokens of limited instances at regular intervals.
@@ -222,10 +225,15 @@
 }
 
 // encodeQuotaRequest encodes a request for tokens: format, kind, sender, region, boot,
-// sequence number and the demands, preceded by their number. A demand takes about 20 bytes.
+// sequence number, vote, electorate and the demands, preceded by their number. A demand takes about 20 bytes.
 func encodeQuotaRequest(from string, q *placement.QuotaRequest) []byte {
 	b := appendText(appendText([]byte{quotaFormat, quotaRequestKind}, from), q.Region)
 	b = binary.AppendUvarint(binary.AppendUvarint(b, q.Boot), q.Seq)
+	vote := uint64(0)
+	if q.IsVote {
+		vote = 1
+	}
+	b = binary.AppendUvarint(binary.AppendUvarint(b, vote), uint64(q.Electorate))
 	b = binary.AppendUvarint(b, uint64(len(q.Demands)))
 	for k := range q.Demands {
 		d := &q.Demands[k]
@@ -288,7 +296,7 @@
 	region := r.text()
 	switch data[1] {
 	case quotaRequestKind:
-		request = &placement.QuotaRequest{Region: region, Boot: r.unsigned(), Seq: r.unsigned()}
+		request = &placement.QuotaRequest{Region: region, Boot: r.unsigned(), Seq: r.unsigned(), IsVote: r.number() != 0, Electorate: r.number()}
 		for n := r.number(); n > 0 && r.err == nil; n-- {
 			request.Demands = append(request.Demands, placement.QuotaDemand{LimitReport: r.limitReport(), Wanted: r.number(), Returned: r.number()})
 		}
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -147,11 +147,11 @@
 	s.logSteps("")
 }
 
-func (s *selector) setVMs(vms []placement.VM, coordinators map[string][]string) {
+func (s *selector) setVMs(vms []placement.VM, electorates map[string]placement.Electorate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.SetVMs(vms)
-	s.picker.SetCoordinators(coordinators)
+	s.picker.SetElectorates(electorates)
 }
 
 func (s *selector) setBounds(b *Settings) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -202,13 +202,13 @@
 	for i := range v.ranked {
 		vms = append(vms, placement.VM{ID: v.ranked[i].ID, Weight: weightOf(&v.ranked[i])})
 	}
-	coordinators := make(map[string][]string)
+	electorates := make(map[string]placement.Electorate)
 	for _, region := range n.settings.Regions {
-		if coordinators[region] == nil {
-			coordinators[region] = coordinatorsOf(v.vms, region, n.self.ID)
+		if _, known := electorates[region]; !known {
+			electorates[region] = electorateOf(v.vms, region, n.self.ID)
 		}
 	}
-	n.selector.setVMs(vms, coordinators)
+	n.selector.setVMs(vms, electorates)
 }
 
 // changeInstances applies changes of single instances. The lock is held.
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -51,10 +51,11 @@
 
 // quota is the VM's part in sharing the limits of instances.
 type quota struct {
-	coordinator *quotalease.Coordinator
-	// coordinators are the IDs of the VMs that lease the tokens of a region's instances: the
-	// primary and the standby.
-	coordinators map[string][]string
+	random func() float64
+	// electorates and the maps below are by the region of the limited instances.
+	electorates map[string]Electorate
+	// coordinators hold the tokens that this VM leases to others.
+	coordinators map[string]*quotalease.Coordinator
 	requesters   map[string]*quotalease.Requester
 	window       quotalease.Window
 	// requestedAt is when tokens were last requested, by region.
@@ -63,25 +64,31 @@
 
 func newQuota(random func() float64) quota {
 	return quota{
-		coordinator: quotalease.NewCoordinator(random), coordinators: make(map[string][]string),
+		random: random, electorates: make(map[string]Electorate), coordinators: make(map[string]*quotalease.Coordinator),
 		requesters: make(map[string]*quotalease.Requester), requestedAt: make(map[string]time.Time),
 	}
 }
 
-// SetCoordinators sets the VMs that lease the tokens of limited instances, by the instances'
-// region. Each list is the primary and the standby.
-func (p *Picker) SetCoordinators(byRegion map[string][]string) { p.quota.coordinators = byRegion }
+// Electorate are the VMs that choose the coordinator for the limited instances of a region.
+type Electorate struct {
+	// Coordinators are the IDs of the coordinator and of its standby.
+	Coordinators []string
+	// NumVMs is the number of VMs in the electorate. Votes says that this VM is one of them.
+	NumVMs int
+	Votes  bool
+}
+
+// SetElectorates sets the electorates by the region of the limited instances.
+func (p *Picker) SetElectorates(byRegion map[string]Electorate) { p.quota.electorates = byRegion }
 
-// coordinatorRank returns the rank of this VM for the instances of a region.
-func (p *Picker) coordinatorRank(region string) quotalease.Rank {
-	switch slices.Index(p.quota.coordinators[region], p.cfg.VM) {
-	case 0:
-		return quotalease.Primary
-	case 1:
-		return quotalease.Standby
-	default:
-		return quotalease.NoRank
+// coordinator returns what this VM leases to others of a region's tokens.
+func (p *Picker) coordinator(region string) *quotalease.Coordinator {
+	c := p.quota.coordinators[region]
+	if c == nil {
+		c = quotalease.NewCoordinator(p.quota.random)
+		p.quota.coordinators[region] = c
 	}
+	return c
 }
 
 // hasRoom reports whether the limit of the instance allows this VM another request.
@@ -286,14 +293,20 @@
 // QuotaRequests returns the requests for tokens that are due. A VM asks the coordinators of
 // a region at most once per interval.
 func (p *Picker) QuotaRequests(now time.Time, interval time.Duration) []QuotaRequest {
+	// Regions with limited instances, and those of which this VM wants tokens.
 	demands := make(map[string][]*instance)
 	for _, s := range p.services {
 		if !s.hasLimited {
 			continue
 		}
 		for _, i := range s.instances {
-			if i.holding != nil && i.state.IsLimited() && !i.holding.IsIdle() {
+			if !i.state.IsLimited() {
+				continue
+			}
+			if i.holding != nil && !i.holding.IsIdle() {
 				demands[i.Region] = append(demands[i.Region], i)
+			} else if p.quota.electorates[i.Region].Votes && demands[i.Region] == nil {
+				demands[i.Region] = []*instance{}
 			}
 		}
 	}
@@ -308,12 +321,14 @@
 			r = new(quotalease.Requester)
 			p.quota.requesters[region] = r
 		}
-		ask, probe := r.Choose(now, p.quota.coordinators[region])
+		electorate := p.quota.electorates[region]
+		ask, probe := r.Choose(now, electorate.Coordinators)
 		if ask == "" {
 			continue
 		}
 		slices.SortFunc(list, func(a, b *instance) int { return compareIDs(a.ID, b.ID) })
-		q := QuotaRequest{Region: region, To: ask, Seq: r.Send(now, ask)}
+		q := QuotaRequest{Region: region, To: ask, Seq: r.Send(now, ask), Electorate: electorate.NumVMs}
+		q.IsVote = electorate.Votes && r.Vote(now, ask)
 		for _, i := range list[:min(len(list), maxQuotaEntries)] {
 			wanted, returned := i.holding.Want(now)
 			report, _ := i.limitReport(now)
@@ -334,8 +349,12 @@
 	To   string
 	Boot uint64
 	// Seq numbers the requests of a VM for a region.
-	Seq     uint64
-	Demands []QuotaDemand
+	Seq uint64
+	// IsVote says that the request counts as a vote for the coordinator, and Electorate is
+	// the number of VMs that the sender knows to have a vote.
+	IsVote     bool
+	Electorate int
+	Demands    []QuotaDemand
 }
 
 // QuotaReply answers a QuotaRequest.
@@ -357,14 +376,17 @@
 	return nil
 }
 
-// ServeQuota leases tokens to a VM. It returns false if the request is a duplicate, or if
-// this VM is no coordinator for the region.
+// ServeQuota leases tokens to a VM. It returns false if the request is a duplicate or out of
+// order.
 func (p *Picker) ServeQuota(now time.Time, from string, q *QuotaRequest) (reply QuotaReply, changes []LimitChange, ok bool) {
-	rank := p.coordinatorRank(q.Region)
-	if rank == quotalease.NoRank || !p.quota.window.Accept(from+"/"+q.Region, q.Boot, q.Seq) {
+	if !p.quota.window.Accept(from+"/"+q.Region, q.Boot, q.Seq) {
 		return QuotaReply{}, nil, false
 	}
 	reply = QuotaReply{Region: q.Region, Seq: q.Seq}
+	coordinator := p.coordinator(q.Region)
+	if q.IsVote {
+		coordinator.Vote(now, from, q.Electorate)
+	}
 	for k := range q.Demands {
 		d := &q.Demands[k]
 		i := p.findProcess(q.Region, d.Process)
@@ -376,7 +398,7 @@
 		}
 		tokens := 0
 		if i.state.IsLimited() {
-			tokens = p.quota.coordinator.Lease(now, d.Process, i.state.Limit.PerSecond, rank, from, d.Wanted, d.Returned)
+			tokens = coordinator.Lease(now, d.Process, i.state.Limit.PerSecond, from, d.Wanted, d.Returned)
 		}
 		if report, known := i.limitReport(now); known {
 			reply.Grants = append(reply.Grants, QuotaGrant{report, tokens})
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -46,11 +46,11 @@
 
 func newLimitedPicker(perRegion int, regions ...string) *Picker {
 	p := newShopPicker("vm-1", perRegion, regions...)
-	coordinators := make(map[string][]string)
+	electorates := make(map[string]Electorate)
 	for _, region := range regions {
-		coordinators[region] = []string{"vm-1"}
+		electorates[region] = Electorate{Coordinators: []string{"vm-1"}, NumVMs: 1, Votes: true}
 	}
-	p.SetCoordinators(coordinators)
+	p.SetElectorates(electorates)
 	return p
 }
 
--- a/quotalease/coordinator.go
+++ b/quotalease/coordinator.go
@@ -14,12 +14,22 @@
 	bucketTTL = time.Minute
 	// maxBuckets bounds the buckets. Processes beyond it get no tokens.
 	maxBuckets = 4096
+	// maxVoters bounds the VMs whose votes are counted.
+	maxVoters = 4096
 )
 
-// Coordinator leases tokens for any number of processes.
+// Coordinator leases tokens for the processes of a region.
 type Coordinator struct {
 	random  func() float64
 	buckets map[uint64]*bucket
+	votes   map[string]vote
+}
+
+// vote is the newest vote of a VM.
+type vote struct {
+	at time.Time
+	// electorate is the number of VMs of the region that the voter knows.
+	electorate int
 }
 
 // bucket is the token bucket of one process.
@@ -44,15 +54,37 @@
 
 // NewCoordinator returns a coordinator without buckets. random returns numbers in [0, 1).
 func NewCoordinator(random func() float64) *Coordinator {
-	return &Coordinator{random: random, buckets: make(map[uint64]*bucket)}
+	return &Coordinator{random: random, buckets: make(map[uint64]*bucket), votes: make(map[string]vote)}
+}
+
+// Vote records the vote of a VM that knows electorate VMs of the region.
+func (c *Coordinator) Vote(now time.Time, vm string, electorate int) {
+	if _, known := c.votes[vm]; known || len(c.votes) < maxVoters {
+		c.votes[vm] = vote{now, electorate}
+	}
+}
+
+// votesShare returns the votes for this coordinator as a share of the electorate, for which
+// the largest number that a voter knows is taken.
+func (c *Coordinator) votesShare(now time.Time) float64 {
+	count, electorate := 0, 1
+	for vm, v := range c.votes {
+		if now.Sub(v.at) >= voteTTL {
+			delete(c.votes, vm)
+			continue
+		}
+		count++
+		electorate = max(electorate, v.electorate)
+	}
+	return float64(count) / float64(max(electorate, count))
 }
 
 // Lease takes back returned tokens from a VM and leases it up to wanted new ones. If the VMs
 // want more than there are, each gets a part in proportion to its demand.
-func (c *Coordinator) Lease(now time.Time, process uint64, limit float64, rank Rank, vm string, wanted, returned int) int {
-	rate, total := bounds(limit, rank)
+func (c *Coordinator) Lease(now time.Time, process uint64, limit float64, vm string, wanted, returned int) int {
+	rate, total := bounds(limit, c.votesShare(now))
 	b := c.bucket(now, process)
-	if rate == 0 || b == nil {
+	if b == nil {
 		return 0
 	}
 	b.takeBack(vm, returned)
--- a/quotalease/holding.go
+++ b/quotalease/holding.go
@@ -1,7 +1,6 @@
 package quotalease
 
 import (
-	"math"
 	"time"
 )
 
@@ -95,7 +94,7 @@
 	if h.demand < 1 {
 		return 0, returned
 	}
-	return min(max(0, int(math.Ceil(demandHeadroom*h.demand))-held), maxWanted), returned
+	return min(max(0, int(demandHeadroom*h.demand)-held), maxWanted), returned
 }
 
 // Add adds tokens that were leased for a request sent at the given time.
--- a/quotalease/requester.go
+++ b/quotalease/requester.go
@@ -21,6 +21,9 @@
 	// failed is the coordinator that left requests unanswered, or empty.
 	failed   string
 	probedAt time.Time
+	// votedFor is the coordinator that got the last vote, at the time votedAt.
+	votedFor string
+	votedAt  time.Time
 }
 
 type pendingRequest struct {
@@ -30,7 +33,7 @@
 }
 
 // Choose returns the coordinator to ask, and another one that is to be probed with an empty
-// request, or empty. Coordinators are the primary and the standby, if there is one.
+// request, or empty. Coordinators are the first one and its standby, if there is one.
 func (r *Requester) Choose(now time.Time, coordinators []string) (ask, probe string) {
 	if len(coordinators) == 0 {
 		return "", ""
@@ -69,6 +72,16 @@
 	return r.seq
 }
 
+// Vote reports whether a request to a coordinator may count as a vote for it, and records
+// the vote. It may not while a vote for another coordinator still counts.
+func (r *Requester) Vote(now time.Time, vm string) bool {
+	if vm != r.votedFor && !r.votedAt.IsZero() && now.Sub(r.votedAt) < voteTTL+voteMargin {
+		return false
+	}
+	r.votedFor, r.votedAt = vm, now
+	return true
+}
+
 // Receive records a reply and returns when its request was sent, or false if the reply is a
 // duplicate or too old. All earlier requests to that coordinator count as answered.
 func (r *Requester) Receive(vm string, seq uint64) (sent time.Time, ok bool) {
--- a/quotalease/sim_test.go
+++ b/quotalease/sim_test.go
@@ -64,15 +64,6 @@
 
 func (v *simVM) coordinators() []string { return v.view[:min(len(v.view), 2)] }
 
-func (v *simVM) rank() Rank {
-	for k, id := range v.coordinators() {
-		if id == v.id {
-			return []Rank{Primary, Standby}[k]
-		}
-	}
-	return NoRank
-}
-
 // simMessage is a datagram.
 type simMessage struct {
 	at       time.Time
@@ -80,9 +71,12 @@
 	seq      uint64
 	boot     uint64
 	isReply  bool
-	wanted   int
-	returned int
-	tokens   int
+	isVote   bool
+	// electorate is the number of VMs that the sender knows.
+	electorate int
+	wanted     int
+	returned   int
+	tokens     int
 }
 
 // sim is a fleet that shares the limit of one instance.
@@ -153,13 +147,14 @@
 
 func (s *sim) ask(k int, interval time.Duration) {
 	v := s.vms[k]
-	if s.now.Sub(v.askedAt) < interval || v.holding.IsIdle() {
+	if s.now.Sub(v.askedAt) < interval {
 		return
 	}
 	v.askedAt = s.now
 	ask, probe := v.requester.Choose(s.now, v.coordinators())
 	wanted, returned := v.holding.Want(s.now)
-	s.send(simMessage{from: k, to: s.index(ask), boot: v.boot, seq: v.requester.Send(s.now, ask), wanted: wanted, returned: returned})
+	isVote := v.requester.Vote(s.now, ask)
+	s.send(simMessage{from: k, to: s.index(ask), boot: v.boot, seq: v.requester.Send(s.now, ask), wanted: wanted, returned: returned, isVote: isVote, electorate: len(v.view)})
 	if probe != "" {
 		s.send(simMessage{from: k, to: s.index(probe), boot: v.boot, seq: v.requester.Send(s.now, probe)})
 	}
@@ -185,8 +180,11 @@
 			}
 			continue
 		}
-		if rank := v.rank(); rank != NoRank && v.window.Accept(s.vms[m.from].id, m.boot, m.seq) {
-			n := v.coordinator.Lease(s.now, simProcess, s.limit, rank, s.vms[m.from].id, m.wanted, m.returned)
+		if v.window.Accept(s.vms[m.from].id, m.boot, m.seq) {
+			if m.isVote {
+				v.coordinator.Vote(s.now, s.vms[m.from].id, m.electorate)
+			}
+			n := v.coordinator.Lease(s.now, simProcess, s.limit, s.vms[m.from].id, m.wanted, m.returned)
 			s.send(simMessage{from: m.to, to: m.from, boot: m.boot, seq: m.seq, isReply: true, tokens: n})
 		}
 	}
