Count a request that waited for a token once, and lease faster

A third of the leased tokens came back unused: a request that waited for a token counted as demand when it found none and again when it took one.

Change: a token that a waiting request takes is no new demand, and demand counts 0.2 s, one round of requests, instead of 1 s.

--- a/placement/notice.go
+++ b/placement/notice.go
@@ -55,7 +55,10 @@
 // CanSend reports whether the instance of a ticket still accepts its request.
 func (p *Picker) CanSend(now time.Time, t *Ticket) bool {
 	state := p.notices.Of(processOf(&t.Instance))
-	if state.IsWaiting(now) || (state.IsLeaving() && !(t.isLeaving && p.canServeWhileLeaving(now, state))) {
+	if state.IsWaiting(now) {
+		return false
+	}
+	if state.IsLeaving() && (!t.isLeaving || !p.canServeWhileLeaving(now, state)) {
 		return false
 	}
 	if state.IsLimited() && !t.hasToken {
@@ -140,7 +143,7 @@
 	slots, numLeaving := 0, 0
 	all := s.eligible(r, p.cfg.Region)
 	for _, i := range all {
-		if i.isOpen(now) && !(r.reserved && i.state.IsLimited()) {
+		if p.isOpenFor(now, i, r) {
 			return nil
 		}
 		if i.state.IsLeaving() {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -340,7 +340,7 @@
 // isOpenFor reports whether an instance accepts a request. Room within the limit of an
 // instance may be kept for more urgent requests.
 func (p *Picker) isOpenFor(now time.Time, i *instance, r *Request) bool {
-	return i.isOpen(now) && !(r.reserved && i.state.IsLimited())
+	return i.isOpen(now) && (!r.reserved || !i.state.IsLimited())
 }
 
 func (p *Picker) estimate(now time.Time, r *Request, key uint64, work time.Duration, c *candidate) {
--- a/quotalease/coordinator.go
+++ b/quotalease/coordinator.go
@@ -9,7 +9,9 @@
 const (
 	// demandTTL is how long the number of tokens that a VM asked for is included in the
 	// demand, by which tokens are divided.
-	demandTTL = time.Second
+	demandTTL = 200 * time.Millisecond
+	// pruneInterval is how often votes and demands that have ended are dropped.
+	pruneInterval = 50 * time.Millisecond
 	// bucketTTL is how long a bucket is kept without requests.
 	bucketTTL = time.Minute
 	// maxBuckets bounds the buckets. Processes beyond it get no tokens.
@@ -23,6 +25,9 @@
 	random  func() float64
 	buckets map[uint64]*bucket
 	votes   map[string]vote
+	// share is the result of votesShare at the time countedAt.
+	share     float64
+	countedAt time.Time
 }
 
 // vote is the newest vote of a VM.
@@ -39,6 +44,9 @@
 	// leases holds the tokens that may still be used, oldest first.
 	leases  []lease
 	demands map[string]demand
+	// allDemand is the sum of the demands, and prunedAt when those that ended were dropped.
+	allDemand int
+	prunedAt  time.Time
 }
 
 type lease struct {
@@ -66,7 +74,12 @@
 
 // votesShare returns the votes for this coordinator as a share of the electorate, for which
 // the largest number that a voter knows is taken.
+// It may be as old as pruneInterval, which voteMargin covers.
 func (c *Coordinator) votesShare(now time.Time) float64 {
+	if !c.countedAt.IsZero() && now.Sub(c.countedAt) < pruneInterval {
+		return c.share
+	}
+	c.countedAt = now
 	count, electorate := 0, 1
 	for vm, v := range c.votes {
 		if now.Sub(v.at) >= voteTTL {
@@ -76,7 +89,8 @@
 		count++
 		electorate = max(electorate, v.electorate)
 	}
-	return float64(count) / float64(max(electorate, count))
+	c.share = float64(count) / float64(max(electorate, count))
+	return c.share
 }
 
 // Lease takes back returned tokens from a VM and leases it up to wanted new ones. If the VMs
@@ -89,20 +103,11 @@
 	}
 	b.takeBack(vm, returned)
 	b.refill(now, rate, total)
+	b.setDemand(now, vm, wanted)
 	if wanted <= 0 {
-		delete(b.demands, vm)
 		return 0
 	}
-	b.demands[vm] = demand{wanted, now}
-	all := 0
-	for id, d := range b.demands {
-		if now.Sub(d.at) > demandTTL {
-			delete(b.demands, id)
-			continue
-		}
-		all += d.tokens
-	}
-	share, fraction := math.Modf(b.level * float64(wanted) / float64(all))
+	share, fraction := math.Modf(b.level * float64(wanted) / float64(b.allDemand))
 	if c.random() < fraction {
 		share++
 	}
@@ -134,6 +139,26 @@
 	return b
 }
 
+// setDemand records how many tokens a VM wants.
+func (b *bucket) setDemand(now time.Time, vm string, wanted int) {
+	b.allDemand += wanted - b.demands[vm].tokens
+	if wanted > 0 {
+		b.demands[vm] = demand{wanted, now}
+	} else {
+		delete(b.demands, vm)
+	}
+	if now.Sub(b.prunedAt) < pruneInterval {
+		return
+	}
+	b.prunedAt = now
+	for id, d := range b.demands {
+		if now.Sub(d.at) > demandTTL {
+			b.allDemand -= d.tokens
+			delete(b.demands, id)
+		}
+	}
+}
+
 // takeBack puts tokens that a VM did not use back into the bucket. Tokens that have expired
 // meanwhile are lost.
 func (b *bucket) takeBack(vm string, tokens int) {
--- a/quotalease/holding.go
+++ b/quotalease/holding.go
@@ -21,6 +21,9 @@
 	batches []batch
 	// taken and unmet count requests since the last Want that took a token, or found none.
 	taken, unmet int
+	// waiting is the number of unmet requests that may still take a token which they caused
+	// to be asked for, so that they are not counted twice.
+	waiting int
 	// demand is the recent number of requests between two calls of Want.
 	demand float64
 	// Stats counts since the holding was created.
@@ -55,14 +58,20 @@
 		return false
 	}
 	h.batches[0].tokens--
-	h.taken++
 	h.Stats.Taken++
+	if h.waiting > 0 {
+		h.waiting--
+		h.Stats.Unmet--
+	} else {
+		h.taken++
+	}
 	return true
 }
 
 // RecordUnmet counts a request that would have used a token.
 func (h *Holding) RecordUnmet() {
 	h.unmet++
+	h.waiting++
 	h.Stats.Unmet++
 }
 
@@ -76,6 +85,7 @@
 func (h *Holding) Want(now time.Time) (wanted, returned int) {
 	seen := float64(h.taken + h.unmet)
 	h.demand = max(seen, demandDecay*h.demand)
+	h.waiting = h.unmet
 	h.taken, h.unmet = 0, 0
 	h.Has(now)
 	held := 0
