Repeat leaving notices until all VMs of a large region got them

The notice is now in two digests for each round, as crash reports are. TestNoticesReachEveryVMOfALargeRegion failed before (2 sent, 8 wanted) and passes now.

--- a/placement/digest.go
+++ b/placement/digest.go
@@ -72,7 +72,7 @@
 				i.isReplacedShared = true
 				d.Replaced = append(d.Replaced, i.processKey())
 			}
-			if i.state.IsLeaving() && i.state.ReportedBy == "" && i.numLeavingSent < maxLeavingSends && len(d.Leaving) < maxDigestReports {
+			if i.state.IsLeaving() && i.state.ReportedBy == "" && i.numLeavingSent < maxLeavingSends*rounds && len(d.Leaving) < maxDigestReports {
 				i.numLeavingSent++
 				d.Leaving = append(d.Leaving, LeavingProcess{i.processID, now.Sub(i.state.LeavingSince)})
 			}
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -13,8 +13,8 @@
 	// leavingServeFraction is the part of DrainTime in which a leaving instance may still
 	// get requests that no other instance can serve.
 	leavingServeFraction = 0.4
-	// maxLeavingSends is the number of digests that announce a leaving process. It is more
-	// than one because datagrams get lost.
+	// maxLeavingSends is the number of digests to each VM that announce a leaving process. It
+	// is more than one because datagrams get lost.
 	maxLeavingSends = 2
 	// returnWindow is the time after the first return within which other instances are
 	// considered to return with it.
--- a/placement/notice_test.go
+++ b/placement/notice_test.go
@@ -231,3 +231,21 @@
 		t.Errorf("%d requests reached leaving instances with digests, %d without", with, without)
 	}
 }
+
+// In a region with so many VMs that each digest goes to some of them only, leaving notices
+// and limits must be repeated until every VM got them.
+func TestNoticesReachEveryVMOfALargeRegion(t *testing.T) {
+	const rounds = 4
+	p := newShopPicker("vm-1", 2, "a")
+	p.ApplyNotice(at(1), ticketOf(p, "a-0"), leavingNotice)
+	nameLimit(p, at(1), "a-1", 2)
+	leaving, limits := 0, 0
+	for n := range 5 * rounds {
+		d := p.Digest(at(1+float64(n)/5), rounds)
+		leaving += len(d.Leaving)
+		limits += len(d.Limits)
+	}
+	if leaving != maxLeavingSends*rounds || limits != maxLimitSends*rounds {
+		t.Errorf("%d leaving notices and %d limits sent in %d digests that reach all VMs once in %d", leaving, limits, 5*rounds, rounds)
+	}
+}
