Let the soak's instances name limits

A new kind of fault: an instance names a limit of 0 to 30 requests a second for 5 to 9 s, beside killed and paused VMs, a store that fails, and instances that leave or crash. The invariant is the operators' rule, with the VMs that passed on such an answer at least 0.5 s before and were not disturbed since.

Two broken builds must be noticed: one that does not read the limit, and one that uses a token more than once.

--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -75,6 +75,14 @@
 		file: "availability/availability.go", old: "n.Wait = time.Duration(seconds * float64(time.Second))", with: "n.Wait = 0 * time.Duration(seconds)",
 		kinds: []faultKind{askToWait}, noticed: "though it had asked to wait",
 	},
+	"limits that instances name are ignored": {
+		file: "platform/protocol.go", old: "availability.ParseLimit(res.Header[headerLimit])", with: "availability.ParseLimit(nil)",
+		kinds: []faultKind{nameLimits}, noticed: "though it had named a limit",
+	},
+	"tokens of a limit are used more than once": {
+		file: "quotalease/holding.go", old: "h.batches[0].tokens--", with: "h.batches[0].tokens -= 0",
+		kinds: []faultKind{nameLimits}, noticed: "though it had named a limit",
+	},
 	"retries have no budget": {
 		file: "budget/retry.go", old: "if s.tokens < 1-roundingTolerance || c.tokens < 1-roundingTolerance {", with: "if false {",
 		kinds: []faultKind{overloadInstances}, noticed: "were sent to instances for",
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -76,6 +76,7 @@
 	leaveInAnswers
 	askToWait
 	crashInstances
+	nameLimits
 	numFaultKinds
 )
 
@@ -160,6 +161,8 @@
 		w.leaveInAnswers()
 	case askToWait:
 		w.askToWait(u)
+	case nameLimits:
+		w.nameLimit(u)
 	case crashInstances:
 		w.sendCrashingRequest()
 	case evacuate:
@@ -328,6 +331,7 @@
 		}
 	}
 	out = append(out, w.ignoredNotices()...)
+	out = append(out, w.exceededLimits()...)
 	out = append(out, w.excessCrashes(informed)...)
 	for id, n := range w.extraRuns {
 		runs[id] += n
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -123,6 +123,18 @@
 			w.record(&request{id: "x", status: 200, body: "ran x" + padding})
 			w.addArrivals(t, "i", arrivals...)
 		},
+		"requests above a named limit": func(w *world) {
+			w.vms = []*vm{{number: 0}}
+			w.record(&request{id: "x", status: 200, body: "ran x" + padding, limited: "i", sentAt: w.started})
+			var arrivals []standin.Arrival
+			for n := range 18 {
+				id := fmt.Sprint("y", n)
+				w.record(&request{id: id, status: 200, body: "ran " + id + padding})
+				arrivals = append(arrivals, standin.Arrival{ID: id, At: w.started.Add(time.Second + time.Duration(n)*200*time.Millisecond)})
+			}
+			w.addArrivals(t, "i", arrivals...)
+			w.allInstances[0].limit = namedLimit{perSecond: 2, started: w.started}
+		},
 		"planned stop cuts off a request": func(w *world) { w.record(&request{id: "x", cutOff: true, undisturbed: true, vm: 0}) },
 		"request held past its timeout":   func(w *world) { w.record(&request{id: "x", status: 504, undisturbed: true, took: 5 * time.Second}) },
 	} {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -75,6 +75,8 @@
 	took                  time.Duration
 	// leaving is the instance whose answer contained a leaving notice, or empty.
 	leaving string
+	// limited is the instance whose answer named a limit, or empty.
+	limited string
 	sentAt  time.Time
 	// version is the version of the routes whose marker route was requested, or 0.
 	version int
@@ -121,6 +123,8 @@
 	wasPathFaulty bool
 	// restarting says that it crashed and is being restarted.
 	restarting bool
+	// limit is the limit that it named, or the zero value.
+	limit namedLimit
 }
 
 // evacuation is a period in which a data centre is evacuated. A zero end means that it
@@ -465,6 +469,7 @@
 		data, err = io.ReadAll(res.Body)
 		res.Body.Close()
 		r.status, r.body, r.leaving = res.StatusCode, string(data), standin.LeavingInstance(res)
+		r.limited = standin.LimitingInstance(res)
 	}
 	r.cutOff, r.took = err != nil, time.Since(sentAt)
 	w.mu.Lock()
