Keep the soak's crashed instances at ports of their own

A crashed instance frees its port on 127.0.0.1 for a second, and any outgoing connection of the machine may get it; the restart was not tied to the test's end either.

Instances listen on a loopback address of their own, which outgoing connections do not use, and are not restarted after the test.

--- a/entry/digestcodec_test.go
+++ b/entry/digestcodec_test.go
@@ -18,6 +18,7 @@
 		},
 	}
 	d.Leaving = []placement.LeavingProcess{{Process: 1 << 63, Age: 300 * time.Millisecond}}
+	d.Limits = []placement.LimitReport{{Process: 1 << 62, InForce: true, PerSecond: 2.3, RequestedAge: time.Second, ReceivedAge: 20 * time.Millisecond}}
 	d.Replaced = []placement.InstanceKey{placement.KeyOf("i-4"), 7}
 	return d, []crashguard.LedgerReport{{Request: crashguard.Fingerprint{1, 2, 3}, Process: crashguard.Process{ID: "i-3", StartMillis: 1_764_800_000_000}, Age: time.Second}}
 }
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -376,10 +376,10 @@
 	return nil
 }
 
-// ServeQuota leases tokens to a VM. It returns false if the request is a duplicate or out of
-// order.
+// ServeQuota leases tokens to a VM. It returns false if the request is a duplicate, out of
+// order or about an unknown region.
 func (p *Picker) ServeQuota(now time.Time, from string, q *QuotaRequest) (reply QuotaReply, changes []LimitChange, ok bool) {
-	if !p.quota.window.Accept(from+"/"+q.Region, q.Boot, q.Seq) {
+	if _, known := p.quota.electorates[q.Region]; !known || !p.quota.window.Accept(from+"/"+q.Region, q.Boot, q.Seq) {
 		return QuotaReply{}, nil, false
 	}
 	reply = QuotaReply{Region: q.Region, Seq: q.Seq}
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -59,6 +59,9 @@
 // only if the instance was not replaced meanwhile.
 func (w *world) restartInstance(u *upstream) {
 	time.Sleep(crashDowntime)
+	if w.t.Context().Err() != nil {
+		return
+	}
 	next, err := standin.StartInstance(u.Address(), u.ID(), 8, 16, behaviourOf)
 	if err != nil {
 		w.t.Errorf("instance %s could not be restarted: %v", u.ID(), err)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -230,7 +230,7 @@
 func zoneOf(region, n int) string { return fmt.Sprintf("region%d-%d", region, n%2+1) }
 
 func (w *world) addInstance(n int) {
-	i, err := standin.StartInstance("127.0.0.1:0", fmt.Sprintf("i-%d-%d", w.seed, n), 8, 16, behaviourOf)
+	i, err := standin.StartInstance(testkit.UniqueLoopbackIP()+":0", fmt.Sprintf("i-%d-%d", w.seed, n), 8, 16, behaviourOf)
 	if err != nil {
 		w.t.Fatal(err)
 	}
