Forget tokens and votes after a pause of the VM

Found by reading the diff: tokens and votes expire by the steady clock, which stands still while a machine is suspended. A VM that wakes would use tokens and lease by votes that ran out meanwhile. It drops both when it notices the pause. TestPausedVMForgetsLeases fails without the call.

Instances in data centres without a known region get an electorate of all VMs; before, a limit there would have closed them for good.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -231,7 +231,7 @@
 	if s.pause != nil {
 		paused, refreshed := s.pause.check()
 		if paused > 0 {
-			event.VMPaused.Log(s.log, "paused_ms", paused.Milliseconds())
+			s.recordPause(paused)
 		}
 		s.pause.wait(ctx, refreshed)
 	}
@@ -261,6 +261,14 @@
 	return &selection{s: s, ticket: t, key: r.Key, fingerprint: fingerprint}, nil
 }
 
+// recordPause drops what may have expired while this VM was paused.
+func (s *selector) recordPause(paused time.Duration) {
+	event.VMPaused.Log(s.log, "paused_ms", paused.Milliseconds())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.ForgetLeases()
+}
+
 // selection is the instance chosen for one attempt.
 type selection struct {
 	s      *selector
--- a/entry/state.go
+++ b/entry/state.go
@@ -90,7 +90,7 @@
 // tick ends deferrals of removals and adapts the placement.
 func (n *Node) tick(now time.Time) {
 	if paused, _ := n.pause.check(); paused > 0 {
-		event.VMPaused.Log(n.log, "paused_ms", paused.Milliseconds())
+		n.selector.recordPause(paused)
 	}
 	n.mu.Lock()
 	n.applyEffects(now, n.inv.Tick(now))
@@ -202,7 +202,8 @@
 	for i := range v.ranked {
 		vms = append(vms, placement.VM{ID: v.ranked[i].ID, Weight: weightOf(&v.ranked[i])})
 	}
-	electorates := make(map[string]placement.Electorate)
+	// The region of an instance in an unknown data centre is empty.
+	electorates := map[string]placement.Electorate{"": electorateOf(v.vms, "", n.self.ID)}
 	for _, region := range n.settings.Regions {
 		if _, known := electorates[region]; !known {
 			electorates[region] = electorateOf(v.vms, region, n.self.ID)
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -91,6 +91,19 @@
 	return c
 }
 
+// ForgetLeases drops the tokens that this VM holds and, as a coordinator, its votes and
+// leases. It is called after a pause, since the clock by which they expire may have stopped.
+func (p *Picker) ForgetLeases() {
+	clear(p.quota.coordinators)
+	for _, s := range p.services {
+		for _, i := range s.instances {
+			if i.holding != nil {
+				i.holding.Clear()
+			}
+		}
+	}
+}
+
 // hasRoom reports whether the limit of the instance allows this VM another request.
 func (i *instance) hasRoom(now time.Time) bool {
 	return !i.state.IsLimited() || (i.holding != nil && i.holding.Has(now))
@@ -160,8 +173,8 @@
 }
 
 // limitReturn returns the Retry-After of a request that found instances at their limits,
-// which serve rate requests per second of this VM. Callers get successive times, at most
-// latest.
+// which serve rate requests per second of this VM. Callers get successive times up to
+// maxLimitRetryAfter from now.
 func (s *service) limitReturn(now time.Time, rate, random float64) time.Duration {
 	if s.limitReturnAt.Before(now) {
 		s.limitReturnAt = now
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -163,3 +163,27 @@
 		t.Error("a request is sent without a token")
 	}
 }
+
+// A VM that was paused must not use tokens that ran out meanwhile, nor lease what it had saved
+// up, even if its clock stood still.
+func TestPausedVMForgetsLeases(t *testing.T) {
+	p := newLimitedPicker(1, "a")
+	nameLimit(p, at(0), "a-0", 20)
+	r := &Request{Service: "shop", Key: "k", Deadline: at(9)}
+	p.NeedsToken(at(1), r)
+	exchangeQuota(t, p, at(1))
+	p.NeedsToken(at(1.5), r)
+	exchangeQuota(t, p, at(1.5))
+	if !p.services["shop"].instances["a-0"].hasRoom(at(1.5)) {
+		t.Fatal("no token before the pause")
+	}
+	p.ForgetLeases()
+	if _, e := p.Pick(at(1.5), r); e == nil || e.Reason != verdict.ReasonAtLimit {
+		t.Errorf("after the pause: %v", e)
+	}
+	p.NeedsToken(at(1.5), r)
+	exchangeQuota(t, p, at(1.5))
+	if p.services["shop"].instances["a-0"].hasRoom(at(1.5)) {
+		t.Error("tokens from before the pause are leased")
+	}
+}
