Use limited instances of other regions, and the whole limit

A VM counted demand for limited instances of its own region only. Requests that run elsewhere, by their spill share or because their own region is at its limits, never led to a token, so limited instances of other regions got nothing from it: TestLimitedInstancesOfOtherRegionsAreUsed, 0 of 200 requests.

Change: demand is counted in the region where the request runs, and in all allowed ones if nothing is open there. A request that is refused otherwise waits up to 0.15 s, a round trip between regions, for a token from afar. A coordinator with a majority leases the whole limit, not 0.9, and the others 0.47 instead of 0.66 in proportion to their votes; by the bounds in quotalease the sum stays below 1.5 times the limit + 5 in any 4 s.

--- a/entry/quota.go
+++ b/entry/quota.go
@@ -22,9 +22,11 @@
 	// coordinator's load is bounded.
 	quotaInterval = 200 * time.Millisecond
 	// minQuotaInterval is how often it asks at most while a request waits for a token, and
-	// maxTokenWait how long the request waits: a few round trips inside a region.
+	// maxTokenWait how long the request waits: a few round trips inside a region. A request
+	// that is refused otherwise waits up to maxFarTokenWait for one of another region.
 	minQuotaInterval   = 20 * time.Millisecond
 	maxTokenWait       = 15 * time.Millisecond
+	maxFarTokenWait    = 150 * time.Millisecond
 	quotaIntervalPerVM = time.Millisecond
 	maxQuotaInterval   = 400 * time.Millisecond
 	// limitUsageInterval is how often the use of limited instances is logged.
@@ -93,14 +95,21 @@
 // moment for it. Without a token the request goes to another instance.
 func (s *selector) awaitToken(ctx context.Context, r *placement.Request) {
 	s.mu.Lock()
-	needed := s.picker.NeedsToken(time.Now(), r)
+	need := s.picker.NeedsToken(time.Now(), r)
 	replied := s.quotaReplied
 	s.mu.Unlock()
-	if !needed {
+	if need == placement.NoToken {
 		return
 	}
 	s.requestQuota(time.Now(), minQuotaInterval)
-	timer := time.NewTimer(maxTokenWait)
+	wait := maxTokenWait
+	switch need {
+	case placement.TokenLater:
+		return
+	case placement.TokenFromAfar:
+		wait = maxFarTokenWait
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-replied:
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -122,22 +122,67 @@
 	return !i.state.IsLimited() || (i.holding != nil && i.holding.Take(now))
 }
 
-// NeedsToken reports whether a request would use a limited instance of this region for which
-// this VM has no token: the instance that ranks first, or any if none is open. The request
-// is counted as demand for it. A token can be had within a round trip in the region.
-func (p *Picker) NeedsToken(now time.Time, r *Request) bool {
+// TokenNeed says whether a request lacks a token of a limited instance.
+type TokenNeed int
+
+const (
+	// NoToken means that the request can do without one.
+	NoToken TokenNeed = iota
+	// TokenFromRegion means that a token of this VM's region would help.
+	TokenFromRegion
+	// TokenFromAfar means that the request is refused unless it gets a token of another
+	// region.
+	TokenFromAfar
+	// TokenLater means that a token would help later requests only.
+	TokenLater
+)
+
+// NeedsToken returns whether a request would use a limited instance for which this VM has no
+// token: the one that ranks first in the region where the request runs, or any if none is
+// open there. The request is counted as demand for these instances.
+func (p *Picker) NeedsToken(now time.Time, r *Request) TokenNeed {
 	s := p.services[r.Service]
 	if s == nil || !s.hasLimited {
-		return false
+		return NoToken
 	}
 	r.object, r.hasObject = p.objectHash(r), true
-	if p.regionFor(s, r, r.object) != p.cfg.Region {
-		return false
+	home := p.regionFor(s, r, r.object)
+	lacks, hasOpen := s.recordDemand(now, r, home)
+	if !lacks && hasOpen {
+		return NoToken
+	}
+	if hasOpen {
+		if home == p.cfg.Region {
+			return TokenFromRegion
+		}
+		return TokenLater
 	}
+	needed := lacks
+	for region := range s.regions {
+		if region != home && (len(r.Regions) == 0 || slices.Contains(r.Regions, region)) {
+			lacks, open := s.recordDemand(now, r, region)
+			needed, hasOpen = needed || lacks, hasOpen || open
+		}
+	}
+	switch {
+	case !needed:
+		return NoToken
+	case home == p.cfg.Region:
+		return TokenFromRegion
+	case hasOpen:
+		return TokenLater
+	default:
+		return TokenFromAfar
+	}
+}
+
+// recordDemand counts a request at the limited instances of a region that it would have used:
+// the one that ranks first, or all of them if none is open. It returns whether it lacks a
+// token of such an instance, and whether any instance is open.
+func (s *service) recordDemand(now time.Time, r *Request, region string) (lacks, hasOpen bool) {
 	var first *instance
 	var full []*instance
-	hasOpen := false
-	for _, i := range s.regions[p.cfg.Region] {
+	for _, i := range s.regions[region] {
 		if ejected, _ := i.isEjected(now); ejected || i.state.IsLeaving() || i.state.IsWaiting(now) || slices.Contains(r.Exclude, i.ID) {
 			continue
 		}
@@ -150,15 +195,13 @@
 			first = i
 		}
 	}
-	if first == nil || (hasOpen && first.hasRoom(now)) {
-		return false
-	}
 	for _, i := range full {
 		if !hasOpen || i == first {
 			i.recordUnmet()
+			lacks = true
 		}
 	}
-	return true
+	return lacks, hasOpen
 }
 
 // isReservedForUrgent reports whether a more urgent request was just refused because all
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -34,7 +34,7 @@
 func requestAt(t *testing.T, p *Picker, now time.Time, key string, priority int) (Ticket, *verdict.Error) {
 	t.Helper()
 	r := &Request{Service: "shop", Route: "orders", Key: key, Target: time.Second, Deadline: now.Add(10 * time.Second), Priority: priority}
-	if p.NeedsToken(now, r) {
+	if p.NeedsToken(now, r) != NoToken {
 		exchangeQuota(t, p, now)
 	}
 	ticket, e := p.Pick(now, r)
@@ -187,3 +187,30 @@
 		t.Error("tokens from before the pause are leased")
 	}
 }
+
+// Requests that run in another region, by their spill share or because their own region is at
+// its limits, must use the room of the limited instances there.
+func TestLimitedInstancesOfOtherRegionsAreUsed(t *testing.T) {
+	for name, own := range map[string]int{"no instances here": 0, "own instances at their limits": 1} {
+		t.Run(name, func(t *testing.T) {
+			p := newLimitedPicker(2, "a", "b")
+			if own == 0 {
+				p.Update(at(0), nil, []string{"a-0", "a-1"})
+			} else {
+				nameLimit(p, at(0), "a-0", 1)
+				nameLimit(p, at(0), "a-1", 1)
+			}
+			nameLimit(p, at(0), "b-0", 5)
+			nameLimit(p, at(0), "b-1", 5)
+			served := make(map[string]int)
+			for n := range 600 {
+				if ticket, e := requestAt(t, p, at(float64(n)/30), fmt.Sprint(n), 1); e == nil {
+					served[ticket.Instance.Region]++
+				}
+			}
+			if served["b"] < 160 {
+				t.Errorf("%v requests served in 20 s; the instances of b take 200", served)
+			}
+		})
+	}
+}
--- a/quotalease/quotalease.go
+++ b/quotalease/quotalease.go
@@ -25,11 +25,11 @@
 	voteTTL    = 600 * time.Millisecond
 	voteMargin = 200 * time.Millisecond
 	// majorityFraction is the part of the limit that a coordinator with a majority leases,
-	// and minorityFraction the part that all others would lease together with all votes.
+	// and minorityFraction the part that others would lease together with all votes.
 	// Over a window of 4 s and the tokens that are saved up or outstanding at its start, the
 	// first and half of the second sum up to less than 1.5 times the limit.
-	majorityFraction = 0.9
-	minorityFraction = 0.66
+	majorityFraction = 1.0
+	minorityFraction = 0.47
 	// minMinority is the smallest share of the votes with which a coordinator leases tokens.
 	// It bounds the number of coordinators, each of which may save up a whole token.
 	minMinority = 0.2
