Answer requests for tokens at the address that they came from

Found by reading the diff: a coordinator looked the sender up among the VMs' records and dropped its reply without a trace if there was none. A VM that is cut off from the store loses its record after a few seconds, and then got no tokens though it reached the coordinator and the instance.

--- a/entry/digest.go
+++ b/entry/digest.go
@@ -111,7 +111,7 @@
 func (n *Node) receiveDigests() {
 	buffer := make([]byte, maxDigestBytes)
 	for {
-		size, _, err := n.digests.ReadFromUDPAddrPort(buffer)
+		size, sender, err := n.digests.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if n.ctx.Err() == nil {
 				event.DigestFailed.Log(n.log, "error", err)
@@ -121,7 +121,7 @@
 			return
 		}
 		if size > 0 && buffer[0] == quotaFormat {
-			n.receiveQuota(buffer[:size])
+			n.receiveQuota(buffer[:size], sender)
 			continue
 		}
 		from, digest, crashes, err := decodeDigest(buffer[:size])
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,6 +119,7 @@
 	}
 }
 
+// sendQuota sends a request for tokens to another VM.
 func (n *Node) sendQuota(v *view, to string, data []byte) {
 	for i := range v.vms {
 		if v.vms[i].ID == to {
@@ -125,10 +127,12 @@
 			return
 		}
 	}
+	event.QuotaFailed.Log(n.log, "error", "the coordinator has no record", "id", to)
 }
 
-// receiveQuota processes a message about limits and answers a request.
-func (n *Node) receiveQuota(data []byte) {
+// receiveQuota processes a message about limits and answers a request. The reply goes to the
+// address that the request came from, since the sender's record may have expired.
+func (n *Node) receiveQuota(data []byte, sender netip.AddrPort) {
 	from, request, reply, err := decodeQuota(data)
 	now := time.Now()
 	switch {
@@ -136,7 +140,9 @@
 		event.QuotaFailed.Log(n.log, "error", err, "bytes", len(data))
 	case request != nil:
 		if reply, ok := n.selector.serveQuota(now, from, request); ok {
-			n.sendQuota(n.view.Load(), from, encodeQuotaReply(n.self.ID, &reply))
+			if _, err := n.digests.WriteToUDPAddrPort(encodeQuotaReply(n.self.ID, &reply), sender); err != nil {
+				event.QuotaFailed.Log(n.log, "error", err, "id", from)
+			}
 		}
 	default:
 		n.selector.applyQuota(now, from, reply)
