Log rejected states with their epoch and revision

A state that a VM rejected as outdated left no trace after the first failure of its source, and no line held the revision or the store's era. Event 2308 has both beside the VM's own.

--- a/event/feed.go
+++ b/event/feed.go
@@ -10,6 +10,7 @@
 	RecordIgnored  = define(2304, slog.LevelWarn, "unusable record in the platform's store", "check the program that wrote it; other records are not affected")
 	FeedPackFailed = define(2305, slog.LevelError, "records could not be encoded for a follower", "report it as a defect; the follower uses another source")
 	FeedPaused     = define(2306, slog.LevelWarn, "an answer was processed so late that this VM must have been paused", "the VM repeats the query; check the machine if it recurs")
+	FeedRejected   = define(2308, slog.LevelWarn, "an answer of a source is older than this VM's records and was rejected", "the VM keeps its present state; compare epoch and revision with those of the other VMs")
 	VMPaused       = define(2307, slog.LevelWarn, "this VM was paused and fetches all changes before it continues", "check the machine if it recurs")
 
 	InstanceChanged = define(2310, slog.LevelInfo, "instance changed", "")
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -25,6 +25,9 @@
 	Records []Record
 	// Revision is the revision up to which the answer is complete.
 	Revision uint64
+	// Epoch counts how often the store was restored from a copy. Zero means that the
+	// store does not tell.
+	Epoch uint64
 	// Age is the time since the store confirmed Revision. It is zero in answers of the
 	// store itself.
 	Age time.Duration
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -350,6 +350,8 @@
 	now := f.options.Now()
 	revision, _ := f.replica.position(f.options.Uptime())
 	if a.Age > f.options.MaxAge || a.Revision < max(revision, f.listedRevision) {
+		event.FeedRejected.Log(f.options.Log, "source", f.nameOf(source), "epoch", a.Epoch, "revision", a.Revision, "age_ms", a.Age.Milliseconds(),
+			"own_revision", revision, "listed_revision", f.listedRevision)
 		return errors.Errorf("feed: state of revision %d, confirmed %s ago, is outdated", a.Revision, a.Age)
 	}
 	f.reloaded = f.replica.isLoaded()
@@ -359,6 +361,14 @@
 	return nil
 }
 
+// nameOf returns the name of a source for the log.
+func (f *Follower) nameOf(source Source) string {
+	if relay, ok := source.(*relaySource); ok {
+		return relay.address
+	}
+	return storeName
+}
+
 // recordSuccess makes the source that answered the current one.
 func (f *Follower) recordSuccess(name string) {
 	delete(f.avoidUntil, name)
