Order records by the store's epoch and revision

After a restore from an older copy the store gives revisions out again. Every comparison of the feed and the inventory was of revisions alone, so each VM rejected the restored state (event 2308: epoch 2, revision 58 beside 59) until the counter had passed its own; and where it had passed already, a watch went on in the middle of the new history without an error.

Positions are now pairs of epoch and revision (package history). A watch answered in a later epoch, or a relay that is ahead, leads to a read of the whole state; a source in an earlier epoch is left for the next one, and asked to look again. A store or relay that tells no epoch is followed as before. The records of VMs that a starting VM lists are replaced by whatever it reads next, since the store may list an old state under the present epoch.

--- a/entry/state.go
+++ b/entry/state.go
@@ -10,6 +10,7 @@
 	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/feed"
+	"github.com/currantferry/currantferry/history"
 	"github.com/currantferry/currantferry/inventory"
 	"github.com/currantferry/currantferry/placement"
 )
@@ -22,7 +23,7 @@
 // decode decodes a record. The platform decodes all records that entry VMs don't write.
 func (n *Node) decode(r feed.Record) inventory.Change {
 	if text, ok := strings.CutPrefix(r.Key, refusedPrefix); ok {
-		c := inventory.Change{Kind: inventory.KindRefused, ID: text, Revision: r.Revision, Removed: r.Removed}
+		c := inventory.Change{Kind: inventory.KindRefused, ID: text, Position: history.Position{Revision: r.Revision}, Removed: r.Removed}
 		var f crashguard.Fingerprint
 		if err := f.UnmarshalText([]byte(text)); err != nil || f.String() != text {
 			c.Unusable = errors.Errorf("%s: invalid fingerprint", r.Key)
@@ -33,7 +34,7 @@
 	if !ok {
 		return n.platform.Decode(r)
 	}
-	c := inventory.Change{Kind: inventory.KindVM, ID: id, Revision: r.Revision, Removed: r.Removed}
+	c := inventory.Change{Kind: inventory.KindVM, ID: id, Position: history.Position{Revision: r.Revision}, Removed: r.Removed}
 	if r.Removed {
 		return c
 	}
@@ -46,10 +47,12 @@
 	return c
 }
 
-func (n *Node) decodeAll(records []feed.Record) []inventory.Change {
+// decodeAll decodes the records of an epoch.
+func (n *Node) decodeAll(epoch uint64, records []feed.Record) []inventory.Change {
 	out := make([]inventory.Change, 0, len(records))
 	for _, r := range records {
 		c := n.decode(r)
+		c.Epoch = epoch
 		if c.Unusable != nil {
 			event.RecordIgnored.Log(n.log, "key", r.Key, "revision", r.Revision, "error", c.Unusable)
 		}
@@ -70,17 +73,17 @@
 }
 
 // Reset implements feed.Sink.
-func (n *Node) Reset(now time.Time, revision uint64, records []feed.Record) {
-	changes := n.decodeAll(records)
+func (n *Node) Reset(now time.Time, at history.Position, records []feed.Record) {
+	changes := n.decodeAll(at.Epoch, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.applyEffects(now, n.inv.Reset(now, revision, changes))
+	n.applyEffects(now, n.inv.Reset(now, at, changes))
 	n.pause.markRefreshed()
 }
 
 // Apply implements feed.Sink.
-func (n *Node) Apply(now time.Time, records []feed.Record) {
-	changes := n.decodeAll(records)
+func (n *Node) Apply(now time.Time, epoch uint64, records []feed.Record) {
+	changes := n.decodeAll(epoch, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.applyEffects(now, n.inv.Apply(now, changes))
@@ -152,7 +155,7 @@
 
 func (n *Node) logEffect(e *inventory.Effect) {
 	c := &e.Change
-	attrs := []any{"id", c.ID, "revision", c.Revision}
+	attrs := []any{"id", c.ID, "epoch", c.Epoch, "revision", c.Revision}
 	if i := c.Instance; i != nil {
 		attrs = append(attrs, "service", i.Service, "instance_data_centre", i.DataCentre, "address", i.Address, "slots", i.Slots,
 			"draining", i.Draining, "cold_ms", i.Cold.Milliseconds(), "born", i.StartMillis)
--- a/event/feed.go
+++ b/event/feed.go
@@ -11,6 +11,7 @@
 	FeedPackFailed = define(2305, slog.LevelError, "records could not be encoded for a follower", "report it as a defect; the follower uses another source")
 	FeedPaused     = define(2306, slog.LevelWarn, "an answer was processed so late that this VM must have been paused", "the VM repeats the query; check the machine if it recurs")
 	FeedRejected   = define(2308, slog.LevelWarn, "an answer of a source is older than this VM's records and was rejected", "the VM keeps its present state; compare epoch and revision with those of the other VMs")
+	FeedRestored   = define(2309, slog.LevelWarn, "the platform's store was restored from an older copy; reading it anew", "what was written since the copy is gone until its owners write it again; see OPERATIONS.md")
 	VMPaused       = define(2307, slog.LevelWarn, "this VM was paused and fetches all changes before it continues", "check the machine if it recurs")
 
 	InstanceChanged = define(2310, slog.LevelInfo, "instance changed", "")
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/history"
 )
 
 // Record is a key of the store with its value, or the removal of the key. Package feed
@@ -23,27 +25,30 @@
 type Answer struct {
 	// Records holds the whole state after a Read, and the changes after a Watch.
 	Records []Record
-	// Revision is the revision up to which the answer is complete.
-	Revision uint64
-	// Epoch counts how often the store was restored from a copy. Zero means that the
-	// store does not tell.
-	Epoch uint64
+	// Position is the one up to which the answer is complete. All records are of its
+	// epoch.
+	history.Position
 	// Age is the time since the store confirmed Revision. It is zero in answers of the
 	// store itself.
 	Age time.Duration
 }
 
-// ErrCompacted is returned by a source that no longer keeps the changes after the
-// requested revision. The whole state must be read instead.
+// ErrCompacted is returned by a source that does not have the changes after the
+// requested position: it no longer keeps them, or is in a later epoch. The whole state
+// must be read instead.
 var ErrCompacted = errors.New("feed: history is no longer kept")
 
+// ErrOutdated is returned for a source that is behind this VM.
+var ErrOutdated = errors.New("feed: the source is behind this VM")
+
 // Source provides records: the store, or another VM that relays them.
 type Source interface {
 	// Read returns the whole state.
 	Read(ctx context.Context) (Answer, error)
-	// Watch returns the changes after a revision. If there are none, it waits up to
-	// wait for one.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error)
+	// Watch returns the changes after a position. If there are none, it waits up to wait
+	// for one. The answer may be of a later epoch, and its records then lack those before
+	// them.
+	Watch(ctx context.Context, after history.Position, wait time.Duration) (Answer, error)
 }
 
 // Lister reads part of the state.
@@ -55,12 +60,13 @@
 
 // Sink receives the records of a Follower. Its methods are never called concurrently.
 type Sink interface {
-	// Reset replaces the whole state by that of a revision. It is called before Apply,
-	// except that a starting Follower first passes the records of relays to Apply.
-	Reset(now time.Time, revision uint64, records []Record)
-	// Apply receives changes; records is empty if an answer had none. The same record
-	// may be delivered more than once.
-	Apply(now time.Time, records []Record)
+	// Reset replaces the whole state by that of a position. It is called before Apply,
+	// except that a starting Follower first passes the records of relays to Apply. A
+	// later epoch than before means that the store was restored from an older copy.
+	Reset(now time.Time, at history.Position, records []Record)
+	// Apply receives changes of an epoch; records is empty if an answer had none. The same
+	// record may be delivered more than once.
+	Apply(now time.Time, epoch uint64, records []Record)
 	// ReportContact reports contact with the store, directly or through a relay, or that
 	// the store failed to answer this VM. It is called before the records of the same
 	// answer are delivered. Age is the time since the store's latest confirmation.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -17,9 +17,14 @@
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/history"
 )
 
-// memorySource is a store in memory, with its calls counted.
+// at returns a position in the only epoch of a store that is never restored.
+func at(revision uint64) history.Position { return history.Position{Revision: revision} }
+
+// memorySource is a store in memory that tells no epoch, with its calls counted.
 type memorySource struct {
 	mu      sync.Mutex
 	replica *replica
@@ -30,12 +35,12 @@
 
 func newMemorySource() *memorySource {
 	s := &memorySource{replica: newReplica()}
-	s.replica.reset(Uptime(), &Answer{Revision: 1})
+	_ = s.replica.load(Uptime(), &Answer{Position: at(1)}, at(0))
 	return s
 }
 
 func (s *memorySource) put(revision uint64, key string) {
-	s.replica.apply(Uptime(), &Answer{Records: []Record{{Key: key, Revision: revision}}, Revision: revision})
+	_, _ = s.replica.apply(Uptime(), &Answer{Records: []Record{{Key: key, Revision: revision}}, Position: at(revision)})
 }
 
 func (s *memorySource) setDown(down bool) {
@@ -71,7 +76,7 @@
 	return a, nil
 }
 
-func (s *memorySource) Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error) {
+func (s *memorySource) Watch(ctx context.Context, after history.Position, wait time.Duration) (Answer, error) {
 	s.mu.Lock()
 	s.watches++
 	s.mu.Unlock()
@@ -80,7 +85,7 @@
 		if s.isDown() {
 			return Answer{}, errors.New("down")
 		}
-		a, _, err := s.replica.changesAfter(Uptime(), after)
+		a, _, err := s.replica.changesAfter(Uptime(), at(after.Revision))
 		a.Age = 0
 		if err != nil || len(a.Records) > 0 || time.Now().After(end) {
 			return a, err
@@ -100,7 +105,7 @@
 	failed bool
 }
 
-func (s *sink) Reset(_ time.Time, _ uint64, records []Record) {
+func (s *sink) Reset(_ time.Time, _ history.Position, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keys = make(map[string]bool)
@@ -109,7 +114,7 @@
 	}
 }
 
-func (s *sink) Apply(_ time.Time, records []Record) {
+func (s *sink) Apply(_ time.Time, _ uint64, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range records {
@@ -197,11 +202,11 @@
 	eventually(t, "state", func() bool { return relay.follower.replica.isLoaded() })
 	store.setDown(true)
 	began := time.Now()
-	source := &relaySource{relay.follower.client, relay.address(), time.Second, 0}
+	source := &relaySource{relay.follower.client, relay.address(), time.Second, at(0)}
 	var a Answer
 	for a.Age <= relay.follower.options.MaxAge && time.Since(began) < 8*time.Second {
 		var err error
-		if a, err = source.Watch(t.Context(), 1, 5*time.Second); err != nil {
+		if a, err = source.Watch(t.Context(), at(1), 5*time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -291,14 +296,18 @@
 func TestHistoryIsBounded(t *testing.T) {
 	c := newReplica()
 	now := Uptime()
-	c.reset(now, &Answer{Revision: 1})
+	if err := c.load(now, &Answer{Position: at(1)}, at(0)); err != nil {
+		t.Fatal(err)
+	}
 	for n := uint64(2); n < maxHistory+100; n++ {
-		c.apply(now, &Answer{Records: []Record{{Key: "k", Revision: n}}, Revision: n})
+		if _, err := c.apply(now, &Answer{Records: []Record{{Key: "k", Revision: n}}, Position: at(n)}); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if _, _, err := c.changesAfter(now, 5); !errors.Is(err, ErrCompacted) {
+	if _, _, err := c.changesAfter(now, at(5)); !errors.Is(err, ErrCompacted) {
 		t.Errorf("%v for a revision that is compacted", err)
 	}
-	if a, _, err := c.changesAfter(now, maxHistory+50); err != nil || len(a.Records) != 49 {
+	if a, _, err := c.changesAfter(now, at(maxHistory+50)); err != nil || len(a.Records) != 49 {
 		t.Errorf("%d records, %v", len(a.Records), err)
 	}
 }
@@ -317,7 +326,7 @@
 	if _, age := vm.follower.replica.position(uptime()); age > time.Second {
 		t.Fatalf("age %s before the pause", age)
 	}
-	before := vm.follower.replica.revision
+	before := vm.follower.replica.at.Revision
 	store.setDown(true)
 	// The store gives no new answer; its last one is from before the pause.
 	paused.Store(int64(10 * time.Second))
@@ -339,7 +348,7 @@
 	eventually(t, "state", func() bool { return vm.follower.replica.isLoaded() })
 	began := time.Now()
 	for n := uint64(2); time.Since(began) < 2*time.Second; n++ {
-		store.replica.reset(Uptime(), &Answer{Records: []Record{record(int(n))}, Revision: n})
+		_ = store.replica.load(Uptime(), &Answer{Records: []Record{record(int(n))}, Position: at(n)}, at(0))
 		time.Sleep(10 * time.Millisecond)
 	}
 	store.mu.Lock()
@@ -376,8 +385,8 @@
 func TestBadRelayAnswers(t *testing.T) {
 	for _, body := range []string{``, `{`, `{"age":-5}`, `[]`} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
-		source := &relaySource{http.DefaultClient, s.Listener.Addr().String(), 0, 0}
-		if _, err := source.Watch(context.Background(), 1, 0); err == nil {
+		source := &relaySource{http.DefaultClient, s.Listener.Addr().String(), 0, at(0)}
+		if _, err := source.Watch(context.Background(), at(1), 0); err == nil {
 			t.Errorf("%q is accepted", body)
 		}
 		s.Close()
@@ -417,7 +426,7 @@
 	var stores []*memorySource
 	for k := range vms {
 		store := newMemorySource()
-		store.replica.reset(Uptime(), state)
+		_ = store.replica.load(Uptime(), state, at(0))
 		stores = append(stores, store)
 		vm := newTestVM(store, func() ([]string, bool) {
 			mu.Lock()
@@ -477,7 +486,7 @@
 // The answers of a relay to all followers of a large region must not exceed a VM's
 // link: 3.1 MB/s were measured at 300 VMs and 3,000 instances.
 func TestRelayedStateIsCompressed(t *testing.T) {
-	a := &Answer{Revision: 5000}
+	a := &Answer{Position: at(5000)}
 	plain := 0
 	for n := range 3000 {
 		a.Records = append(a.Records, record(n))
@@ -502,7 +511,7 @@
 // A malformed answer of a relay must not crash a VM.
 func FuzzAnswer(f *testing.F) {
 	var p bodyCache
-	body, err := p.encode(&Answer{Records: []Record{record(1)}, Revision: 7}, 6)
+	body, err := p.encode(&Answer{Records: []Record{record(1)}, Position: at(7)}, 6)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/history"
 )
 
 // Defaults of Options.
@@ -105,9 +106,10 @@
 	replica   *replica
 	client    *http.Client
 	bodyCache bodyCache
-	// listedRevision is the revision at which the records of the relays were read, or
-	// zero. An older state is rejected, because it could lack some of these records.
-	listedRevision uint64
+	// listedAt is the position at which the records of the relays were read, or zero. An
+	// older state of a relay is rejected, because it could lack some of these records. The
+	// store may list an old state as that of the present epoch.
+	listedAt history.Position
 	avoidUntil     map[string]time.Time
 	// source is the address of the relay that answered last, or storeName.
 	source string
@@ -217,7 +219,7 @@
 // listRelays reads the records of the relays, so that a starting VM can read the state
 // from one of them.
 func (f *Follower) listRelays(ctx context.Context) {
-	if f.listedRevision > 0 || f.options.Lister == nil || f.replica.isLoaded() {
+	if f.listedAt.Revision > 0 || f.options.Lister == nil || f.replica.isLoaded() {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
@@ -227,8 +229,12 @@
 		f.recordFailure(storeName, err)
 		return
 	}
-	f.listedRevision = a.Revision
-	f.options.Sink.Apply(f.options.Now(), a.Records)
+	f.listedAt = a.Position
+	// The state that is read next replaces these records, whatever its position.
+	for i := range a.Records {
+		a.Records[i].Revision = 0
+	}
+	f.options.Sink.Apply(f.options.Now(), a.Epoch, a.Records)
 	if relays, _ := f.options.Relays(); len(relays) == 0 && f.options.OnNoRelay != nil {
 		f.options.OnNoRelay()
 	}
@@ -284,20 +290,20 @@
 func (f *Follower) fetch(ctx context.Context, name string) error {
 	source, wait := f.options.Store, f.options.StoreWait
 	if name != storeName {
-		source, wait = &relaySource{f.client, name, f.options.StateWait, f.listedRevision}, f.options.RelayWait
+		source, wait = &relaySource{f.client, name, f.options.StateWait, f.listedAt}, f.options.RelayWait
 	}
 	if !f.replica.isLoaded() {
 		return f.readState(ctx, source)
 	}
-	revision, _ := f.replica.position(f.options.Uptime())
+	at, _ := f.replica.position(f.options.Uptime())
 	sentAt := f.options.Uptime()
 	bounded, wait := f.beginRequest(ctx, wait)
-	a, err := source.Watch(bounded, revision, wait)
+	a, err := source.Watch(bounded, at, wait)
 	if f.endRequest() || f.isLate(sentAt, wait) {
 		return errPaused
 	}
 	if errors.Is(err, ErrCompacted) {
-		event.FeedCompacted.Log(f.options.Log, "source", name, "revision", revision)
+		event.FeedCompacted.Log(f.options.Log, "source", name, "epoch", at.Epoch, "revision", at.Revision)
 		return f.readState(ctx, source)
 	}
 	if err != nil {
@@ -306,13 +312,32 @@
 	if a.Age > f.options.MaxAge {
 		return errors.Errorf("feed: relay %s had its last contact with the store %s ago", name, a.Age)
 	}
+	f.completePosition(source, &a)
 	now := f.options.Now()
-	changes := f.replica.apply(f.options.Uptime(), &a)
+	changes, err := f.replica.apply(f.options.Uptime(), &a)
+	switch {
+	case errors.Is(err, ErrCompacted):
+		event.FeedCompacted.Log(f.options.Log, "source", name, "epoch", at.Epoch, "revision", at.Revision, "answer_epoch", a.Epoch)
+		return f.readState(ctx, source)
+	case err != nil:
+		f.logRejected(source, &a)
+		return err
+	}
 	f.reportContact(now, false)
-	f.options.Sink.Apply(now, changes)
+	f.options.Sink.Apply(now, a.Epoch, changes)
 	return nil
 }
 
+// completePosition sets the epoch of an answer of a store that does not tell it: it is
+// taken to be the one of this VM. A relay without an epoch is of an older release, or has
+// seen no restore.
+func (f *Follower) completePosition(source Source, a *Answer) {
+	if _, isRelay := source.(*relaySource); !isRelay && a.Epoch == 0 {
+		at, _ := f.replica.position(f.options.Uptime())
+		a.Epoch = at.Epoch
+	}
+}
+
 // isLate reports whether an answer took so long that this VM must have been paused.
 // The answer may have been received before the pause, and then doesn't cover the time
 // since.
@@ -335,7 +360,7 @@
 }
 
 // readState reads the whole state of a source. It rejects a state that is older than
-// that of this VM.
+// that of this VM; one of a later epoch never is.
 func (f *Follower) readState(ctx context.Context, source Source) error {
 	bounded, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
 	defer cancel()
@@ -347,20 +372,39 @@
 	if f.isLate(sentAt, f.options.ReadTimeout) {
 		return errPaused
 	}
+	f.completePosition(source, &a)
 	now := f.options.Now()
-	revision, _ := f.replica.position(f.options.Uptime())
-	if a.Age > f.options.MaxAge || a.Revision < max(revision, f.listedRevision) {
-		event.FeedRejected.Log(f.options.Log, "source", f.nameOf(source), "epoch", a.Epoch, "revision", a.Revision, "age_ms", a.Age.Milliseconds(),
-			"own_revision", revision, "listed_revision", f.listedRevision)
-		return errors.Errorf("feed: state of revision %d, confirmed %s ago, is outdated", a.Revision, a.Age)
-	}
-	f.reloaded = f.replica.isLoaded()
-	f.replica.reset(f.options.Uptime(), &a)
+	before, _ := f.replica.position(f.options.Uptime())
+	wasLoaded := f.replica.isLoaded()
+	var minPosition history.Position
+	if _, isRelay := source.(*relaySource); isRelay {
+		minPosition = f.listedAt
+	}
+	if a.Age > f.options.MaxAge {
+		f.logRejected(source, &a)
+		return errors.Errorf("feed: state was confirmed %s ago", a.Age)
+	}
+	if err := f.replica.load(f.options.Uptime(), &a, minPosition); err != nil {
+		f.logRejected(source, &a)
+		return err
+	}
+	f.reloaded = wasLoaded
+	if wasLoaded && a.Epoch != before.Epoch {
+		event.FeedRestored.Log(f.options.Log, "source", f.nameOf(source), "epoch", a.Epoch, "revision", a.Revision,
+			"epoch_before", before.Epoch, "revision_before", before.Revision)
+	}
 	f.reportContact(now, false)
-	f.options.Sink.Reset(now, a.Revision, a.Records)
+	f.options.Sink.Reset(now, a.Position, a.Records)
 	return nil
 }
 
+// logRejected logs an answer that is older than the records of this VM.
+func (f *Follower) logRejected(source Source, a *Answer) {
+	at, _ := f.replica.position(f.options.Uptime())
+	event.FeedRejected.Log(f.options.Log, "source", f.nameOf(source), "epoch", a.Epoch, "revision", a.Revision, "age_ms", a.Age.Milliseconds(),
+		"own_epoch", at.Epoch, "own_revision", at.Revision, "listed_epoch", f.listedAt.Epoch, "listed_revision", f.listedAt.Revision)
+}
+
 // nameOf returns the name of a source for the log.
 func (f *Follower) nameOf(source Source) string {
 	if relay, ok := source.(*relaySource); ok {
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/history"
 )
 
 // Paths of the requests between VMs.
@@ -36,6 +37,8 @@
 // so that one body serves all followers at the same revision.
 const (
 	headerRevision = "Feed-Revision"
+	// headerEpoch is left out if the store does not tell its epoch.
+	headerEpoch = "Feed-Epoch"
 	// headerAge holds the age of the store's confirmation in microseconds.
 	headerAge = "Feed-Age-Us"
 )
@@ -44,12 +47,12 @@
 // a few revisions at most; others request the whole state.
 const maxCachedBodies = 16
 
-// bodyCache caches the bodies of answers that lead to one revision. It is safe for
+// bodyCache caches the bodies of answers that lead to one position. It is safe for
 // concurrent use.
 type bodyCache struct {
-	mu       sync.Mutex
-	revision uint64
-	bodies   map[uint64][]byte
+	mu     sync.Mutex
+	at     history.Position
+	bodies map[uint64][]byte
 }
 
 // wholeState is the cache key of the whole state; other keys are the revisions after
@@ -61,8 +64,8 @@
 func (p *bodyCache) encode(a *Answer, after uint64) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.revision != a.Revision || len(p.bodies) >= maxCachedBodies {
-		p.revision, p.bodies = a.Revision, make(map[uint64][]byte)
+	if p.at != a.Position || len(p.bodies) >= maxCachedBodies {
+		p.at, p.bodies = a.Position, make(map[uint64][]byte)
 	}
 	if body, ok := p.bodies[after]; ok {
 		return body, nil
@@ -88,12 +91,11 @@
 	router.GET(changesPath, f.serveChanges)
 }
 
-// serveState waits until the state has at least the requested revision, so that VMs
+// serveState waits until the state has at least the requested position, so that VMs
 // that start together don't all read the store.
 func (f *Follower) serveState(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	minRevision, err := strconv.ParseUint(r.URL.Query().Get("least"), 10, 64)
-	if err != nil {
-		http.Error(w, "least: "+err.Error(), http.StatusBadRequest)
+	minPosition, ok := f.parsePosition(w, r, "least")
+	if !ok {
 		return
 	}
 	wait, ok := parseWait(w, r)
@@ -104,7 +106,7 @@
 	defer timer.Stop()
 	for {
 		a, changed, ok := f.replica.state(f.options.Uptime())
-		if ok && a.Revision >= minRevision {
+		if ok && !a.Before(minPosition) {
 			f.writeAnswer(w, &a, wholeState)
 			return
 		}
@@ -120,9 +122,8 @@
 }
 
 func (f *Follower) serveChanges(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+	after, ok := f.parsePosition(w, r, "after")
+	if !ok {
 		return
 	}
 	wait, ok := parseWait(w, r)
@@ -135,7 +136,13 @@
 	defer staleTimer.Stop()
 	for waiting := true; ; {
 		a, changed, err := f.replica.changesAfter(f.options.Uptime(), after)
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrOutdated):
+			// The follower knows that the store was restored. This VM asks for it now.
+			f.Refresh()
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		case err != nil:
 			http.Error(w, err.Error(), http.StatusGone)
 			return
 		}
@@ -143,7 +150,7 @@
 		// as soon as they would have noticed the loss themselves.
 		untilStale := f.options.MaxAge - a.Age
 		if len(a.Records) > 0 || !waiting || untilStale < 0 {
-			f.writeAnswer(w, &a, after)
+			f.writeAnswer(w, &a, after.Revision)
 			return
 		}
 		staleTimer.Reset(untilStale + time.Millisecond)
@@ -158,6 +165,28 @@
 	}
 }
 
+// parsePosition returns the position of a request, whose revision is in the named
+// parameter, or responds with an error and returns false. A follower of a release without
+// epochs names none, and is taken to be in that of this VM.
+func (f *Follower) parsePosition(w http.ResponseWriter, r *http.Request, parameter string) (p history.Position, ok bool) {
+	query := r.URL.Query()
+	var err error
+	if p.Revision, err = strconv.ParseUint(query.Get(parameter), 10, 64); err != nil {
+		http.Error(w, parameter+": "+err.Error(), http.StatusBadRequest)
+		return p, false
+	}
+	if !query.Has("epoch") {
+		at, _ := f.replica.position(f.options.Uptime())
+		p.Epoch = at.Epoch
+		return p, true
+	}
+	if p.Epoch, err = strconv.ParseUint(query.Get("epoch"), 10, 64); err != nil {
+		http.Error(w, "epoch: "+err.Error(), http.StatusBadRequest)
+		return p, false
+	}
+	return p, true
+}
+
 // parseWait returns how long a request may wait, or responds with an error and returns
 // false.
 func parseWait(w http.ResponseWriter, r *http.Request) (time.Duration, bool) {
@@ -174,6 +203,9 @@
 func (f *Follower) writeAnswer(w http.ResponseWriter, a *Answer, after uint64) {
 	h := w.Header()
 	h.Set(headerRevision, strconv.FormatUint(a.Revision, 10))
+	if a.Epoch > 0 {
+		h.Set(headerEpoch, strconv.FormatUint(a.Epoch, 10))
+	}
 	h.Set(headerAge, strconv.FormatInt(a.Age.Microseconds(), 10))
 	// Most answers have no records, and this header would be most of their size.
 	h["Date"] = nil
@@ -183,7 +215,7 @@
 	}
 	body, err := f.bodyCache.encode(a, after)
 	if err != nil {
-		event.FeedPackFailed.Log(f.options.Log, "revision", a.Revision, "error", err)
+		event.FeedPackFailed.Log(f.options.Log, "epoch", a.Epoch, "revision", a.Revision, "error", err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
@@ -199,20 +231,24 @@
 	address string
 	// stateWait is how long the relay may wait until it has a state itself.
 	stateWait time.Duration
-	// minRevision is the lowest revision of the relay's state that is accepted.
-	minRevision uint64
+	// minPosition is the lowest position of the relay's state that is accepted.
+	minPosition history.Position
 }
 
 func (s *relaySource) Read(ctx context.Context) (Answer, error) {
-	return s.get(ctx, statePath, url.Values{"least": {strconv.FormatUint(s.minRevision, 10)}}, s.stateWait)
+	return s.get(ctx, statePath, "least", s.minPosition, s.stateWait)
 }
 
-func (s *relaySource) Watch(ctx context.Context, after uint64, wait time.Duration) (Answer, error) {
-	return s.get(ctx, changesPath, url.Values{"after": {strconv.FormatUint(after, 10)}}, wait)
+func (s *relaySource) Watch(ctx context.Context, after history.Position, wait time.Duration) (Answer, error) {
+	return s.get(ctx, changesPath, "after", after, wait)
 }
 
-func (s *relaySource) get(ctx context.Context, path string, q url.Values, wait time.Duration) (Answer, error) {
-	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+// get sends a request for a position, whose revision is in the named parameter.
+func (s *relaySource) get(ctx context.Context, path, parameter string, p history.Position, wait time.Duration) (Answer, error) {
+	q := url.Values{
+		parameter: {strconv.FormatUint(p.Revision, 10)}, "epoch": {strconv.FormatUint(p.Epoch, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+path+"?"+q.Encode(), nil)
 	if err != nil {
 		return Answer{}, err
@@ -233,12 +269,19 @@
 	case http.StatusOK, http.StatusNoContent:
 	case http.StatusGone:
 		return a, ErrCompacted
+	case http.StatusConflict:
+		return a, ErrOutdated
 	default:
 		return a, errors.Errorf("status %d", res.StatusCode)
 	}
 	if a.Revision, err = strconv.ParseUint(res.Header.Get(headerRevision), 10, 64); err != nil {
 		return a, errors.Wrap(err, headerRevision)
 	}
+	if text := res.Header.Get(headerEpoch); text != "" {
+		if a.Epoch, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return a, errors.Wrap(err, headerEpoch)
+		}
+	}
 	age, err := strconv.ParseInt(res.Header.Get(headerAge), 10, 64)
 	if err != nil || age < 0 || age > math.MaxInt64/int64(time.Microsecond) {
 		return a, errors.Errorf("%s: %q", headerAge, res.Header.Get(headerAge))
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -4,22 +4,24 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/currantferry/currantferry/history"
 )
 
 // maxHistory bounds the number of changes that a replica keeps for its followers.
 const maxHistory = 4096
 
-// replica is a copy of the records with the latest changes. It is safe for concurrent
-// use.
+// replica is a copy of the records with the latest changes. It decides which answers
+// continue it. It is safe for concurrent use.
 type replica struct {
 	mu      sync.Mutex
 	records map[string]Record
-	// history holds the latest changes, ordered by revision. Changes up to
-	// compactedRevision are no longer kept.
-	history           []Record
+	// changes holds the latest changes of the present epoch, ordered by revision. Those up
+	// to compactedRevision are no longer kept.
+	changes           []Record
 	compactedRevision uint64
-	revision          uint64
-	// confirmedAt is the uptime at which the store last confirmed revision.
+	at                history.Position
+	// confirmedAt is the uptime at which the store last confirmed at.
 	confirmedAt time.Duration
 	loaded      bool
 	changed     chan struct{}
@@ -29,26 +31,44 @@
 	return &replica{records: make(map[string]Record), changed: make(chan struct{})}
 }
 
-// reset replaces the state. Followers at an older revision must read the whole state.
-func (c *replica) reset(uptime time.Duration, a *Answer) {
+// load replaces the state by that of an answer. It returns ErrOutdated if the answer is
+// older than the replica, or than minPosition. Followers at an older position must read
+// the whole state.
+func (c *replica) load(uptime time.Duration, a *Answer, minPosition history.Position) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.loaded && a.Position.Before(c.at) || a.Position.Before(minPosition) {
+		return ErrOutdated
+	}
 	c.records = make(map[string]Record, len(a.Records))
 	for _, r := range a.Records {
 		c.records[r.Key] = r
 	}
-	c.history, c.compactedRevision, c.revision, c.loaded = nil, a.Revision, a.Revision, true
+	if c.at.Epoch != a.Epoch {
+		// A confirmation of the old epoch says nothing about the new one.
+		c.confirmedAt = 0
+	}
+	c.changes, c.compactedRevision, c.at, c.loaded = nil, a.Revision, a.Position, true
 	c.confirm(uptime, a.Age)
 	c.wake()
+	return nil
 }
 
-// apply stores the changes of an answer and returns those that were new.
-func (c *replica) apply(uptime time.Duration, a *Answer) []Record {
+// apply stores the changes of an answer and returns those that were new. It returns
+// ErrCompacted if the answer is of a later epoch, so that the whole state must be read,
+// and ErrOutdated if it is of an earlier one.
+func (c *replica) apply(uptime time.Duration, a *Answer) ([]Record, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch {
+	case a.Epoch > c.at.Epoch:
+		return nil, ErrCompacted
+	case a.Epoch < c.at.Epoch:
+		return nil, ErrOutdated
+	}
 	var changes []Record
 	for _, r := range a.Records {
-		if r.Revision <= c.revision {
+		if r.Revision <= c.at.Revision {
 			continue
 		}
 		changes = append(changes, r)
@@ -58,17 +78,17 @@
 			c.records[r.Key] = r
 		}
 	}
-	c.history = append(c.history, changes...)
-	if excess := len(c.history) - maxHistory; excess > 0 {
-		c.compactedRevision = c.history[excess-1].Revision
-		c.history = append([]Record(nil), c.history[excess:]...)
+	c.changes = append(c.changes, changes...)
+	if excess := len(c.changes) - maxHistory; excess > 0 {
+		c.compactedRevision = c.changes[excess-1].Revision
+		c.changes = append([]Record(nil), c.changes[excess:]...)
 	}
 	c.confirm(uptime, a.Age)
-	if a.Revision > c.revision {
-		c.revision = a.Revision
+	if a.Revision > c.at.Revision {
+		c.at.Revision = a.Revision
 		c.wake()
 	}
-	return changes
+	return changes, nil
 }
 
 // confirm records a confirmation by the store. One that arrives through a relay can be
@@ -93,7 +113,7 @@
 	if !c.loaded {
 		return Answer{}, c.changed, false
 	}
-	a := Answer{Revision: c.revision, Age: uptime - c.confirmedAt}
+	a := Answer{Position: c.at, Age: uptime - c.confirmedAt}
 	for _, r := range c.records {
 		a.Records = append(a.Records, r)
 	}
@@ -101,23 +121,28 @@
 	return a, c.changed, true
 }
 
-// changesAfter returns the changes after a revision, and a channel that is closed at
-// the next change.
-func (c *replica) changesAfter(uptime time.Duration, revision uint64) (Answer, <-chan struct{}, error) {
+// changesAfter returns the changes after a position, and a channel that is closed at the
+// next change. It returns ErrCompacted if they are not kept or the replica is in a later
+// epoch, and ErrOutdated if it is in an earlier one.
+func (c *replica) changesAfter(uptime time.Duration, after history.Position) (Answer, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.loaded || revision < c.compactedRevision {
+	switch {
+	case c.loaded && after.Epoch > c.at.Epoch:
+		return Answer{}, nil, ErrOutdated
+	case !c.loaded || after.Epoch < c.at.Epoch || after.Revision < c.compactedRevision:
 		return Answer{}, nil, ErrCompacted
 	}
-	a := Answer{Revision: max(c.revision, revision), Age: uptime - c.confirmedAt}
-	first := sort.Search(len(c.history), func(i int) bool { return c.history[i].Revision > revision })
-	a.Records = append(a.Records, c.history[first:]...)
+	a := Answer{Position: c.at, Age: uptime - c.confirmedAt}
+	a.Revision = max(a.Revision, after.Revision)
+	first := sort.Search(len(c.changes), func(i int) bool { return c.changes[i].Revision > after.Revision })
+	a.Records = append(a.Records, c.changes[first:]...)
 	return a, c.changed, nil
 }
 
-// position returns the revision and the time since the store confirmed it.
-func (c *replica) position(uptime time.Duration) (uint64, time.Duration) {
+// position returns the position and the time since the store confirmed it.
+func (c *replica) position(uptime time.Duration) (history.Position, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision, uptime - c.confirmedAt
+	return c.at, uptime - c.confirmedAt
 }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -8,7 +8,10 @@
 package inventory
 
 import (
+	"slices"
 	"time"
+
+	"github.com/currantferry/currantferry/history"
 )
 
 // Kind is the kind of record that a change is about.
@@ -31,8 +34,9 @@
 type Change struct {
 	Kind Kind
 	// ID is the ID of the instance, VM, evacuated data centre or refused request.
-	ID       string
-	Revision uint64
+	ID string
+	// Position is that of the change in the store's log.
+	history.Position
 	// Removed means that the record was removed.
 	Removed bool
 	// Unusable is the reason why an existing record can't be used. Its instance or VM is then
@@ -202,7 +206,7 @@
 	return now.Add(removalDeferralTime)
 }
 
-// Apply applies changes, which must be in the order of their revisions.
+// Apply applies changes, which must be in the order of their positions.
 func (v *Inventory) Apply(now time.Time, changes []Change) []Effect {
 	isMassRemoval := v.massRemovals(changes)
 	var effects []Effect
@@ -220,17 +224,17 @@
 	return effects
 }
 
-// Reset applies the whole state as of a revision. Records that it lacks are removed,
-// unless they are newer than the revision.
-func (v *Inventory) Reset(now time.Time, revision uint64, changes []Change) []Effect {
+// Reset applies the whole state as of a position. Records that it lacks are removed,
+// unless they are newer than the position.
+func (v *Inventory) Reset(now time.Time, at history.Position, changes []Change) []Effect {
 	present := make(map[entryKey]bool, len(changes))
 	for i := range changes {
 		present[entryKey{changes[i].Kind, changes[i].ID}] = true
 	}
-	all := changes
+	all := slices.Clone(changes)
 	for key, e := range v.entries {
-		if !present[key] && e.removedAt.IsZero() && e.change.Revision < revision {
-			all = append(all, Change{Kind: key.kind, ID: key.id, Revision: revision, Removed: true})
+		if !present[key] && e.removedAt.IsZero() && e.change.Before(at) {
+			all = append(all, Change{Kind: key.kind, ID: key.id, Position: at, Removed: true})
 		}
 	}
 	return v.Apply(now, all)
@@ -278,7 +282,7 @@
 func (v *Inventory) applyOne(now time.Time, c Change, shouldDefer bool, effects []Effect) []Effect {
 	key := entryKey{c.Kind, c.ID}
 	e := v.entries[key]
-	if e != nil && c.Revision <= e.change.Revision {
+	if e != nil && c.Compare(e.change.Position) <= 0 {
 		return effects
 	}
 	if c.Removed {
@@ -327,7 +331,7 @@
 			// The owners can't write their records again before the store is reachable.
 			e.deferredUntil = now.Add(removalDeferralTime)
 		case !e.deferredUntil.IsZero() && !now.Before(e.deferredUntil):
-			c := Change{Kind: key.kind, ID: key.id, Revision: e.change.Revision, Removed: true}
+			c := Change{Kind: key.kind, ID: key.id, Position: e.change.Position, Removed: true}
 			effects = append(effects, v.remove(now, e, c))
 		case !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedTTL:
 			delete(v.entries, key)
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/history"
 )
 
 var start = time.Unix(1000, 0)
@@ -13,11 +15,11 @@
 func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 
 func registration(id string, revision uint64) Change {
-	return Change{Kind: KindInstance, ID: id, Revision: revision, Instance: &Instance{ID: id, Service: "shop", DataCentre: "a", Slots: 4}}
+	return Change{Kind: KindInstance, ID: id, Position: history.Position{Revision: revision}, Instance: &Instance{ID: id, Service: "shop", DataCentre: "a", Slots: 4}}
 }
 
 func removal(id string, revision uint64) Change {
-	return Change{Kind: KindInstance, ID: id, Revision: revision, Removed: true}
+	return Change{Kind: KindInstance, ID: id, Position: history.Position{Revision: revision}, Removed: true}
 }
 
 func instanceIDs(v *Inventory) string {
@@ -48,15 +50,15 @@
 	v := New()
 	draining := registration("b", 2)
 	draining.Instance.Draining = true
-	v.Apply(at(0), []Change{registration("a", 1), draining, registration("c", 3), {Kind: KindInstance, ID: "c", Revision: 4, Unusable: errors.New("broken")}})
+	v.Apply(at(0), []Change{registration("a", 1), draining, registration("c", 3), {Kind: KindInstance, ID: "c", Position: history.Position{Revision: 4}, Unusable: errors.New("broken")}})
 	if got := instanceIDs(v); got != "a " {
 		t.Errorf("%q", got)
 	}
-	v.Apply(at(1), []Change{{Kind: KindEvacuation, ID: "a", Revision: 5}})
+	v.Apply(at(1), []Change{{Kind: KindEvacuation, ID: "a", Position: history.Position{Revision: 5}}})
 	if got := instanceIDs(v); got != "" {
 		t.Errorf("%q in an evacuated data centre", got)
 	}
-	v.Apply(at(2), []Change{{Kind: KindEvacuation, ID: "a", Revision: 6, Removed: true}})
+	v.Apply(at(2), []Change{{Kind: KindEvacuation, ID: "a", Position: history.Position{Revision: 6}, Removed: true}})
 	if got := instanceIDs(v); got != "a " {
 		t.Errorf("%q after the evacuation", got)
 	}
@@ -114,7 +116,7 @@
 func TestResetRemovesWhatIsMissing(t *testing.T) {
 	v := New()
 	v.Apply(at(0), []Change{registration("a", 1), registration("b", 2)})
-	v.Reset(at(1), 9, []Change{registration("b", 2), registration("c", 8)})
+	v.Reset(at(1), history.Position{Revision: 9}, []Change{registration("b", 2), registration("c", 8)})
 	if got := instanceIDs(v); got != "b c " {
 		t.Errorf("%q", got)
 	}
@@ -124,9 +126,9 @@
 func TestRoutesVersionNeverDecreases(t *testing.T) {
 	v := New()
 	routes := func(version, revision uint64) Change {
-		return Change{Kind: KindRoutes, Revision: revision, Routes: &Routes{Version: version}}
+		return Change{Kind: KindRoutes, Position: history.Position{Revision: revision}, Routes: &Routes{Version: version}}
 	}
-	v.Apply(at(0), []Change{routes(7, 1), routes(5, 2), {Kind: KindRoutes, Revision: 3, Removed: true}, {Kind: KindRoutes, Revision: 4, Unusable: errors.New("x")}})
+	v.Apply(at(0), []Change{routes(7, 1), routes(5, 2), {Kind: KindRoutes, Position: history.Position{Revision: 3}, Removed: true}, {Kind: KindRoutes, Position: history.Position{Revision: 4}, Unusable: errors.New("x")}})
 	if v.Routes().Version != 7 {
 		t.Errorf("version %d", v.Routes().Version)
 	}
@@ -156,13 +158,13 @@
 // its revision has been passed already, so it would be ignored.
 func TestResetKeepsWhatIsNewer(t *testing.T) {
 	v := New()
-	v.Apply(at(0), []Change{{Kind: KindVM, ID: "vm-1", Revision: 5, VM: &VM{ID: "vm-1"}}})
-	v.Reset(at(1), 4, nil)
-	v.Apply(at(2), []Change{{Kind: KindVM, ID: "vm-1", Revision: 5, VM: &VM{ID: "vm-1"}}})
+	v.Apply(at(0), []Change{{Kind: KindVM, ID: "vm-1", Position: history.Position{Revision: 5}, VM: &VM{ID: "vm-1"}}})
+	v.Reset(at(1), history.Position{Revision: 4}, nil)
+	v.Apply(at(2), []Change{{Kind: KindVM, ID: "vm-1", Position: history.Position{Revision: 5}, VM: &VM{ID: "vm-1"}}})
 	if len(v.VMs()) != 1 {
 		t.Fatal("a VM that is newer than the state was removed")
 	}
-	v.Reset(at(3), 6, nil)
+	v.Reset(at(3), history.Position{Revision: 6}, nil)
 	if len(v.VMs()) != 0 {
 		t.Fatal("a VM that the state lacks is still there")
 	}
