Keep what a VM knows when the store comes back from an older copy

With the restored state taken as it is, an instance that drains or has left is used again, one whose process is younger than the copy is known by its predecessor's address, one that the copy lacks counts as gone at once where the VM noticed no outage, and an evacuation in force ends.

A process's record is now ordered by its start and its count of reports, which the adapter decodes; an older one of a restored store is set aside until its owner writes again, at most 10 s, since a record that stays longer is kept alive by an owner that agrees with it. Removals that follow from a restore are deferred like those after an outage; an evacuation that the copy lacks holds for 5 s. One that had ended is set aside for 2 s, told by the revision at which it was ordered. Event 2319 names each record that is set aside.

--- a/entry/state.go
+++ b/entry/state.go
@@ -112,6 +112,9 @@
 	for i := range effects {
 		e := &effects[i]
 		n.logEffect(e)
+		if e.Doubted {
+			continue
+		}
 		switch e.Change.Kind {
 		case inventory.KindVM:
 			vms = true
@@ -165,6 +168,8 @@
 	}
 	ev := event.InstanceChanged
 	switch {
+	case e.Doubted:
+		ev = event.RecordDoubted
 	case e.Deferred:
 		ev = event.RemovalDeferred
 	case e.Stale:
--- a/event/feed.go
+++ b/event/feed.go
@@ -16,13 +16,14 @@
 
 	InstanceChanged = define(2310, slog.LevelInfo, "instance changed", "")
 	InstanceGone    = define(2311, slog.LevelInfo, "instance gone", "")
-	RemovalDeferred = define(2312, slog.LevelInfo, "removal deferred because the store was unreachable", "")
+	RemovalDeferred = define(2312, slog.LevelInfo, "removal deferred because the store was unreachable or restored", "")
 	VMChanged       = define(2313, slog.LevelInfo, "entry VM changed", "")
 	VMGone          = define(2314, slog.LevelInfo, "entry VM gone", "")
 	RoutesApplied   = define(2315, slog.LevelInfo, "routes in force", "")
 	RoutesRejected  = define(2316, slog.LevelWarn, "older routes rejected, the present ones stay in force", "")
 	EvacuationSet   = define(2317, slog.LevelInfo, "evacuation of a data centre begins", "")
 	EvacuationEnded = define(2318, slog.LevelInfo, "evacuation of a data centre ends", "")
+	RecordDoubted   = define(2319, slog.LevelWarn, "a record of the restored store is older than what this VM knows, and is set aside", "its owner corrects it; if it is still there after some seconds it takes effect")
 
 	AnnounceFailed        = define(2330, slog.LevelWarn, "this VM's record could not be written or renewed", "lookups omit the VM until it is; check the store")
 	Announced             = define(2331, slog.LevelInfo, "this VM's record is written", "")
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -61,6 +61,8 @@
 	// StartMillis is the start time of the process. It distinguishes processes with the
 	// same ID.
 	StartMillis int64
+	// Reports counts the reports of the process. A record with a lower count is older.
+	Reports uint64
 	// ColdUntil is the time at which the record arrived here plus Cold.
 	ColdUntil time.Time
 }
@@ -149,14 +151,23 @@
 	Deferred bool
 	// Stale says that an older version of the routes was ignored.
 	Stale bool
+	// Doubted says that the record of a restored store was set aside, because it is older
+	// than what this VM knows. Change is the record.
+	Doubted bool
 }
 
 // entry is a record with its state.
 type entry struct {
 	change Change
+	// presentAt is the position at which the record was last written.
+	presentAt history.Position
 	// deferredUntil is when a deferred removal takes effect, or zero.
 	deferredUntil time.Time
 	removedAt     time.Time
+	// doubted is a record of a restored store that was set aside, or nil. It takes effect
+	// at doubtedUntil unless the record is written or removed before.
+	doubted      *Change
+	doubtedUntil time.Time
 }
 
 type entryKey struct {
@@ -175,6 +186,9 @@
 	// last answered again after an outage.
 	isStoreUnreachable bool
 	reachableSince     time.Time
+	// epoch is that of the last Reset. restoredAt is when a later epoch was first seen.
+	epoch      uint64
+	restoredAt time.Time
 }
 
 // New returns an empty inventory.
@@ -196,12 +210,20 @@
 
 // shouldDeferRemovals reports whether removals may be a consequence of a store outage.
 func (v *Inventory) shouldDeferRemovals(now time.Time) bool {
-	return v.isStoreUnreachable || (!v.reachableSince.IsZero() && now.Sub(v.reachableSince) < removalDeferralTime)
+	return v.isStoreUnreachable || now.Sub(v.recoveredAt()) < removalDeferralTime
+}
+
+// recoveredAt returns when the store was last reachable again, or seen to be restored.
+func (v *Inventory) recoveredAt() time.Time {
+	if v.restoredAt.After(v.reachableSince) {
+		return v.restoredAt
+	}
+	return v.reachableSince
 }
 
 func (v *Inventory) deferralEnd(now time.Time) time.Time {
-	if !v.isStoreUnreachable && now.Sub(v.reachableSince) < removalDeferralTime {
-		return v.reachableSince.Add(removalDeferralTime)
+	if recoveredAt := v.recoveredAt(); !v.isStoreUnreachable && now.Sub(recoveredAt) < removalDeferralTime {
+		return recoveredAt.Add(removalDeferralTime)
 	}
 	return now.Add(removalDeferralTime)
 }
@@ -225,8 +247,10 @@
 }
 
 // Reset applies the whole state as of a position. Records that it lacks are removed,
-// unless they are newer than the position.
+// unless they are newer than the position. The state of a later epoch is that of an older
+// copy, see setAside.
 func (v *Inventory) Reset(now time.Time, at history.Position, changes []Change) []Effect {
+	effects, changes := v.beginEpoch(now, at.Epoch, changes)
 	present := make(map[entryKey]bool, len(changes))
 	for i := range changes {
 		present[entryKey{changes[i].Kind, changes[i].ID}] = true
@@ -237,7 +261,7 @@
 			all = append(all, Change{Kind: key.kind, ID: key.id, Position: at, Removed: true})
 		}
 	}
-	return v.Apply(now, all)
+	return append(effects, v.Apply(now, all)...)
 }
 
 // massRemovals returns the kinds of which most records are removed at once.
@@ -286,14 +310,24 @@
 		return effects
 	}
 	if c.Removed {
-		if e == nil || !e.removedAt.IsZero() {
+		if e == nil {
 			return effects
 		}
-		if shouldDefer && c.Kind != KindEvacuation && !isDraining(&e.change) {
+		if !e.removedAt.IsZero() {
+			e.doubted = nil
+			return effects
+		}
+		e.doubted = nil
+		deferredUntil := v.deferralEnd(now)
+		if c.Kind == KindEvacuation {
+			shouldDefer = e.presentAt.Epoch < c.Epoch && now.Sub(v.restoredAt) < evacuationHoldTime
+			deferredUntil = v.restoredAt.Add(evacuationHoldTime)
+		}
+		if shouldDefer && !isDraining(&e.change) {
 			if e.deferredUntil.IsZero() {
 				effects = append(effects, Effect{Change: c, Deferred: true})
 			}
-			e.deferredUntil = v.deferralEnd(now)
+			e.deferredUntil = deferredUntil
 			v.pending[key] = e
 			return effects
 		}
@@ -306,7 +340,7 @@
 	if c.Instance != nil && c.Instance.Cold > 0 {
 		c.Instance.ColdUntil = now.Add(c.Instance.Cold)
 	}
-	e.change, e.deferredUntil, e.removedAt = c, time.Time{}, time.Time{}
+	*e = entry{change: c, presentAt: c.Position}
 	delete(v.pending, key)
 	return append(effects, Effect{Change: c})
 }
@@ -327,13 +361,15 @@
 	var effects []Effect
 	for key, e := range v.pending {
 		switch {
+		case e.doubted != nil && !now.Before(e.doubtedUntil):
+			effects = v.believe(now, e, effects)
 		case !e.deferredUntil.IsZero() && v.isStoreUnreachable:
 			// The owners can't write their records again before the store is reachable.
 			e.deferredUntil = now.Add(removalDeferralTime)
 		case !e.deferredUntil.IsZero() && !now.Before(e.deferredUntil):
 			c := Change{Kind: key.kind, ID: key.id, Position: e.change.Position, Removed: true}
 			effects = append(effects, v.remove(now, e, c))
-		case !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedTTL:
+		case !e.removedAt.IsZero() && e.doubted == nil && now.Sub(e.removedAt) > removedTTL:
 			delete(v.entries, key)
 			delete(v.pending, key)
 		}
