Bind leases to the epoch in which they were granted

After a restore the store gives lease numbers out again. A VM that renewed its old number kept another VM's lease alive and its own record without one, wrote its record under that lease, and removed the other VM's record when it stopped.

A lease is now the number and the epoch. One of an earlier epoch is dropped, an answer in another epoch than the grant's makes the VM take a new lease, and records are removed by their keys, never by a lease.

TestLeaseNumbersThatAreGivenOutAgain fails without the comparison of the answers' epochs, TestLeaseOfEarlierEpochIsNotRenewed without that of the known one. TestVMRecordsAfterRestore passes before as well: its numbers differ.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/currantferry/currantferry/event"
-	"github.com/currantferry/currantferry/store"
 )
 
 const (
@@ -29,7 +27,7 @@
 
 // announceLoop keeps this VM's record in the store up to date while the VM is ready.
 func (n *Node) announceLoop() {
-	var lease store.LeaseID
+	record := leasedRecord{registry: n.platform.Registry, key: vmPrefix + n.self.ID}
 	failures := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -43,26 +41,26 @@
 		case <-timer.C:
 		}
 		if n.leaving.Load() {
-			n.withdraw(lease)
+			n.withdraw(&record)
 			return
 		}
 		if !n.ready.Load() && !n.announcesEarly.Load() {
 			continue
 		}
-		next, err := n.announceOnce(lease, rewrite)
+		before := record.lease
+		err := n.announceOnce(&record, rewrite)
 		delay := time.Duration(renewFraction * float64(n.leaseTTL()))
 		switch {
 		case err != nil:
 			if failures == 0 {
-				event.AnnounceFailed.Log(n.log, "lease", string(lease), "error", err)
+				event.AnnounceFailed.Log(n.log, "lease", string(before.ID), "error", err)
 			}
 			failures++
 			delay = retryBackoff(failures)
-		case failures > 0 || next != lease:
-			event.Announced.Log(n.log, "lease", string(next))
+		case failures > 0 || record.lease != before:
+			event.Announced.Log(n.log, "lease", string(record.lease.ID), "epoch", record.lease.Epoch)
 			failures = 0
 		}
-		lease = next
 		timer.Reset(delay)
 	}
 }
@@ -80,52 +78,40 @@
 	return min(backoff, maxAnnounceBackoff)
 }
 
-// announceOnce renews the lease, or takes a new one and writes the record. If rewrite is
-// set, it writes the record also under a lease that may still be valid, since the record
-// was removed or is outdated.
-func (n *Node) announceOnce(lease store.LeaseID, rewrite bool) (store.LeaseID, error) {
+// announceOnce renews this VM's record, or writes it.
+func (n *Node) announceOnce(record *leasedRecord, rewrite bool) error {
 	ctx, cancel := context.WithTimeout(n.ctx, announceTimeout)
 	defer cancel()
-	registry := n.platform.Registry
-	if lease != "" && !rewrite {
-		err := registry.RenewLease(ctx, lease)
-		if !errors.Is(err, store.ErrLeaseLost) {
-			return lease, err
-		}
-		lease = ""
-	}
-	if lease == "" {
-		var err error
-		if lease, err = registry.GrantLease(ctx, n.self.ID, n.leaseTTL()); err != nil {
-			return "", err
-		}
-	}
-	record := n.self
-	record.Starting = !n.ready.Load()
-	value, err := json.Marshal(&record)
+	vm := n.self
+	vm.Starting = !n.ready.Load()
+	value, err := json.Marshal(&vm)
 	if err != nil {
-		return lease, err
+		return err
 	}
-	err = registry.Put(ctx, vmPrefix+n.self.ID, value, lease)
-	if err != nil {
-		// The record may or may not have been written; the next attempt writes it again.
-		return "", err
-	}
-	return lease, nil
+	record.ttl = n.leaseTTL()
+	return record.maintain(ctx, n.epoch.Load(), value, rewrite)
 }
 
 // withdraw removes this VM's record, so that lookups no longer return its address.
-func (n *Node) withdraw(lease store.LeaseID) {
-	if lease == "" {
+func (n *Node) withdraw(record *leasedRecord) {
+	if record.lease.ID == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
-	if err := n.platform.Registry.RevokeLease(ctx, lease); err != nil {
-		event.AnnounceFailed.Log(n.log, "lease", string(lease), "error", err)
+	if err := record.remove(ctx); err != nil {
+		event.AnnounceFailed.Log(n.log, "error", err)
 	}
 }
 
+// onRestored is called when the store was restored from an older copy, in which this VM's
+// records may be missing.
+func (n *Node) onRestored() {
+	delay := rand.N(rewriteSpread)
+	n.rewriteAt.Store(time.Now().Add(delay).UnixNano())
+	time.AfterFunc(delay, n.triggerAnnounce)
+}
+
 // announceEarly announces this VM before it is ready: it found no other VM, and the VMs
 // that start after it can follow it instead of all reading the store.
 func (n *Node) announceEarly() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,17 +31,17 @@
 	"github.com/currantferry/currantferry/verdict"
 )
 
-// Registry writes this VM's record to the platform's store. Every method makes one
-// call.
+// Registry writes this VM's records to the platform's store. Every method makes one
+// call. The epochs are those of the store's answers, zero if it does not tell.
 type Registry interface {
 	// GrantLease returns a lease that expires unless it is renewed within ttl.
-	GrantLease(ctx context.Context, name string, ttl time.Duration) (store.LeaseID, error)
+	GrantLease(ctx context.Context, name string, ttl time.Duration) (Lease, error)
 	// RenewLease extends a lease, or returns store.ErrLeaseLost.
-	RenewLease(ctx context.Context, id store.LeaseID) error
-	// RevokeLease ends a lease and removes its keys.
-	RevokeLease(ctx context.Context, id store.LeaseID) error
+	RenewLease(ctx context.Context, id store.LeaseID) (epoch uint64, err error)
 	// Put writes a key that is removed when the lease ends.
-	Put(ctx context.Context, key string, value []byte, id store.LeaseID) error
+	Put(ctx context.Context, key string, value []byte, id store.LeaseID) (epoch uint64, err error)
+	// Delete removes a key. A missing key is no error.
+	Delete(ctx context.Context, key string) error
 }
 
 // CallerLocation is the location of a caller. Empty fields are unknown.
@@ -132,6 +132,10 @@
 	announcesEarly atomic.Bool
 	// digestRound counts the digests sent, so that all peers are reached in rotation.
 	digestRound int
+	// epoch is the latest epoch of the store that this VM knows, rewriteAt the time, in Unix
+	// nanoseconds, from which records of earlier ones are written again.
+	epoch     atomic.Uint64
+	rewriteAt atomic.Int64
 	// announceSignal is signalled when this VM's record must be written or withdrawn.
 	announceSignal chan struct{}
 
--- a/entry/refused.go
+++ b/entry/refused.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/event"
-	"github.com/currantferry/currantferry/store"
 )
 
 // refusedPrefix is the key prefix of the records of requests that are refused because
@@ -33,7 +33,7 @@
 
 // recordRefusals keeps the records of the requests that this VM refuses up to date.
 func (n *Node) recordRefusals() {
-	written := make(map[crashguard.Fingerprint]store.LeaseID)
+	written := make(map[crashguard.Fingerprint]*leasedRecord)
 	failures := 0
 	timer := time.NewTimer(refusalRecordInterval)
 	defer timer.Stop()
@@ -44,6 +44,13 @@
 		case now := <-timer.C:
 			delay := refusalRecordDelay + rand.N(refusalRecordJitter)
 			due, cleared := n.selector.pendingRefusals(now, delay, written)
+			if now.UnixNano() >= n.rewriteAt.Load() {
+				for f, record := range written {
+					if record.isOutdated(n.epoch.Load()) && !slices.Contains(cleared, f) {
+						due = append(due, f)
+					}
+				}
+			}
 			wait := refusalRecordInterval
 			if err := n.writeRefusals(due, cleared, written); err != nil {
 				if failures++; failures == 1 {
@@ -58,27 +65,26 @@
 	}
 }
 
-// writeRefusals writes the records that are due, and revokes those of requests that
+// writeRefusals writes the records that are due, and removes those of requests that
 // have succeeded since.
-func (n *Node) writeRefusals(due, cleared []crashguard.Fingerprint, written map[crashguard.Fingerprint]store.LeaseID) error {
+func (n *Node) writeRefusals(due, cleared []crashguard.Fingerprint, written map[crashguard.Fingerprint]*leasedRecord) error {
 	ctx, cancel := context.WithTimeout(n.ctx, announceTimeout)
 	defer cancel()
-	registry := n.platform.Registry
 	for _, f := range cleared {
-		if err := registry.RevokeLease(ctx, written[f]); err != nil && !errors.Is(err, store.ErrLeaseLost) {
-			return errors.Wrap(err, "revoke lease of refusal record")
+		if err := written[f].remove(ctx); err != nil {
+			return errors.Wrap(err, "remove refusal record")
 		}
 		delete(written, f)
 	}
 	for _, f := range due {
-		lease, err := registry.GrantLease(ctx, refusedPrefix+f.String(), refusalTTL)
-		if err != nil {
-			return errors.Wrap(err, "grant lease of refusal record")
+		record := written[f]
+		if record == nil {
+			record = &leasedRecord{registry: n.platform.Registry, key: refusedPrefix + f.String(), ttl: refusalTTL}
 		}
-		if err := registry.Put(ctx, refusedPrefix+f.String(), []byte(n.self.ID), lease); err != nil {
+		if err := record.maintain(ctx, n.epoch.Load(), []byte(n.self.ID), true); err != nil {
 			return errors.Wrap(err, "write refusal record")
 		}
-		written[f] = lease
+		written[f] = record
 	}
 	return nil
 }
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -16,7 +16,6 @@
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/placement"
 	"github.com/currantferry/currantferry/proxy"
-	"github.com/currantferry/currantferry/store"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -196,7 +195,7 @@
 
 // pendingRefusals returns the requests that are to be recorded as refused, and those in
 // written that are no longer refused.
-func (s *selector) pendingRefusals(now time.Time, delay time.Duration, written map[crashguard.Fingerprint]store.LeaseID) (due, cleared []crashguard.Fingerprint) {
+func (s *selector) pendingRefusals(now time.Time, delay time.Duration, written map[crashguard.Fingerprint]*leasedRecord) (due, cleared []crashguard.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for f := range written {
--- a/entry/state.go
+++ b/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -77,7 +78,15 @@
 	changes := n.decodeAll(at.Epoch, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.applyEffects(now, n.inv.Reset(now, at, changes))
+	effects := n.inv.Reset(now, at, changes)
+	if before := n.epoch.Swap(at.Epoch); before != 0 && before != at.Epoch {
+		// The record of this VM is written again with those of the others.
+		effects = slices.DeleteFunc(effects, func(e inventory.Effect) bool {
+			return e.Change.Kind == inventory.KindVM && e.Change.ID == n.self.ID
+		})
+		n.onRestored()
+	}
+	n.applyEffects(now, effects)
 	n.pause.markRefreshed()
 }
 
