--- a/entry/record_test.go
+++ b/entry/record_test.go
@@ -23,7 +23,7 @@
 	records map[string]Lease
 	leases  map[store.LeaseID]string
 	// grants holds the owner of each lease that was ever granted.
-	grants map[Lease]string
+	grants   map[Lease]string
 	renewals int
 	// restoreBefore is called before each call.
 	restoreBefore func()
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -109,8 +109,8 @@
 	// listedAt is the position at which the records of the relays were read, or zero. An
 	// older state of a relay is rejected, because it could lack some of these records. The
 	// store may list an old state as that of the present epoch.
-	listedAt history.Position
-	avoidUntil     map[string]time.Time
+	listedAt   history.Position
+	avoidUntil map[string]time.Time
 	// source is the address of the relay that answered last, or storeName.
 	source string
 	// reloaded is set when the last answer was the whole state although a state was
