--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -83,6 +83,10 @@
 		file: "quotalease/holding.go", old: "h.batches[0].tokens--", with: "h.batches[0].tokens -= 0",
 		kinds: []faultKind{nameLimits}, noticed: "though it had named a limit",
 	},
+	"restores of the store are not noticed": {
+		file: "platform/store.go", old: `res.Header.Get(headerEpoch); text != ""`, with: `res.Header.Get(headerEpoch); text == "-"`,
+		kinds: []faultKind{restoreStore, reloadVM, reloadVM, reloadVM}, noticed: "although it was written",
+	},
 	"retries have no budget": {
 		file: "budget/retry.go", old: "if s.tokens < 1-roundingTolerance || c.tokens < 1-roundingTolerance {", with: "if false {",
 		kinds: []faultKind{overloadInstances}, noticed: "were sent to instances for",
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -77,6 +77,7 @@
 	askToWait
 	crashInstances
 	nameLimits
+	restoreStore
 	numFaultKinds
 )
 
@@ -161,6 +162,8 @@
 		w.leaveInAnswers()
 	case askToWait:
 		w.askToWait(u)
+	case restoreStore:
+		w.restoreStore()
 	case nameLimits:
 		w.nameLimit(u)
 	case crashInstances:
@@ -265,15 +268,16 @@
 	w.addInstance(count)
 	if !drain {
 		i.Close()
-		w.store.Unregister(i.Instance)
+		w.unregister(i)
 		return
 	}
 	w.register(i, "draining")
-	time.AfterFunc(drainingTime, func() { w.store.Unregister(i.Instance) })
+	time.AfterFunc(drainingTime, func() { w.unregister(i) })
 }
 
 // clearFaults ends all faults and waits until no VM is stopping or paused.
 func (w *world) clearFaults() {
+	w.restores.Wait()
 	w.setStoreFault(standin.StoreFault{})
 	for _, v := range w.vms {
 		w.setStorePathMode(v, testkit.Pass)
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -34,7 +34,7 @@
 		return b
 	})
 	time.AfterFunc(drainingTime, func() {
-		w.store.Unregister(i.Instance)
+		w.unregister(i)
 		i.Close()
 	})
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -125,6 +125,8 @@
 	restarting bool
 	// limit is the limit that it named, or the zero value.
 	limit namedLimit
+	// recordState is the state in its record, empty if it has none.
+	recordState string
 }
 
 // evacuation is a period in which a data centre is evacuated. A zero end means that it
@@ -165,7 +167,10 @@
 	evacuations   []evacuation
 	restarts      int
 	isStoreFaulty bool
-	started       time.Time
+	// isRestoring says that a restore of the store is in progress; restores waits for it.
+	isRestoring bool
+	restores    sync.WaitGroup
+	started     time.Time
 	// served counts the answers with status 200, by VM.
 	served map[int]int
 }
@@ -243,9 +248,19 @@
 }
 
 func (w *world) register(u *upstream, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u.recordState = state
 	w.store.RegisterAt(u.Instance, u.relay.Address(), "shop", u.zone, state)
 }
 
+func (w *world) unregister(u *upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u.recordState = ""
+	w.store.Unregister(u.Instance)
+}
+
 // shedAll makes an instance refuse every request without running it.
 func shedAll(string) standin.Behaviour { return standin.Behaviour{Shed: true} }
 
