Log when a VM reaches no instance, and when it does again

A VM that lost its links to all instances left thousands of debug lines about single requests and none about itself. The upstream client reports attempts, connections, answers and failures to an observer; package transit decides from them, without I/O, whether the VM can reach instances, and names instances to probe when it may not. Events 2361 and 2362, gauge isolated. Nothing else depends on it yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,6 +117,7 @@
 	pause    *pauseGuard
 	router   *router
 	selector *selector
+	reach    *reachMonitor
 	self     inventory.VM
 
 	budgetMu sync.Mutex
@@ -171,11 +172,13 @@
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: rand.Float64,
 	}, n.log, n.metrics.Scope())
+	n.reach = newReachMonitor(n.log, n.metrics.Scope())
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
 		MaxConcurrent: maxConcurrentRequests, MaxConnections: maxConnectionsPerInstance, MaxBufferBytes: maxBufferedBodyBytes, DeadlineGrace: deadlineGrace,
-		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{},
+		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach},
 	})
+	n.reach.open = n.proxy.Client().Open
 	n.follower = feed.New(feed.Options{
 		Store: o.Platform.Source, Sink: n, Lister: o.Platform.Source, RelayPrefix: vmPrefix, Log: n.log,
 		Relays:        func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
--- /dev/null
+++ b/entry/reach.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/transit"
+	"github.com/currantferry/currantferry/upstream"
+)
+
+// reachMonitor observes whether this VM can reach instances, and probes them when it may
+// not. It is safe for concurrent use.
+type reachMonitor struct {
+	log   *slog.Logger
+	gauge tally.Gauge
+	// open opens a connection to an instance and keeps it for a request.
+	open func(ctx context.Context, address string) error
+
+	mu        sync.Mutex
+	reach     *transit.Reach
+	instances []string
+}
+
+var _ upstream.Observer = (*reachMonitor)(nil)
+
+func newReachMonitor(log *slog.Logger, scope tally.Scope) *reachMonitor {
+	return &reachMonitor{log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64})}
+}
+
+// update applies a change to the tracker and logs a change of its state.
+func (m *reachMonitor) update(change func(now time.Time)) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, since := m.reach.State()
+	change(now)
+	after, _ := m.reach.State()
+	if after == before {
+		return
+	}
+	switch after {
+	case transit.Isolated:
+		m.gauge.Update(1)
+		event.InstancesUnreachable.Log(m.log, "instances", len(m.instances))
+	case transit.Returning:
+		m.gauge.Update(0)
+		event.InstancesReachable.Log(m.log, "isolated_ms", now.Sub(since).Milliseconds())
+	}
+}
+
+// setInstances replaces the addresses of the instances.
+func (m *reachMonitor) setInstances(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances = addresses
+}
+
+// Attempt implements upstream.Observer.
+func (m *reachMonitor) Attempt(string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reach.RecordAttempt(time.Now())
+}
+
+// Connected implements upstream.Observer.
+func (m *reachMonitor) Connected(address string) {
+	m.update(func(now time.Time) { m.reach.RecordConnected(now, address) })
+}
+
+// Answered implements upstream.Observer.
+func (m *reachMonitor) Answered(string) {
+	m.update(func(now time.Time) { m.reach.RecordAnswer(now) })
+}
+
+// Failed implements upstream.Observer.
+func (m *reachMonitor) Failed(address string) {
+	m.update(func(now time.Time) { m.reach.RecordFailure(now, address) })
+}
+
+// tick advances the tracker, and probes the instances that it names.
+func (m *reachMonitor) tick(ctx context.Context, group *conc.WaitGroup) {
+	var targets []string
+	m.update(func(now time.Time) { targets = m.reach.Tick(now, m.instances) })
+	for _, address := range targets {
+		group.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
+			defer cancel()
+			err := m.open(bounded, address)
+			m.update(func(now time.Time) { m.reach.RecordProbe(now, address, err == nil) })
+		})
+	}
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -107,6 +107,7 @@
 	n.mu.Lock()
 	n.applyEffects(now, n.inv.Tick(now))
 	n.mu.Unlock()
+	n.reach.tick(n.ctx, &n.group)
 	n.selector.tick(now)
 	n.tickQuota(now)
 }
@@ -157,6 +158,9 @@
 	if vms {
 		n.setVMs(now)
 	}
+	if all || len(changed) > 0 {
+		n.reach.setInstances(n.instanceAddresses())
+	}
 	switch {
 	case all:
 		n.selector.setInstances(now, n.placementInstances())
@@ -253,6 +257,17 @@
 	return out
 }
 
+// instanceAddresses returns the addresses of the instances that accept new requests. The
+// lock is held.
+func (n *Node) instanceAddresses() []string {
+	list := n.inv.Instances()
+	out := make([]string, 0, len(list))
+	for k := range list {
+		out = append(out, list[k].Address)
+	}
+	return out
+}
+
 // toPlacement converts an instance for the placement. The lock is held.
 func (n *Node) toPlacement(i *inventory.Instance) placement.Instance {
 	p := placement.Instance{
--- a/event/feed.go
+++ b/event/feed.go
@@ -44,6 +44,8 @@
 	LimitUsage            = define(2355, slog.LevelInfo, "requests for a limited instance since the last event of this kind", "many unmet ones mean that its limit is below the demand")
 	CoordinatorChanged    = define(2356, slog.LevelWarn, "the VM that coordinates the limits of a region's instances does not answer, or answers again", "the standby leases less; check that VM and the links to it")
 	QuotaFailed           = define(2357, slog.LevelWarn, "a message about limits could not be sent or received", "the VM sends limited instances nothing until the next one")
+	InstancesUnreachable  = define(2361, slog.LevelWarn, "this VM can't reach any instance", "check the links of the VM if other VMs don't report it, and the instances if all do")
+	InstancesReachable    = define(2362, slog.LevelInfo, "this VM reaches instances again", "")
 	SettingsRead          = define(2350, slog.LevelInfo, "settings read again", "")
 	LinesDropped          = define(2360, slog.LevelWarn, "log lines dropped since the last event of this kind", "raise the limit or find the source of the lines")
 )
--- /dev/null
+++ b/transit/reach.go
@@ -0,0 +1,271 @@
+// Package transit decides whether a VM can reach the upstream instances, and through which
+// other VM it passes requests on while it cannot. All instances failing at once says
+// something about this VM's links, not about the instances.
+//
+// The package has no I/O, goroutines, clock or random source. It is not safe for
+// concurrent use.
+package transit
+
+import (
+	"slices"
+	"time"
+)
+
+// State is whether a VM can reach instances.
+type State uint8
+
+const (
+	// Reachable means that instances answer, or that nothing suggests otherwise.
+	Reachable State = iota
+	// Suspected means that no instance has answered since a failure or for a while.
+	Suspected
+	// Isolated means that no instance can be reached.
+	Isolated
+	// Returning means that instances answer again and requests return to them gradually.
+	Returning
+)
+
+func (s State) String() string {
+	return [...]string{"reachable", "suspected", "isolated", "returning"}[s]
+}
+
+const (
+	// DefaultSilence is how long no instance may answer, while an answer or a connection is
+	// awaited, until connections are probed. It exceeds the round trip between regions
+	// several times; slow work alone makes a VM with little traffic probe.
+	DefaultSilence = 400 * time.Millisecond
+	// DefaultProbeTimeout bounds a probe: two round trips between regions.
+	DefaultProbeTimeout = 250 * time.Millisecond
+	// DefaultProbeInterval is the time between two probes of an isolated VM.
+	DefaultProbeInterval = 400 * time.Millisecond
+	// DefaultRamp is the time over which requests return to the instances, and DefaultMaxRamp
+	// that of a VM that was isolated again soon after its return.
+	DefaultRamp    = time.Second
+	DefaultMaxRamp = 8 * time.Second
+	// flapWindow is the time after a return within which a new isolation counts as a flap.
+	flapWindow = 10 * time.Second
+	// failureTTL is how long the failure of an instance counts. minFailed is the number of
+	// instances that must fail before connections are probed.
+	failureTTL = 2 * time.Second
+	minFailed  = 2
+	// maxTargets bounds the instances that are probed at once. A VM is isolated only if as
+	// many fail, or all that there are.
+	maxTargets = 3
+	// numReturnContacts is the number of instances to which an isolated VM must connect.
+	numReturnContacts = 2
+)
+
+// Config configures a Reach. Zero values select the defaults.
+type Config struct {
+	Silence, ProbeTimeout, ProbeInterval, Ramp, MaxRamp time.Duration
+	// Random returns random numbers in [0, 1). Default 0.5.
+	Random func() float64
+}
+
+func (c *Config) setDefaults() {
+	for _, d := range []struct {
+		value        *time.Duration
+		defaultValue time.Duration
+	}{
+		{&c.Silence, DefaultSilence},
+		{&c.ProbeTimeout, DefaultProbeTimeout},
+		{&c.ProbeInterval, DefaultProbeInterval},
+		{&c.Ramp, DefaultRamp},
+		{&c.MaxRamp, DefaultMaxRamp},
+	} {
+		if *d.value <= 0 {
+			*d.value = d.defaultValue
+		}
+	}
+	if c.Random == nil {
+		c.Random = func() float64 { return 0.5 }
+	}
+}
+
+// Reach observes whether a VM can reach instances, which are known by their addresses.
+// Connections may live on while new ones are refused, so only a new connection proves that
+// instances can be reached.
+type Reach struct {
+	cfg     Config
+	state   State
+	stateAt time.Time
+	// awaitingSince is when the first request or connection attempt since the last sign of
+	// life began, or zero. numAwaiting counts them.
+	awaitingSince time.Time
+	numAwaiting   int
+	// failedAt holds when instances failed since a connection was opened last.
+	failedAt map[string]time.Time
+	// connected holds the instances that accepted a connection since the VM was isolated.
+	connected map[string]bool
+	// numProbing is the number of probes in progress, and probedAt when they began.
+	numProbing int
+	probedAt   time.Time
+	// numInstances is the number of known instances.
+	numInstances int
+	ramp         time.Duration
+	returnedAt   time.Time
+}
+
+// NewReach returns a Reach in state Reachable.
+func NewReach(cfg Config) *Reach {
+	cfg.setDefaults()
+	return &Reach{cfg: cfg, failedAt: make(map[string]time.Time), connected: make(map[string]bool), ramp: cfg.Ramp}
+}
+
+// State returns the present state, and since when it lasts.
+func (r *Reach) State() (State, time.Time) { return r.state, r.stateAt }
+
+// ProbeTimeout returns the bound of a probe.
+func (r *Reach) ProbeTimeout() time.Duration { return r.cfg.ProbeTimeout }
+
+func (r *Reach) setState(now time.Time, s State) { r.state, r.stateAt = s, now }
+
+// RecordAttempt records that a request is written to an instance, or a connection to it
+// is opened.
+func (r *Reach) RecordAttempt(now time.Time) {
+	if r.numAwaiting++; r.awaitingSince.IsZero() {
+		r.awaitingSince = now
+	}
+}
+
+// RecordAnswer records bytes from an instance.
+func (r *Reach) RecordAnswer(now time.Time) {
+	r.awaitingSince, r.numAwaiting = time.Time{}, 0
+	if r.state == Suspected && len(r.failedAt) == 0 {
+		r.setState(now, Reachable)
+	}
+}
+
+// RecordConnected records that an instance accepted a new connection.
+func (r *Reach) RecordConnected(now time.Time, instance string) {
+	r.awaitingSince, r.numAwaiting = time.Time{}, 0
+	clear(r.failedAt)
+	switch r.state {
+	case Suspected:
+		r.setState(now, Reachable)
+	case Isolated:
+		if r.connected[instance] = true; len(r.connected) >= min(numReturnContacts, r.numInstances) {
+			r.setState(now, Returning)
+			r.returnedAt = now
+		}
+	}
+}
+
+// RecordFailure records that a connection to an instance could not be opened or was lost.
+// A single instance that fails is no reason to doubt the VM's links.
+func (r *Reach) RecordFailure(now time.Time, instance string) {
+	delete(r.connected, instance)
+	for id, at := range r.failedAt {
+		if now.Sub(at) > failureTTL {
+			delete(r.failedAt, id)
+		}
+	}
+	r.failedAt[instance] = now
+	if (r.state == Reachable || r.state == Returning) && len(r.failedAt) >= min(minFailed, max(r.numInstances, 1)) {
+		r.suspect(now)
+	}
+}
+
+func (r *Reach) suspect(now time.Time) {
+	r.setState(now, Suspected)
+	r.probedAt = time.Time{}
+}
+
+// RecordProbe records the end of a probe.
+func (r *Reach) RecordProbe(now time.Time, instance string, ok bool) {
+	r.numProbing--
+	if ok {
+		r.RecordConnected(now, instance)
+		return
+	}
+	r.RecordFailure(now, instance)
+	if r.state == Suspected && r.numProbing == 0 && len(r.failedAt) >= min(maxTargets, r.numInstances) {
+		r.isolate(now)
+	}
+}
+
+func (r *Reach) isolate(now time.Time) {
+	if !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < flapWindow {
+		r.ramp = min(2*r.ramp, r.cfg.MaxRamp)
+	} else {
+		r.ramp = r.cfg.Ramp
+	}
+	r.setState(now, Isolated)
+	clear(r.connected)
+}
+
+// Tick advances the state, and returns the instances to probe now. RecordProbe must be
+// called for each.
+func (r *Reach) Tick(now time.Time, instances []string) (targets []string) {
+	r.numInstances = len(instances)
+	switch r.state {
+	case Reachable:
+		if r.awaitingSince.IsZero() || now.Sub(r.awaitingSince) < r.cfg.Silence {
+			return nil
+		}
+		r.suspect(now)
+	case Returning:
+		if now.Sub(r.stateAt) >= r.ramp {
+			r.setState(now, Reachable)
+		}
+		return nil
+	}
+	if r.numProbing > 0 || len(instances) == 0 || (!r.probedAt.IsZero() && now.Sub(r.probedAt) < r.probeInterval()) {
+		return nil
+	}
+	count := maxTargets
+	switch {
+	case r.state == Isolated:
+		count = numReturnContacts
+	case len(r.failedAt) == 0 && r.numAwaiting < maxTargets:
+		// Nothing but the silence of a few requests raised the suspicion.
+		count = 1
+	}
+	targets = r.drawTargets(instances, count)
+	r.numProbing, r.probedAt = len(targets), now
+	return targets
+}
+
+// probeInterval returns the time between two rounds of probes.
+func (r *Reach) probeInterval() time.Duration {
+	if r.state == Suspected {
+		return r.cfg.ProbeTimeout / 5
+	}
+	// VMs that were isolated together don't return together.
+	return time.Duration((0.75 + r.cfg.Random()/2) * float64(r.cfg.ProbeInterval))
+}
+
+// drawTargets draws instances to probe, those that have not failed yet first.
+func (r *Reach) drawTargets(instances []string, count int) []string {
+	shuffled := slices.Clone(instances)
+	for k := range shuffled {
+		other := k + int(r.cfg.Random()*float64(len(shuffled)-k))
+		shuffled[k], shuffled[other] = shuffled[other], shuffled[k]
+	}
+	if r.state == Suspected {
+		slices.SortStableFunc(shuffled, func(a, b string) int {
+			switch {
+			case r.failedAt[a].IsZero() == r.failedAt[b].IsZero():
+				return 0
+			case r.failedAt[a].IsZero():
+				return -1
+			default:
+				return 1
+			}
+		})
+	}
+	return shuffled[:min(count, len(shuffled))]
+}
+
+// PassesOn reports whether the next request is passed on to another VM. While requests
+// return, a falling share of them is.
+func (r *Reach) PassesOn(now time.Time) bool {
+	switch r.state {
+	case Isolated:
+		return true
+	case Returning:
+		return r.cfg.Random() >= float64(now.Sub(r.stateAt))/float64(r.ramp)
+	default:
+		return false
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -92,6 +92,9 @@
 // answer ends, a cancelled context closes the connection.
 func (n *conn) exchange(ctx context.Context, x *Exchange) (*http.Response, error) {
 	e := &exchangeState{n: n, x: x}
+	if o := n.client.options.Observer; o != nil {
+		o.Attempt(n.address)
+	}
 	e.stopAbort = context.AfterFunc(ctx, n.abort)
 	length := x.Request.ContentLength
 	if length >= 0 && length <= maxInlineBytes {
@@ -108,6 +111,9 @@
 	}
 	res, err := e.readHeader()
 	if err != nil {
+		if o := n.client.options.Observer; o != nil && !e.answered && ctx.Err() == nil {
+			o.Failed(n.address)
+		}
 		return nil, e.fail(err)
 	}
 	res.Body = &answerBody{body: res.Body, e: e, res: res}
@@ -165,6 +171,9 @@
 		if _, err := n.reader.Peek(1); err != nil {
 			return nil, err
 		}
+		if o := n.client.options.Observer; o != nil && !e.answered {
+			o.Answered(n.address)
+		}
 		e.answered = true
 		// If setting the deadline fails, the next read fails too.
 		_ = n.raw.SetReadDeadline(time.Now().Add(options.HeaderTimeout))
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -59,6 +59,8 @@
 	// MaxConnections bounds the connections of this client to one instance. Zero means
 	// no bound.
 	MaxConnections int
+	// Observer, if not nil, observes the connections.
+	Observer Observer
 	// Now replaces the clock in tests. Nil means time.Now.
 	Now func() time.Time
 }
@@ -90,6 +92,19 @@
 	}
 }
 
+// Observer observes which instances can be reached. Its methods must not block.
+type Observer interface {
+	// Attempt is called before a connection is opened or a request is written.
+	Attempt(address string)
+	// Connected is called when a connection was opened, and Answered when the first bytes
+	// of an answer arrived.
+	Connected(address string)
+	Answered(address string)
+	// Failed is called when a connection could not be opened, or was lost before an answer.
+	// An exchange that its caller gave up is no failure.
+	Failed(address string)
+}
+
 // Match is the result of matching an answer with a request.
 type Match uint8
 
@@ -215,11 +230,20 @@
 	if !c.reserve(address) {
 		return nil, ErrConnectionLimit
 	}
+	if o := c.options.Observer; o != nil {
+		o.Attempt(address)
+	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		c.release(address)
+		if o := c.options.Observer; o != nil && ctx.Err() == nil {
+			o.Failed(address)
+		}
 		return nil, err
 	}
+	if o := c.options.Observer; o != nil {
+		o.Connected(address)
+	}
 	n := &conn{client: c, address: address, raw: raw, maxIdleTime: c.options.MaxIdleTime}
 	n.reader = bufio.NewReaderSize(&n.input, bufferBytes)
 	n.input.source = raw
