--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,9 @@
 	Platform Platform
 	// Log receives events. Nil disables logging.
 	Log *slog.Logger
+	// Dial, if not nil, opens the connections to instances. Tests use it to cut this VM
+	// off.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 const (
@@ -176,7 +179,7 @@
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
 		MaxConcurrent: maxConcurrentRequests, MaxConnections: maxConnectionsPerInstance, MaxBufferBytes: maxBufferedBodyBytes, DeadlineGrace: deadlineGrace,
-		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach},
+		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial},
 	})
 	n.reach.open = n.proxy.Client().Open
 	n.follower = feed.New(feed.Options{
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -80,8 +80,8 @@
 }
 
 // Failed implements upstream.Observer.
-func (m *reachMonitor) Failed(address string) {
-	m.update(func(now time.Time) { m.reach.RecordFailure(now, address) })
+func (m *reachMonitor) Failed(address string, since time.Time) {
+	m.update(func(now time.Time) { m.reach.RecordFailure(now, since, address) })
 }
 
 // tick advances the tracker, and probes the instances that it names.
--- /dev/null
+++ b/internal/testkit/links.go
@@ -0,0 +1,140 @@
+package testkit
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// CutKind is how Links fail.
+type CutKind int
+
+// Kinds of cuts.
+const (
+	// NoCut passes everything.
+	NoCut CutKind = iota
+	// SilentCut drops the bytes of all connections; new ones hang.
+	SilentCut
+	// ResetCut resets all connections; new ones hang.
+	ResetCut
+	// RefuseCut refuses new connections, while open ones live on.
+	RefuseCut
+	// NumCutKinds is the number of kinds.
+	NumCutKinds
+)
+
+// Links are the links of a process to all addresses that it dials by them. They can be
+// cut. The zero value passes everything. It is safe for concurrent use.
+type Links struct {
+	mu    sync.Mutex
+	kind  CutKind
+	conns map[*linkConn]bool
+	// healed is closed when the present cut ends.
+	healed chan struct{}
+}
+
+// dialTimeout is when Dial gives up, as the dialer that it replaces does.
+const dialTimeout = 500 * time.Millisecond
+
+// Cut cuts the links, or heals them with NoCut. Bytes that were dropped are lost, so their
+// connections are reset at the end of a silent cut.
+func (l *Links) Cut(kind CutKind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.kind
+	l.kind = kind
+	if l.healed != nil {
+		close(l.healed)
+	}
+	l.healed = make(chan struct{})
+	if kind == ResetCut || before == SilentCut {
+		for c := range l.conns {
+			resetOnClose(c.TCPConn)
+			c.TCPConn.Close()
+		}
+	}
+}
+
+func (l *Links) state() (CutKind, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.healed == nil {
+		l.healed = make(chan struct{})
+	}
+	return l.kind, l.healed
+}
+
+// Dial opens a connection to an address.
+func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	for {
+		kind, healed := l.state()
+		if kind == RefuseCut {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		if kind == NoCut {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-healed:
+		}
+	}
+	raw, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := raw.(*net.TCPConn)
+	if !ok {
+		return raw, nil
+	}
+	c := &linkConn{TCPConn: tcp, links: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns = make(map[*linkConn]bool)
+	}
+	l.conns[c] = true
+	return c, nil
+}
+
+// linkConn is a connection over Links.
+type linkConn struct {
+	*net.TCPConn
+	links     *Links
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if kind, healed := c.links.state(); kind == SilentCut {
+		// The bytes are lost; the end of the cut resets the connection.
+		select {
+		case <-healed:
+			return 0, syscall.ECONNRESET
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
+	return n, err
+}
+
+func (c *linkConn) Write(p []byte) (int, error) {
+	if kind, _ := c.links.state(); kind == SilentCut {
+		return len(p), nil
+	}
+	return c.TCPConn.Write(p)
+}
+
+func (c *linkConn) Close() error {
+	c.links.mu.Lock()
+	delete(c.links.conns, c)
+	c.links.mu.Unlock()
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.TCPConn.Close()
+}
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -95,6 +95,8 @@
 	numAwaiting   int
 	// failedAt holds when instances failed since a connection was opened last.
 	failedAt map[string]time.Time
+	// connectedAt is when a connection was opened last.
+	connectedAt time.Time
 	// connected holds the instances that accepted a connection since the VM was isolated.
 	connected map[string]bool
 	// numProbing is the number of probes in progress, and probedAt when they began.
@@ -139,6 +141,7 @@
 // RecordConnected records that an instance accepted a new connection.
 func (r *Reach) RecordConnected(now time.Time, instance string) {
 	r.awaitingSince, r.numAwaiting = time.Time{}, 0
+	r.connectedAt = now
 	clear(r.failedAt)
 	switch r.state {
 	case Suspected:
@@ -151,10 +154,14 @@
 	}
 }
 
-// RecordFailure records that a connection to an instance could not be opened or was lost.
-// A single instance that fails is no reason to doubt the VM's links.
-func (r *Reach) RecordFailure(now time.Time, instance string) {
+// RecordFailure records that a connection to an instance could not be opened or was lost,
+// and since when. A single instance that fails is no reason to doubt the VM's links, nor
+// is a failure that began before a connection was opened.
+func (r *Reach) RecordFailure(now, since time.Time, instance string) {
 	delete(r.connected, instance)
+	if since.Before(r.connectedAt) {
+		return
+	}
 	for id, at := range r.failedAt {
 		if now.Sub(at) > failureTTL {
 			delete(r.failedAt, id)
@@ -178,7 +185,7 @@
 		r.RecordConnected(now, instance)
 		return
 	}
-	r.RecordFailure(now, instance)
+	r.RecordFailure(now, r.probedAt, instance)
 	if r.state == Suspected && r.numProbing == 0 && len(r.failedAt) >= min(maxTargets, r.numInstances) {
 		r.isolate(now)
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,7 +45,7 @@
 // request bytes that the kernel still buffers. Otherwise, after a network cut, they would
 // arrive at the instance long after the caller was informed of the failure.
 func (n *conn) abort() {
-	if tcp, ok := n.raw.(*net.TCPConn); ok {
+	if tcp, ok := n.raw.(interface{ SetLinger(sec int) error }); ok {
 		// An error means that the connection has already ended.
 		_ = tcp.SetLinger(0)
 	}
@@ -91,7 +92,7 @@
 // exchange writes the request and reads the header of its answer. Until the body of the
 // answer ends, a cancelled context closes the connection.
 func (n *conn) exchange(ctx context.Context, x *Exchange) (*http.Response, error) {
-	e := &exchangeState{n: n, x: x}
+	e := &exchangeState{n: n, x: x, began: time.Now()}
 	if o := n.client.options.Observer; o != nil {
 		o.Attempt(n.address)
 	}
@@ -112,7 +113,7 @@
 	res, err := e.readHeader()
 	if err != nil {
 		if o := n.client.options.Observer; o != nil && !e.answered && ctx.Err() == nil {
-			o.Failed(n.address)
+			o.Failed(n.address, e.lostSince(err))
 		}
 		return nil, e.fail(err)
 	}
@@ -124,6 +125,7 @@
 type exchangeState struct {
 	n         *conn
 	x         *Exchange
+	began     time.Time
 	stopAbort func() bool
 	writer    conc.WaitGroup
 
@@ -138,6 +140,15 @@
 	notReusable bool
 }
 
+// lostSince returns the time from which the connection was lost: that of the request if
+// its bytes were not acknowledged, else now.
+func (e *exchangeState) lostSince(err error) time.Time {
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return e.began
+	}
+	return time.Now()
+}
+
 func (e *exchangeState) write() error {
 	w := bufio.NewWriterSize(countingWriter{e}, bufferBytes)
 	if err := e.x.Request.Write(w); err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -59,6 +59,9 @@
 	// MaxConnections bounds the connections of this client to one instance. Zero means
 	// no bound.
 	MaxConnections int
+	// Dial, if not nil, opens the connections instead of a net.Dialer with the timeouts
+	// above. Tests use it to cut this client off.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Observer, if not nil, observes the connections.
 	Observer Observer
 	// Now replaces the clock in tests. Nil means time.Now.
@@ -101,8 +104,9 @@
 	Connected(address string)
 	Answered(address string)
 	// Failed is called when a connection could not be opened, or was lost before an answer.
-	// An exchange that its caller gave up is no failure.
-	Failed(address string)
+	// An exchange that its caller gave up is no failure. since is the time from which the
+	// instance could not be reached, as far as that is known.
+	Failed(address string, since time.Time)
 }
 
 // Match is the result of matching an answer with a request.
@@ -158,7 +162,6 @@
 // Client keeps connections to instances. It is safe for concurrent use.
 type Client struct {
 	options Options
-	dialer  net.Dialer
 
 	mu     sync.Mutex
 	pools  map[string]*pool
@@ -176,14 +179,19 @@
 // New returns a client without connections.
 func New(o Options) *Client {
 	o.setDefaults()
-	return &Client{
-		options: o,
-		pools:   make(map[string]*pool),
-		dialer: net.Dialer{
-			Timeout:         o.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.UnackedTimeout / 3, Interval: o.UnackedTimeout / 3, Count: 2},
-			Control:         userTimeoutControl(o.UnackedTimeout),
-		},
+	if o.Dial == nil {
+		o.Dial = o.newDialer().DialContext
+	}
+	return &Client{options: o, pools: make(map[string]*pool)}
+}
+
+// newDialer returns the dialer for connections to instances. UnackedTimeout also decides
+// when unanswered keep-alive probes end an idle connection, whatever their count.
+func (o *Options) newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         o.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.UnackedTimeout / 3, Interval: o.UnackedTimeout / 3, Count: 2},
+		Control:         userTimeoutControl(o.UnackedTimeout),
 	}
 }
 
@@ -233,11 +241,12 @@
 	if o := c.options.Observer; o != nil {
 		o.Attempt(address)
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	began := time.Now()
+	raw, err := c.options.Dial(ctx, "tcp", address)
 	if err != nil {
 		c.release(address)
 		if o := c.options.Observer; o != nil && ctx.Err() == nil {
-			o.Failed(address)
+			o.Failed(address, began)
 		}
 		return nil, err
 	}
