Pass requests on through VMs that reach the instances

A VM tried one instance after the other and had no other way.

A VM that finds no instance reachable (package transit: two instances fail, or none answers for 0.4 s, and new connections to three more fail) passes requests on to a VM that is not isolated itself, of its region first, by weight. That VM chooses the instance as for its own callers; a request is passed on once. The deadline, the attempts that are left, the instances that were tried and the allowed regions go with it, and its verdict comes back, so that "not run" stays true. Retries are counted at the first VM and taken from the budget of the second. Only addresses of known VMs may pass requests on, and the headers for it are removed from what callers and instances send. VMs tell in digests and refusals that they are isolated. After two instances accept connections again, requests return over one second. Failures while isolated are no evidence against instances. Leaving the lookups instead was ruled out: callers keep their answers for up to three times the TTL.

Digests have a new format, since their flags now say whether the sender is isolated.

--- a/entry/digest.go
+++ b/entry/digest.go
@@ -48,14 +48,15 @@
 	}
 	rounds := (len(v.ranked) + maxDigestPeers - 1) / maxDigestPeers
 	digest, crashes := n.selector.buildDigest(now, max(1, rounds))
+	isIsolated, isReportDue := n.reach.isReportDue(now)
 	for address, reports := range remoteCrashReports(v, crashes) {
-		n.sendDatagram(encodeDigest(sender{n.self.ID, true}, new(placement.Digest), reports), address)
+		n.sendDatagram(encodeDigest(sender{id: n.self.ID, remote: true, isolated: isIsolated}, new(placement.Digest), reports), address)
 	}
 	peers := v.ranked
-	if len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(digest.Leaving)+len(digest.Limits)+len(crashes) == 0 || len(peers) < 2 {
+	if !isReportDue && len(digest.Reports)+len(digest.Shares)+len(digest.Replaced)+len(digest.Leaving)+len(digest.Limits)+len(crashes) == 0 || len(peers) < 2 {
 		return
 	}
-	data := encodeDigest(sender{n.self.ID, false}, &digest, crashes)
+	data := encodeDigest(sender{id: n.self.ID, isolated: isIsolated}, &digest, crashes)
 	n.digestRound++
 	for k := range min(len(peers), maxDigestPeers) {
 		peer := &peers[(k+n.digestRound*maxDigestPeers)%len(peers)]
@@ -130,6 +131,7 @@
 			event.DigestFailed.Log(n.log, "error", err, "bytes", size)
 			continue
 		}
+		n.reach.recordPeer(from.id, from.isolated)
 		n.selector.receiveDigest(time.Now(), from, digest, crashes)
 	}
 }
--- a/entry/digestcodec.go
+++ b/entry/digestcodec.go
@@ -13,7 +13,7 @@
 
 // digestFormat is the first byte of a digest. It changes with the layout below, so
 // that VMs of two releases don't misread each other's digests.
-const digestFormat = 6
+const digestFormat = 7
 
 // Steps per unit in which shares and rates per second are encoded in a digest.
 const (
@@ -22,12 +22,18 @@
 )
 
 // sender is the VM that a digest comes from. It is remote if it belongs to another region
-// than the receiver.
+// than the receiver, and isolated if it reaches no instance.
 type sender struct {
-	id     string
-	remote bool
+	id               string
+	remote, isolated bool
 }
 
+// Bits of the sender's flags in a digest.
+const (
+	senderIsRemote   = 1
+	senderIsIsolated = 2
+)
+
 // encodeDigest encodes a digest: the format, the sender, then the shares, load reports,
 // crash reports, replaced instances, leaving processes and limits, each list preceded by its
 // length. Numbers are varints, strings follow their length, and keys of instances take
@@ -36,11 +42,14 @@
 	number := func(b []byte, v int64) []byte { return binary.AppendUvarint(b, uint64(max(v, 0))) }
 	text := func(b []byte, s string) []byte { return append(number(b, int64(len(s))), s...) }
 	b := text([]byte{digestFormat}, from.id)
+	flags := int64(0)
 	if from.remote {
-		b = number(b, 1)
-	} else {
-		b = number(b, 0)
+		flags |= senderIsRemote
+	}
+	if from.isolated {
+		flags |= senderIsIsolated
 	}
+	b = number(b, flags)
 	b = number(b, int64(len(d.Shares)))
 	for name, share := range d.Shares {
 		b = number(number(text(b, name), int64(math.Round(share.Share*shareSteps))), int64(math.Round(share.Rate*rateSteps)))
@@ -130,7 +139,9 @@
 		return sender{}, nil, nil, errors.New("unknown digest format")
 	}
 	r := &digestReader{rest: data[1:]}
-	from.id, from.remote = r.text(), r.number() != 0
+	from.id = r.text()
+	flags := r.number()
+	from.remote, from.isolated = flags&senderIsRemote != 0, flags&senderIsIsolated != 0
 	d = &placement.Digest{Shares: make(map[string]placement.Share)}
 	for n := r.number(); n > 0 && r.err == nil; n-- {
 		name := r.text()
--- a/entry/digestcodec_test.go
+++ b/entry/digestcodec_test.go
@@ -27,8 +27,8 @@
 func TestDigestRoundTrip(t *testing.T) {
 	t.Parallel()
 	d, crashes := sampleDigest()
-	from, got, gotCrashes, err := decodeDigest(encodeDigest(sender{"vm-1", true}, d, crashes))
-	if err != nil || from != (sender{"vm-1", true}) || !reflect.DeepEqual(got, d) || !reflect.DeepEqual(gotCrashes, crashes) {
+	from, got, gotCrashes, err := decodeDigest(encodeDigest(sender{id: "vm-1", remote: true}, d, crashes))
+	if err != nil || from != (sender{id: "vm-1", remote: true}) || !reflect.DeepEqual(got, d) || !reflect.DeepEqual(gotCrashes, crashes) {
 		t.Fatalf("%+v %+v %+v %v", from, got, gotCrashes, err)
 	}
 }
@@ -52,7 +52,7 @@
 func TestBrokenDigestIsRejected(t *testing.T) {
 	t.Parallel()
 	d, crashes := sampleDigest()
-	whole := encodeDigest(sender{"vm-1", true}, d, crashes)
+	whole := encodeDigest(sender{id: "vm-1", remote: true}, d, crashes)
 	for n := range whole {
 		if _, got, crashes, err := decodeDigest(whole[:n]); err == nil || got != nil || crashes != nil {
 			t.Fatalf("the first %d of %d bytes were accepted", n, len(whole))
@@ -66,7 +66,7 @@
 // No datagram may crash a VM.
 func FuzzDigest(f *testing.F) {
 	d, crashes := sampleDigest()
-	f.Add(encodeDigest(sender{"vm-1", true}, d, crashes))
+	f.Add(encodeDigest(sender{id: "vm-1", remote: true}, d, crashes))
 	f.Add([]byte{digestFormat, 255, 255, 255, 255, 255})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		from, d, crashes, err := decodeDigest(data)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -168,18 +168,18 @@
 		budget: budget.NewRetry(budget.Config{Ratio: retryShare * s.RetryRatio, Burst: retryBurst}),
 		self: inventory.VM{
 			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller.String(), Relay: s.Peer.String(),
-			Boot: uint64(time.Now().UnixNano()), Capacity: capacity(s),
+			Boot: uint64(time.Now().UnixNano()), Capacity: capacity(s), Transit: true,
 		},
 	}
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: rand.Float64,
 	}, n.log, n.metrics.Scope())
-	n.reach = newReachMonitor(n.log, n.metrics.Scope())
+	n.reach = n.selector.reach
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
 		MaxConcurrent: maxConcurrentRequests, MaxConnections: maxConnectionsPerInstance, MaxBufferBytes: maxBufferedBodyBytes, DeadlineGrace: deadlineGrace,
-		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial},
+		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(s),
 	})
 	n.reach.open = n.proxy.Client().Open
 	n.follower = feed.New(feed.Options{
@@ -189,6 +189,7 @@
 	})
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
+	n.reach.onIsolated = n.selector.forgiveFailures
 	n.selector.closeIdle = n.proxy.Client().CloseIdleTo
 	n.selector.requestQuota = n.requestQuota
 	n.selector.probe = newCrashProbe(n.proxy.Client().Open, n.selector.onConnRefused)
@@ -251,7 +252,7 @@
 		name    string
 		address netip.AddrPort
 		handler http.Handler
-	}{{"ready", s.Ready, ready}, {"lookup", s.Lookup, lookup}, {"peer", s.Peer, peers}} {
+	}{{"ready", s.Ready, ready}, {"lookup", s.Lookup, lookup}, {"peer", s.Peer, n.transitHandler(peers)}} {
 		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -23,32 +23,41 @@
 	// open opens a connection to an instance and keeps it for a request.
 	open func(ctx context.Context, address string) error
 
+	// onIsolated is called when this VM has found that it reaches no instance.
+	onIsolated func(now time.Time)
+
 	mu        sync.Mutex
 	reach     *transit.Reach
+	peers     *transit.Peers
 	instances []string
 }
 
 var _ upstream.Observer = (*reachMonitor)(nil)
 
-func newReachMonitor(log *slog.Logger, scope tally.Scope) *reachMonitor {
-	return &reachMonitor{log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64})}
+func newReachMonitor(region string, log *slog.Logger, scope tally.Scope) *reachMonitor {
+	return &reachMonitor{
+		log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
+		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {},
+	}
 }
 
-// update applies a change to the tracker and logs a change of its state.
+// update applies a change to the tracker and reports a change of its state.
 func (m *reachMonitor) update(change func(now time.Time)) {
 	now := time.Now()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	before, since := m.reach.State()
 	change(now)
 	after, _ := m.reach.State()
+	numInstances := len(m.instances)
+	m.mu.Unlock()
 	if after == before {
 		return
 	}
 	switch after {
 	case transit.Isolated:
 		m.gauge.Update(1)
-		event.InstancesUnreachable.Log(m.log, "instances", len(m.instances))
+		event.InstancesUnreachable.Log(m.log, "instances", numInstances)
+		m.onIsolated(now)
 	case transit.Returning:
 		m.gauge.Update(0)
 		event.InstancesReachable.Log(m.log, "isolated_ms", now.Sub(since).Milliseconds())
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -26,6 +26,8 @@
 	pause *pauseGuard
 	// probe checks whether a process crashed after a connection to it was lost.
 	probe *crashProbe
+	// reach says whether this VM reaches instances, and names VMs that do.
+	reach *reachMonitor
 	// closeIdle closes the idle connections to an address.
 	closeIdle func(address string)
 
@@ -58,7 +60,7 @@
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
 		closeIdle: func(string) {}, quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
-		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}),
+		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: newReachMonitor(cfg.Region, log, scope),
 	}
 	for _, kind := range crashguard.StepKinds() {
 		s.stepCounters[kind] = scope.Tagged(map[string]string{"step": string(kind)}).Counter("crash_steps")
@@ -239,7 +241,9 @@
 		Target: q.Target, Deadline: q.Deadline, Regions: q.Regions, Exclude: q.Exclude,
 		Timeout: q.Timeout, Priority: q.Priority,
 	}
-	s.awaitToken(ctx, &r)
+	if !s.reach.isIsolated() {
+		s.awaitToken(ctx, &r)
+	}
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -253,13 +257,44 @@
 		e.Err = errors.Errorf("fingerprint %s, see events 2342 to 2346", hex.EncodeToString(fingerprint[:8]))
 		return nil, e
 	}
+	if selected := s.selectVM(now, q, false); selected != nil {
+		return selected, nil
+	}
+	if q.IsTransit && s.reach.isIsolated() {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter)
+	}
 	t, refused := s.picker.Pick(now, &r)
 	if refused != nil {
+		if refused.Reason == verdict.ReasonNoUpstream {
+			if selected := s.selectVM(now, q, true); selected != nil {
+				return selected, nil
+			}
+		}
 		return nil, refused
 	}
 	return &selection{s: s, ticket: t, key: r.Key, fingerprint: fingerprint}, nil
 }
 
+// selectVM returns the VM to which a request is passed on, or nil if this VM serves it.
+// refused says that no instance was available here.
+func (s *selector) selectVM(now time.Time, q *proxy.Query, refused bool) proxy.Selection {
+	if q.IsTransit {
+		return nil
+	}
+	peer, ok := s.reach.passOn(now, q, refused)
+	if !ok {
+		return nil
+	}
+	return &transitSelection{s: s, peer: peer, key: q.AffinityKey, chosenAt: now}
+}
+
+// forgiveFailures forgets the failures of instances that this VM could not reach.
+func (s *selector) forgiveFailures(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.ForgiveFailures(now)
+}
+
 // recordPause drops what may have expired while this VM was paused.
 func (s *selector) recordPause(paused time.Duration) {
 	event.VMPaused.Log(s.log, "paused_ms", paused.Milliseconds())
@@ -305,6 +340,8 @@
 	if o.Load != nil {
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
 	}
+	// Failures of a VM without a way to the instances say nothing about them.
+	out.Cancelled = out.Cancelled || (o.Reason == verdict.ReasonConnectFailed || o.Reason == verdict.ReasonConnectionLost || o.Reason == verdict.ReasonDeadline) && c.s.reach.isIsolated()
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	now := time.Now()
--- a/entry/state.go
+++ b/entry/state.go
@@ -212,6 +212,7 @@
 func (n *Node) setVMs(now time.Time) {
 	v := newView(n.view.Load(), now, n.inv.VMs(), n.self.Region)
 	n.view.Store(v)
+	n.reach.setPeers(v, n.self.ID)
 	total, own := 0.0, weightOf(&n.self)
 	for i := range v.vms {
 		total += weightOf(&v.vms[i])
--- /dev/null
+++ b/entry/transit.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/currantferry/currantferry/availability"
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/transit"
+	"github.com/currantferry/currantferry/upstream"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+const (
+	// maxTransitConnections bounds the connections to one VM: a VM with 90 requests a second
+	// that take a few seconds each, with all of them at one other VM.
+	maxTransitConnections = 512
+	// maxIdleTransitConnections bounds the idle ones.
+	maxIdleTransitConnections = 64
+)
+
+// transitOptions are the options of the connections to other VMs, which know this VM by
+// the address of its record.
+func transitOptions(s *Settings) upstream.Options {
+	return upstream.Options{LocalIP: s.Peer.Addr(), MaxConnections: maxTransitConnections, MaxIdleConnections: maxIdleTransitConnections}
+}
+
+// transitHandler serves the requests that other VMs pass on, and leaves all others to
+// next. Callers don't use this address.
+func (n *Node) transitHandler(next *httprouter.Router) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(proxy.HeaderTransit) == "" {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if from, err := netip.ParseAddrPort(r.RemoteAddr); err != nil || !n.view.Load().hosts[from.Addr().Unmap()] {
+			event.TransitDenied.Log(n.log, "from", r.RemoteAddr)
+			n.proxy.RefuseTransit(w, r, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter))
+			return
+		}
+		n.proxy.ServeTransit(w, r)
+	})
+}
+
+// setPeers updates the VMs to which requests can be passed on.
+func (m *reachMonitor) setPeers(v *view, self string) {
+	var peers []transit.Peer
+	for i := range v.vms {
+		if vm := &v.vms[i]; vm.ID != self && vm.Transit && !vm.Starting {
+			peers = append(peers, transit.Peer{ID: vm.ID, Address: vm.Relay, Region: vm.Region, Weight: weightOf(vm)})
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers.Set(peers)
+}
+
+// recordPeer records whether another VM reports that it reaches no instance.
+func (m *reachMonitor) recordPeer(id string, isIsolated bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers.RecordState(time.Now(), id, isIsolated)
+}
+
+// isReportDue reports whether the state must be reported to the other VMs: as long as
+// this VM is isolated, and for a while after its return.
+func (m *reachMonitor) isReportDue(now time.Time) (isIsolated, isDue bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, since := m.reach.State()
+	isIsolated = state == transit.Isolated
+	return isIsolated, isIsolated || (state == transit.Returning && now.Sub(since) < returnReportTime)
+}
+
+// returnReportTime is how long a VM reports that it reaches instances again.
+const returnReportTime = time.Second
+
+// passOn returns the VM to which a request is passed on, or false if this VM serves it.
+// refused says that no instance was available here.
+func (m *reachMonitor) passOn(now time.Time, q *proxy.Query, refused bool) (transit.Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.reach.PassesOn(now) && !((refused || q.IsRetry) && m.reach.IsDoubtful(now)) {
+		return transit.Peer{}, false
+	}
+	return m.peers.Choose(now, q.Regions, q.Exclude)
+}
+
+// isIsolated reports whether this VM reaches no instance.
+func (m *reachMonitor) isIsolated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, _ := m.reach.State()
+	return state == transit.Isolated
+}
+
+// transitSelection is another VM, chosen for a request that this VM can't serve.
+type transitSelection struct {
+	s        *selector
+	peer     transit.Peer
+	key      string
+	chosenAt time.Time
+	// instance is the one that answered.
+	instance string
+}
+
+// Instance implements proxy.Selection.
+func (c *transitSelection) Instance() proxy.Instance {
+	return proxy.Instance{ID: c.peer.ID, Address: c.peer.Address}
+}
+
+// SetInstance records the instance that answered.
+func (c *transitSelection) SetInstance(id string) { c.instance = id }
+
+// LogAttrs returns the log attributes that explain the choice.
+func (c *transitSelection) LogAttrs() []any {
+	return []any{"key", c.key, "instance", c.instance, "via", c.peer.ID}
+}
+
+// HedgeAfter implements proxy.Selection.
+func (c *transitSelection) HedgeAfter() (time.Duration, bool) { return 0, false }
+
+// Hedge implements proxy.Selection.
+func (c *transitSelection) Hedge() (proxy.Selection, bool) { return nil, false }
+
+// Done implements proxy.Selection. A VM that failed, or refused for a reason of its own, is
+// avoided for a while.
+func (c *transitSelection) Done(o proxy.Outcome) {
+	m := c.s.reach
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers.Done(c.peer.ID)
+	switch o.Reason {
+	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost, verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded:
+		m.peers.Avoid(time.Now(), c.peer.ID)
+	}
+}
+
+// ReceiveNotice records the notice of the instance that answered the other VM. This VM has
+// passed it on to a caller and is bound by it from now on.
+func (c *transitSelection) ReceiveNotice(notice availability.Notice) {
+	c.s.mu.Lock()
+	ticket, ok := c.s.picker.Reference(c.instance, c.chosenAt)
+	c.s.mu.Unlock()
+	if !ok {
+		return
+	}
+	// The wait is asked of the VM that sent the request to the instance.
+	notice.Wait = 0
+	(&selection{s: c.s, ticket: ticket}).ReceiveNotice(notice)
+}
+
+// CanSend implements the interface of selections that receive notices. The other VM checks
+// what the instance has said.
+func (c *transitSelection) CanSend() bool { return true }
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -80,6 +80,8 @@
 	// Capacity is the number of requests per second that the VM can handle. Zero means
 	// unknown.
 	Capacity float64 `json:"capacity,omitempty"`
+	// Transit says that the VM takes over requests of VMs that reach no instance.
+	Transit bool `json:"transit,omitempty"`
 	// Starting VMs relay requests, but are not announced to callers yet.
 	Starting bool `json:"starting,omitempty"`
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -350,6 +350,31 @@
 	}
 }
 
+// Reference returns a ticket for an instance to which another VM sent a request. It can
+// be used for notices only.
+func (p *Picker) Reference(id string, sentAt time.Time) (Ticket, bool) {
+	for _, s := range p.services {
+		if i := s.instances[id]; i != nil {
+			return Ticket{Instance: i.Instance, service: s, sentAt: sentAt}, true
+		}
+	}
+	return Ticket{}, false
+}
+
+// ForgiveFailures ends the ejections of all instances and forgets their failures: this VM
+// could not reach any of them. Instances whose address another instance took stay ejected.
+func (p *Picker) ForgiveFailures(now time.Time) {
+	for _, s := range p.services {
+		for _, i := range s.instances {
+			if i.isReplaced {
+				continue
+			}
+			i.consecutiveFailures, i.ejection, i.lastEjection, i.isTrialPending = 0, 0, 0, false
+			i.failures, i.failuresAt = 0, now
+		}
+	}
+}
+
 func (p *Picker) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -32,6 +32,8 @@
 	res *http.Response
 	err *verdict.Error
 
+	// nonce identifies the attempt to another VM.
+	nonce string
 	// written means that bytes of the request may have reached the instance.
 	written bool
 	// connectionRefused means that nothing listens at the instance's address.
@@ -52,6 +54,10 @@
 		a.err = verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 		return
 	}
+	if s, ok := a.selection.(transitSelection); ok {
+		a.sendTransit(s, req)
+		return
+	}
 	o := &a.x.h.options
 	x := upstream.Exchange{
 		Address: a.selection.Instance().Address, Request: req, Repeatable: a.x.query.Idempotent,
@@ -69,6 +75,7 @@
 	}
 	a.written, a.answeredAt = true, o.Now()
 	a.status = res.StatusCode
+	removeTransitHeaders(res.Header)
 	if names := o.Protocol.UnknownHeaders(res.Header); names != nil {
 		a.x.h.unknownHeaders.record(a.x.query.Service.Name, a.selection.Instance().ID, names)
 	}
@@ -111,6 +118,7 @@
 	req.Host = r.Host
 	req.Header = r.Header.Clone()
 	removeHopByHop(req.Header)
+	removeTransitHeaders(req.Header)
 	if _, ok := req.Header["User-Agent"]; !ok {
 		// Prevents net/http from adding its own.
 		req.Header["User-Agent"] = nil
@@ -119,6 +127,10 @@
 	if a.x.body.length == 0 {
 		req.Body = http.NoBody
 	}
+	if _, ok := a.selection.(transitSelection); ok {
+		a.setTransitHeaders(req.Header)
+		return req, nil
+	}
 	a.x.h.options.Protocol.SetRequestHeaders(req.Header, &a.x.meta, a.selection.Instance(), time.Until(a.x.query.Deadline))
 	return req, nil
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -36,6 +36,11 @@
 	// unsent counts the attempts that ended before anything was sent, see
 	// maxUnsent.
 	unsent int
+	// transit is set if another VM passed the request on.
+	transit *transitRequest
+	// isRefusalFinal is set when another VM refused a request that was passed on to it, for
+	// a reason that is not its own.
+	isRefusalFinal bool
 	// answerStarted is set once the header of an answer is sent to the caller.
 	answerStarted bool
 }
@@ -111,6 +116,9 @@
 	if routed.Sticky {
 		x.query.AffinityKey = x.meta.AffinityKey
 	}
+	if x.transit != nil {
+		x.transit.apply(x)
+	}
 }
 
 // isClaimed reports whether the request needs a claim: it has an idempotency key and
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantferry/currantferry/availability"
@@ -70,6 +71,9 @@
 	Priority int
 	// Timeout is the timeout that the caller stated, or zero.
 	Timeout time.Duration
+	// IsTransit marks a request that another VM passed on, which must not be passed on
+	// again.
+	IsTransit bool
 	// Attrs are additional fields for log lines about the request.
 	Attrs []any
 }
@@ -243,8 +247,8 @@
 	// FinishUnkeyed completes every request that is not idempotent even if its
 	// caller disconnects. If false, only requests with a key are completed.
 	FinishUnkeyed bool
-	// Upstream configures the connections to instances.
-	Upstream upstream.Options
+	// Upstream configures the connections to instances, and Transit those to other VMs.
+	Upstream, Transit upstream.Options
 	// Now replaces the clock in tests. Nil means time.Now.
 	Now func() time.Time
 }
@@ -264,8 +268,13 @@
 type Handler struct {
 	options Options
 	client  *upstream.Client
-	meters  *meters
-	gate    gate
+	// transitClient holds the connections to other VMs, nextTransit the last number of a
+	// request that was passed on.
+	transitClient *upstream.Client
+	nextTransit   atomic.Uint64
+
+	meters *meters
+	gate   gate
 
 	unknownHeaders *unknownHeaders
 }
@@ -300,7 +309,7 @@
 		o.Router = &serviceRouter{services: o.Services, zone: o.Zone, defaultTimeout: o.DefaultTimeout}
 	}
 	o.Upstream.MaxConnections = o.MaxConnections
-	h := &Handler{options: o, client: upstream.New(o.Upstream), gate: gate{limit: o.MaxConcurrent}}
+	h := &Handler{options: o, client: upstream.New(o.Upstream), transitClient: upstream.New(o.Transit), gate: gate{limit: o.MaxConcurrent}}
 	h.unknownHeaders = newUnknownHeaders(o.Log, o.Metrics)
 	if o.Metrics != nil {
 		h.meters = &meters{scope: o.Metrics.Scope(), answers: make(map[answerKey]answerMeter)}
@@ -320,6 +329,7 @@
 	left := h.gate.stop(ctx)
 	invariant.Check(invariant.NothingCutOff, left == 0, "%d requests in flight at the bound of the stop", left)
 	h.client.CloseIdle()
+	h.transitClient.CloseIdle()
 	return left
 }
 
@@ -328,12 +338,20 @@
 
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{h: h, w: w, r: r, received: h.options.Now()}
-	if err := h.gate.enter(); err != nil {
-		x.meta, _ = h.options.Protocol.ParseRequest(r)
+	x.serveAdmitted(nil)
+}
+
+// serveAdmitted serves the request if the gate admits it and err is nil.
+func (x *exchange) serveAdmitted(err error) {
+	if err == nil {
+		err = x.h.gate.enter()
+	}
+	if err != nil {
+		x.meta, _ = x.h.options.Protocol.ParseRequest(x.r)
 		x.refuse(err)
 		return
 	}
-	defer h.gate.leave()
+	defer x.h.gate.leave()
 	if err := x.prepare(); err != nil {
 		x.refuse(err)
 		return
@@ -351,6 +369,9 @@
 		e.RetryAfter = o.DefaultRetryAfter
 		status = o.Protocol.Refusal(x.w.Header(), &x.meta, &e)
 	}
+	if x.transit != nil {
+		x.w.Header().Set(headerTransitVerdict, formatTransitVerdict(&e))
+	}
 	o.Metrics.CountRefusal(e.Reason)
 	event.RequestRefused.Log(o.Log, append(x.logAttrs(), "instance", x.lastInstance(), "reason", string(e.Reason), "verdict", e.Verdict.String(),
 		"status", status, "retry_after_ms", e.RetryAfter.Milliseconds(), "error", e.Err)...)
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -24,7 +24,9 @@
 		// An upstream may answer before it has read the whole body.
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 	}
-	x.h.options.Budget.CountRequest(x.query.Service.Name, x.caller)
+	if x.transit == nil {
+		x.h.options.Budget.CountRequest(x.query.Service.Name, x.caller)
+	}
 	err := x.attemptAll()
 	if err == nil {
 		return
@@ -83,6 +85,9 @@
 	if x.answerStarted || x.ctx.Err() != nil || (x.claim == nil && x.r.Context().Err() != nil) || x.attempts == 0 || x.attempts-x.unsent >= x.maxAttempts {
 		return err
 	}
+	if x.isRefusalFinal {
+		return err
+	}
 	switch err.Reason {
 	case verdict.ReasonNoUpstream, verdict.ReasonSaturated, verdict.ReasonLongShare, verdict.ReasonRegionLimit,
 		verdict.ReasonLinkLimit, verdict.ReasonShiftCap, verdict.ReasonDeadlineAhead, verdict.ReasonCrashGuard, verdict.ReasonAskedToWait, verdict.ReasonAtLimit:
@@ -95,7 +100,7 @@
 	if !x.body.isRepeatable() {
 		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonBodyNotRepeatable, RetryAfter: x.h.options.DefaultRetryAfter, Err: err}
 	}
-	if err.Reason == verdict.ReasonConnectFailed || err.Reason == verdict.ReasonWithdrawn {
+	if err.Reason == verdict.ReasonConnectFailed || err.Reason == verdict.ReasonWithdrawn || isVMReason(err.Reason) {
 		// Nothing was sent to an instance, so a retry adds no load and needs no
 		// retry budget.
 		if x.unsent++; x.unsent <= maxUnsent {
@@ -136,6 +141,9 @@
 		winner.fail()
 		return winner.err
 	}
+	if x.transit != nil {
+		x.w.Header().Set(headerTransitInstance, winner.selection.Instance().ID)
+	}
 	return x.deliver(winner)
 }
 
--- /dev/null
+++ b/proxy/transit.go
@@ -0,0 +1,182 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/upstream"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Headers of a request that a VM passes on to another one, and of its answer. They are
+// removed from what callers and instances send.
+const (
+	transitPrefix = "Currantferry-Transit"
+	// HeaderTransit marks the request and identifies it on its connection. The answer
+	// repeats it.
+	HeaderTransit = transitPrefix
+	// headerTransitLeft is the time until the deadline in milliseconds,
+	// headerTransitAttempts the number of instances to which the request may still be sent,
+	// and headerTransitTried the ID of an instance that was tried.
+	headerTransitLeft     = transitPrefix + "-Left-Ms"
+	headerTransitAttempts = transitPrefix + "-Attempts"
+	headerTransitTried    = transitPrefix + "-Tried"
+	// headerTransitInstance is the ID of the instance that answered, headerTransitVerdict the
+	// verdict, the reason and the Retry-After in milliseconds of a refusal.
+	headerTransitInstance = transitPrefix + "-Instance"
+	headerTransitVerdict  = transitPrefix + "-Verdict"
+)
+
+// transitSelection is implemented by selections whose target is another VM, which chooses
+// the instance.
+type transitSelection interface {
+	Selection
+	// SetInstance is called with the instance that answered.
+	SetInstance(id string)
+}
+
+// transitRequest is what the VM that passed a request on states about it.
+type transitRequest struct {
+	nonce string
+	from  string
+	// left is the time until the deadline, and attempts how often the request may be sent.
+	left     time.Duration
+	attempts int
+	tried    []string
+}
+
+func parseTransit(r *http.Request) (*transitRequest, error) {
+	t := &transitRequest{nonce: r.Header.Get(HeaderTransit), from: callerAddress(r), tried: r.Header[headerTransitTried]}
+	left, err := strconv.ParseUint(r.Header.Get(headerTransitLeft), 10, 31)
+	if err != nil {
+		return t, errors.Wrap(err, headerTransitLeft)
+	}
+	t.left = time.Duration(left) * time.Millisecond
+	attempts, err := strconv.ParseUint(r.Header.Get(headerTransitAttempts), 10, 8)
+	if err != nil || attempts == 0 {
+		return t, errors.Errorf("%s: %q", headerTransitAttempts, r.Header.Get(headerTransitAttempts))
+	}
+	t.attempts = int(attempts)
+	return t, nil
+}
+
+// apply makes the limits of the VM that passed the request on bind the exchange.
+func (t *transitRequest) apply(x *exchange) {
+	x.query.IsTransit = true
+	x.query.Deadline = x.received.Add(t.left)
+	x.query.Exclude = append(x.query.Exclude, t.tried...)
+	x.query.Attrs = append(x.query.Attrs, "from", t.from)
+	x.maxAttempts = min(x.maxAttempts, t.attempts)
+}
+
+// ServeTransit serves a request that another VM passes on. The caller of ServeTransit
+// must have checked that it comes from a VM.
+func (h *Handler) ServeTransit(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{h: h, w: w, r: r, received: h.options.Now()}
+	var err error
+	x.transit, err = parseTransit(r)
+	if err != nil {
+		err = verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+	}
+	w.Header().Set(HeaderTransit, x.transit.nonce)
+	x.serveAdmitted(err)
+}
+
+// RefuseTransit refuses a request that was passed on by an unknown sender.
+func (h *Handler) RefuseTransit(w http.ResponseWriter, r *http.Request, e *verdict.Error) {
+	x := &exchange{h: h, w: w, r: r, received: h.options.Now(), transit: &transitRequest{from: callerAddress(r)}}
+	w.Header().Set(HeaderTransit, r.Header.Get(HeaderTransit))
+	x.refuse(e)
+}
+
+// removeTransitHeaders removes what only VMs may state.
+func removeTransitHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, transitPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// setTransitHeaders sets the headers of a request to another VM.
+func (a *attempt) setTransitHeaders(h http.Header) {
+	x := a.x
+	a.nonce = strconv.FormatUint(x.h.nextTransit.Add(1), 10)
+	h.Set(HeaderTransit, a.nonce)
+	h.Set(headerTransitLeft, strconv.FormatInt(max(1, time.Until(x.query.Deadline).Milliseconds()), 10))
+	h.Set(headerTransitAttempts, strconv.Itoa(max(1, x.maxAttempts-(x.attempts-1-x.unsent))))
+	for _, id := range x.query.Exclude {
+		h.Add(headerTransitTried, id)
+	}
+}
+
+// sendTransit passes the request on to another VM and waits for the header of the answer.
+func (a *attempt) sendTransit(s transitSelection, req *http.Request) {
+	x := upstream.Exchange{
+		Address: s.Instance().Address, Request: req, Repeatable: a.x.query.Idempotent,
+		MatchAnswer: func(res *http.Response) upstream.Match {
+			if res.Header.Get(HeaderTransit) != a.nonce {
+				return upstream.MatchOther
+			}
+			return upstream.MatchRequest
+		},
+	}
+	res, err := a.x.h.transitClient.Do(a.ctx, &x)
+	a.latency = a.x.h.options.Now().Sub(a.started)
+	if err != nil {
+		a.err = a.classify(err)
+		return
+	}
+	a.written, a.answeredAt, a.status = true, a.x.h.options.Now(), res.StatusCode
+	refusal, instance := res.Header.Get(headerTransitVerdict), res.Header.Get(headerTransitInstance)
+	removeTransitHeaders(res.Header)
+	if refusal == "" {
+		s.SetInstance(instance)
+		if receiver, ok := s.(noticeReceiver); ok {
+			receiver.ReceiveNotice(a.x.h.options.Protocol.Notice(res))
+		}
+		a.res = res
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBytes))
+	res.Body.Close()
+	a.err = parseTransitVerdict(refusal)
+	// The other VM has made all attempts that the request allows, unless it could not
+	// accept it.
+	a.x.isRefusalFinal = !isVMReason(a.err.Reason)
+}
+
+// isVMReason reports whether a refusal says something about the VM only, so that another
+// VM may serve the request.
+func isVMReason(r verdict.Reason) bool {
+	switch r {
+	case verdict.ReasonNotReady, verdict.ReasonStopping, verdict.ReasonOverloaded, verdict.ReasonIsolated:
+		return true
+	default:
+		return false
+	}
+}
+
+// formatTransitVerdict returns the value of headerTransitVerdict.
+func formatTransitVerdict(e *verdict.Error) string {
+	return strings.Join([]string{e.Verdict.String(), string(e.Reason), strconv.FormatInt(e.RetryAfter.Milliseconds(), 10)}, " ")
+}
+
+// parseTransitVerdict parses the value of headerTransitVerdict. What it can't read may
+// have run.
+func parseTransitVerdict(text string) *verdict.Error {
+	fields := strings.Split(text, " ")
+	if len(fields) != 3 {
+		return verdict.Wrap(errors.Errorf("%s: %q", headerTransitVerdict, text), verdict.MayHaveRun, verdict.ReasonConnectionLost)
+	}
+	ms, err := strconv.ParseUint(fields[2], 10, 31)
+	if err != nil {
+		return verdict.Wrap(errors.Wrap(err, headerTransitVerdict), verdict.MayHaveRun, verdict.ReasonConnectionLost)
+	}
+	return verdict.New(verdict.Parse(fields[0]), verdict.Reason(fields[1]), time.Duration(ms)*time.Millisecond)
+}
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -276,3 +276,14 @@
 		return false
 	}
 }
+
+// IsDoubtful reports whether instances failed recently and none has accepted a connection
+// since, so that this VM may reach only some of them.
+func (r *Reach) IsDoubtful(now time.Time) bool {
+	for _, at := range r.failedAt {
+		if now.Sub(at) <= failureTTL {
+			return true
+		}
+	}
+	return r.state == Suspected
+}
