Count lost connections as crashes only if the VM reaches other instances

A VM that is cut off from all instances loses all connections at once and then gets no new ones.

Evidence from connections is now held until another instance has answered or accepted a connection, at least 50 ms later, and dropped if the VM turns out to be isolated. Without traffic the VM opens one connection to another instance to find out.

TestCutOffVMReportsNoCrashes failed before (1 crash recorded in the silent cuts, 3 in the resets) and passes, as does TestLossesOfAnIsolatedVMAreNoCrashes. TestFailureAnswersClearNoCrashes lets another instance answer in between; its checks are the same. The other tests of crashing requests pass unchanged.

--- a/entry/crashprobe.go
+++ b/entry/crashprobe.go
@@ -29,7 +29,7 @@
 // replaces the lost one. It is safe for concurrent use.
 type crashProbe struct {
 	open    func(ctx context.Context, address string) error
-	onCrash func(p crashguard.Process)
+	onCrash func(p crashguard.Process, address string)
 
 	queue chan probeTarget
 
@@ -42,7 +42,7 @@
 	address string
 }
 
-func newCrashProbe(open func(context.Context, string) error, onCrash func(crashguard.Process)) *crashProbe {
+func newCrashProbe(open func(context.Context, string) error, onCrash func(p crashguard.Process, address string)) *crashProbe {
 	return &crashProbe{open: open, onCrash: onCrash, queue: make(chan probeTarget, probeQueueLength), queuedAt: make(map[string]time.Time)}
 }
 
@@ -75,7 +75,7 @@
 			call, cancel := context.WithTimeout(ctx, probeTimeout)
 			// Other errors don't prove a crash: the network path may be cut.
 			if err := c.open(call, t.address); errors.Is(err, syscall.ECONNREFUSED) {
-				c.onCrash(t.process)
+				c.onCrash(t.process, t.address)
 			}
 			cancel()
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -189,6 +189,7 @@
 	})
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
+	n.reach.onConnected = n.selector.onConnected
 	n.reach.onIsolated = n.selector.forgiveFailures
 	n.selector.closeIdle = n.proxy.Client().CloseIdleTo
 	n.selector.requestQuota = n.requestQuota
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -23,6 +23,8 @@
 	// open opens a connection to an instance and keeps it for a request.
 	open func(ctx context.Context, address string) error
 
+	// onConnected is called when an instance accepts a connection.
+	onConnected func(now time.Time, address string)
 	// onIsolated is called when this VM has found that it reaches no instance.
 	onIsolated func(now time.Time)
 
@@ -30,6 +32,8 @@
 	reach     *transit.Reach
 	peers     *transit.Peers
 	instances []string
+	// isConfirming says that confirm waits for a connection.
+	isConfirming bool
 }
 
 var _ upstream.Observer = (*reachMonitor)(nil)
@@ -37,7 +41,7 @@
 func newReachMonitor(region string, log *slog.Logger, scope tally.Scope) *reachMonitor {
 	return &reachMonitor{
 		log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
-		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {},
+		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
 	}
 }
 
@@ -81,6 +85,7 @@
 // Connected implements upstream.Observer.
 func (m *reachMonitor) Connected(address string) {
 	m.update(func(now time.Time) { m.reach.RecordConnected(now, address) })
+	m.onConnected(time.Now(), address)
 }
 
 // Answered implements upstream.Observer.
@@ -106,3 +111,31 @@
 		})
 	}
 }
+
+// confirm opens a connection to an instance at none of the doubted addresses. If it
+// succeeds, this VM reaches instances, and the doubted ones have failed themselves.
+func (m *reachMonitor) confirm(ctx context.Context, group *conc.WaitGroup, doubted map[string]bool) {
+	m.mu.Lock()
+	var others []string
+	for _, address := range m.instances {
+		if !doubted[address] {
+			others = append(others, address)
+		}
+	}
+	busy := m.isConfirming || len(others) == 0
+	m.isConfirming = m.isConfirming || !busy
+	m.mu.Unlock()
+	if busy {
+		return
+	}
+	address := others[rand.IntN(len(others))]
+	group.Go(func() {
+		bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
+		defer cancel()
+		// After a failure the next tick tries another instance.
+		_ = m.open(bounded, address)
+		m.mu.Lock()
+		m.isConfirming = false
+		m.mu.Unlock()
+	})
+}
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -34,6 +34,8 @@
 	mu     sync.Mutex
 	picker *placement.Picker
 	ledger *crashguard.Ledger
+	// evidence is evidence for crashes that does not count yet.
+	evidence []heldEvidence
 	// startTimes holds the start time of each instance that accepts new requests, by ID.
 	startTimes map[string]int64
 	// loggedSpill holds the last logged spill share of each service.
@@ -121,7 +123,7 @@
 	for k := range list {
 		i := &list[k]
 		if startTime, exists := s.startTimes[i.ID]; exists && startTime != i.StartMillis {
-			s.addCrashLocked(crashguard.Process{ID: i.ID, StartMillis: startTime}, crashguard.EvidenceRecord)
+			s.addCrashLocked(time.Now(), crashguard.Process{ID: i.ID, StartMillis: startTime}, crashguard.EvidenceRecord)
 		}
 		s.startTimes[i.ID] = i.StartMillis
 	}
@@ -129,22 +131,24 @@
 
 // onRecordExpired records in the ledger that a process has crashed, because its record
 // expired without a leaving notice.
-func (s *selector) onRecordExpired(p crashguard.Process) { s.addCrash(p, crashguard.EvidenceRecord) }
-
-// onConnRefused records in the ledger that a process has crashed, because its address
-// refuses connections.
-func (s *selector) onConnRefused(p crashguard.Process) { s.addCrash(p, crashguard.EvidenceRefused) }
+func (s *selector) onRecordExpired(p crashguard.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addCrashLocked(time.Now(), p, crashguard.EvidenceRecord)
+}
 
-func (s *selector) addCrash(p crashguard.Process, evidence string) {
+// onConnRefused is called when the address of a process refuses connections, as after a
+// crash.
+func (s *selector) onConnRefused(p crashguard.Process, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addCrashLocked(p, evidence)
+	s.holdEvidence(time.Now(), p, address, func(at time.Time) { s.addCrashLocked(at, p, crashguard.EvidenceRefused) })
 }
 
 // addCrashLocked records in the ledger that a process has crashed or was replaced, and
 // logs the steps that follow. The lock is held.
-func (s *selector) addCrashLocked(p crashguard.Process, evidence string) {
-	s.ledger.RecordCrash(time.Now(), p, evidence)
+func (s *selector) addCrashLocked(at time.Time, p crashguard.Process, evidence string) {
+	s.ledger.RecordCrash(at, p, evidence)
 	s.logSteps("")
 }
 
@@ -288,13 +292,6 @@
 	return &transitSelection{s: s, peer: peer, key: q.AffinityKey, chosenAt: now}
 }
 
-// forgiveFailures forgets the failures of instances that this VM could not reach.
-func (s *selector) forgiveFailures(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.picker.ForgiveFailures(now)
-}
-
 // recordPause drops what may have expired while this VM was paused.
 func (s *selector) recordPause(paused time.Duration) {
 	event.VMPaused.Log(s.log, "paused_ms", paused.Milliseconds())
@@ -351,29 +348,33 @@
 
 // recordOutcome updates the ledger with the outcome of the attempt. The lock is held.
 func (c *selection) recordOutcome(now time.Time, o *proxy.Outcome) {
-	s, p := c.s, crashguard.Process{ID: c.ticket.Instance.ID, StartMillis: c.ticket.Instance.StartMillis}
+	s, p, address := c.s, processOf(&c.ticket.Instance), c.ticket.Instance.Address
 	switch {
 	case o.Verdict == verdict.Ran:
+		s.releaseEvidence(now, address)
+		s.refuteEvidence(now, p)
 		s.ledger.RecordAnswer(now, p)
 		if o.Status < http.StatusInternalServerError {
 			// A server error clears nothing: an instance may fail a request before running it.
 			s.ledger.RecordSuccess(now, c.fingerprint)
 		}
 	case o.Reason == verdict.ReasonUpstreamRefused:
+		s.releaseEvidence(now, address)
+		s.refuteEvidence(now, p)
 		s.ledger.RecordAnswer(now, p)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
-		s.ledger.RecordLoss(now, c.fingerprint, p)
+		s.holdEvidence(now, p, address, func(at time.Time) { s.ledger.RecordLoss(at, c.fingerprint, p) })
 		if state := s.picker.StateOf(&c.ticket); !state.IsLeaving() && !state.IsWaiting(now) {
 			// A leaving instance exits anyway, and one that asked to wait is not probed.
-			s.probe.enqueue(now, p, c.ticket.Instance.Address)
+			s.probe.enqueue(now, p, address)
 		}
 	case o.Reason == verdict.ReasonMisdirected:
 		event.InstanceReplaced.Log(s.log, "id", p.ID, "heard_from", "")
-		s.addCrashLocked(p, crashguard.EvidenceMisdirects)
+		s.addCrashLocked(now, p, crashguard.EvidenceMisdirects)
 	case o.ConnectionRefused:
-		s.addCrashLocked(p, crashguard.EvidenceRefused)
+		s.holdEvidence(now, p, address, func(at time.Time) { s.addCrashLocked(at, p, crashguard.EvidenceRefused) })
 	case o.Verdict == verdict.MayHaveRun && o.Answered.IsZero():
-		s.ledger.RecordUnanswered(now, c.fingerprint, p)
+		s.holdEvidence(now, p, address, func(at time.Time) { s.ledger.RecordUnanswered(at, c.fingerprint, p) })
 	}
 	s.logSteps("")
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -108,6 +108,9 @@
 	n.applyEffects(now, n.inv.Tick(now))
 	n.mu.Unlock()
 	n.reach.tick(n.ctx, &n.group)
+	if doubted := n.selector.doubtedAddresses(now); doubted != nil && !n.reach.isIsolated() {
+		n.reach.confirm(n.ctx, &n.group, doubted)
+	}
 	n.selector.tick(now)
 	n.tickQuota(now)
 }
