Forgive connections that were lost while the VM was isolated

At the end of a silent cut the connections of before it are reset, all at once, just when the first new ones succeed; the VM then took them for crashed instances (TestCutOffVMReportsNoCrashes/silent, 3 crashes, in two runs of the whole package; not in three of the test alone). An attempt that began before the VM reached instances again now says nothing about them.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -276,7 +276,7 @@
 		}
 		return nil, refused
 	}
-	return &selection{s: s, ticket: t, key: r.Key, fingerprint: fingerprint}, nil
+	return &selection{s: s, ticket: t, key: r.Key, fingerprint: fingerprint, chosenAt: now}, nil
 }
 
 // selectVM returns the VM to which a request is passed on, or nil if this VM serves it.
@@ -307,6 +307,7 @@
 	// key is the affinity key, which names the object that the request is about.
 	key         string
 	fingerprint crashguard.Fingerprint
+	chosenAt    time.Time
 }
 
 // Instance implements proxy.Selection.
@@ -337,13 +338,26 @@
 	if o.Load != nil {
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
 	}
-	// Failures of a VM without a way to the instances say nothing about them.
-	out.Cancelled = out.Cancelled || (o.Reason == verdict.ReasonConnectFailed || o.Reason == verdict.ReasonConnectionLost || o.Reason == verdict.ReasonDeadline) && c.s.reach.isIsolated()
+	// The connections of a VM without a way to the instances fail without their doing.
+	isOwnFailure := isConnectionFailure(&o) && c.s.reach.wasIsolated(c.chosenAt)
+	out.Cancelled = out.Cancelled || isOwnFailure
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	now := time.Now()
 	c.s.picker.Done(now, &c.ticket, out)
-	c.recordOutcome(now, &o)
+	if !isOwnFailure {
+		c.recordOutcome(now, &o)
+	}
+}
+
+// isConnectionFailure reports whether an attempt failed without an answer.
+func isConnectionFailure(o *proxy.Outcome) bool {
+	switch o.Reason {
+	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost, verdict.ReasonTruncated, verdict.ReasonDeadline:
+		return o.Verdict != verdict.Ran
+	default:
+		return false
+	}
 }
 
 // recordOutcome updates the ledger with the outcome of the attempt. The lock is held.
--- a/entry/transit.go
+++ b/entry/transit.go
@@ -98,6 +98,13 @@
 	return state == transit.Isolated
 }
 
+// wasIsolated reports whether this VM reached no instance at some time since then.
+func (m *reachMonitor) wasIsolated(since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reach.WasIsolated(since)
+}
+
 // transitSelection is another VM, chosen for a request that this VM can't serve.
 type transitSelection struct {
 	s        *selector
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -105,7 +105,8 @@
 	// numInstances is the number of known instances.
 	numInstances int
 	ramp         time.Duration
-	returnedAt   time.Time
+	// returnedAt is when the VM reached instances again after it was isolated last.
+	returnedAt time.Time
 }
 
 // NewReach returns a Reach in state Reachable.
@@ -287,3 +288,9 @@
 	}
 	return r.state == Suspected
 }
+
+// WasIsolated reports whether this VM was isolated at some time since then, so that the
+// connections of that time may have been lost by its own links.
+func (r *Reach) WasIsolated(since time.Time) bool {
+	return r.state == Isolated || since.Before(r.returnedAt)
+}
