Don't avoid a VM whose instance lost a connection

A VM that passed a request on took the verdict "connection lost" of an instance behind the other VM for the loss of that VM, and avoided it for 0.5 s.

--- a/entry/transit.go
+++ b/entry/transit.go
@@ -142,8 +142,13 @@
 	defer m.mu.Unlock()
 	m.peers.Done(c.peer.ID)
 	switch o.Reason {
-	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost, verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded:
+	case verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded:
 		m.peers.Avoid(time.Now(), c.peer.ID)
+	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost:
+		// If the VM answered, its own connection to an instance failed.
+		if o.Answered.IsZero() {
+			m.peers.Avoid(time.Now(), c.peer.ID)
+		}
 	}
 }
 
