Bound what VMs take over, and prove the noticing of cuts

A VM takes requests of isolated VMs over only as its capacity, which it knows from its processor and link, allows beside its own callers; the less urgent are refused first and tried at another VM.

TestReachFollowsTheLinks found that single VMs were isolated without a cut when a third of the instances was dead, and that some returned late.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/currantferry/currantferry/placement"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/store"
+	"github.com/currantferry/currantferry/transit"
 	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
 )
@@ -175,6 +176,8 @@
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: rand.Float64,
 	}, n.log, n.metrics.Scope())
+	n.selector.reach = newReachMonitor(s.Region, weightOf(&n.self), n.log, n.metrics.Scope())
+	n.selector.admission = transit.NewAdmission(n.self.Capacity)
 	n.reach = n.selector.reach
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -38,10 +38,10 @@
 
 var _ upstream.Observer = (*reachMonitor)(nil)
 
-func newReachMonitor(region string, log *slog.Logger, scope tally.Scope) *reachMonitor {
+func newReachMonitor(region string, weight float64, log *slog.Logger, scope tally.Scope) *reachMonitor {
 	return &reachMonitor{
 		log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
-		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
+		peers: transit.NewPeers(region, weight, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
 	}
 }
 
@@ -89,8 +89,8 @@
 }
 
 // Answered implements upstream.Observer.
-func (m *reachMonitor) Answered(string) {
-	m.update(func(now time.Time) { m.reach.RecordAnswer(now) })
+func (m *reachMonitor) Answered(address string) {
+	m.update(func(now time.Time) { m.reach.RecordAnswer(now, address) })
 }
 
 // Failed implements upstream.Observer.
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -16,6 +16,7 @@
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/placement"
 	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/transit"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -28,6 +29,8 @@
 	probe *crashProbe
 	// reach says whether this VM reaches instances, and names VMs that do.
 	reach *reachMonitor
+	// admission bounds the requests that this VM takes over.
+	admission *transit.Admission
 	// closeIdle closes the idle connections to an address.
 	closeIdle func(address string)
 
@@ -62,7 +65,8 @@
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
 		closeIdle: func(string) {}, quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
-		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: newReachMonitor(cfg.Region, log, scope),
+		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: newReachMonitor(cfg.Region, defaultCapacity, log, scope),
+		admission: transit.NewAdmission(0),
 	}
 	for _, kind := range crashguard.StepKinds() {
 		s.stepCounters[kind] = scope.Tagged(map[string]string{"step": string(kind)}).Counter("crash_steps")
@@ -253,6 +257,11 @@
 	defer s.mu.Unlock()
 	if !q.IsRetry {
 		s.picker.RecordArrival(r.Service)
+		if !q.IsTransit {
+			s.admission.RecordOwn(now)
+		} else if !s.admission.Admit(now, q.Priority) {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonOverloaded, defaultRetryAfter)
+		}
 	}
 	var fingerprint crashguard.Fingerprint
 	copy(fingerprint[:], q.Fingerprint[:])
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -48,10 +48,13 @@
 	// instances that must fail before connections are probed.
 	failureTTL = 2 * time.Second
 	minFailed  = 2
-	// maxTargets bounds the instances that are probed at once. A VM is isolated only if as
-	// many fail, or all that there are.
-	maxTargets = 3
-	// numReturnContacts is the number of instances to which an isolated VM must connect.
+	// numTargets is the number of instances that are probed at once, and numTargetsAgain that
+	// after a round of probes failed. A VM is isolated only if minUnreachable fail, or all
+	// that there are: a third of them may be gone.
+	numTargets      = 3
+	numTargetsAgain = 6
+	minUnreachable  = 1 + numTargetsAgain
+	// numReturnContacts is the number of connections that an isolated VM must open.
 	numReturnContacts = 2
 )
 
@@ -95,13 +98,18 @@
 	numAwaiting   int
 	// failedAt holds when instances failed since a connection was opened last.
 	failedAt map[string]time.Time
+	// aliveAt holds the last sign of life of each instance.
+	aliveAt map[string]time.Time
 	// connectedAt is when a connection was opened last.
 	connectedAt time.Time
-	// connected holds the instances that accepted a connection since the VM was isolated.
-	connected map[string]bool
+	// numConnected is the number of connections that an isolated VM opened since all probes
+	// of a round failed.
+	numConnected int
 	// numProbing is the number of probes in progress, and probedAt when they began.
 	numProbing int
 	probedAt   time.Time
+	// roundSucceeded says that one of these probes succeeded.
+	roundSucceeded bool
 	// numInstances is the number of known instances.
 	numInstances int
 	ramp         time.Duration
@@ -112,7 +120,7 @@
 // NewReach returns a Reach in state Reachable.
 func NewReach(cfg Config) *Reach {
 	cfg.setDefaults()
-	return &Reach{cfg: cfg, failedAt: make(map[string]time.Time), connected: make(map[string]bool), ramp: cfg.Ramp}
+	return &Reach{cfg: cfg, failedAt: make(map[string]time.Time), aliveAt: make(map[string]time.Time), ramp: cfg.Ramp}
 }
 
 // State returns the present state, and since when it lasts.
@@ -132,7 +140,8 @@
 }
 
 // RecordAnswer records bytes from an instance.
-func (r *Reach) RecordAnswer(now time.Time) {
+func (r *Reach) RecordAnswer(now time.Time, instance string) {
+	r.aliveAt[instance] = now
 	r.awaitingSince, r.numAwaiting = time.Time{}, 0
 	if r.state == Suspected && len(r.failedAt) == 0 {
 		r.setState(now, Reachable)
@@ -141,6 +150,7 @@
 
 // RecordConnected records that an instance accepted a new connection.
 func (r *Reach) RecordConnected(now time.Time, instance string) {
+	r.aliveAt[instance] = now
 	r.awaitingSince, r.numAwaiting = time.Time{}, 0
 	r.connectedAt = now
 	clear(r.failedAt)
@@ -148,7 +158,7 @@
 	case Suspected:
 		r.setState(now, Reachable)
 	case Isolated:
-		if r.connected[instance] = true; len(r.connected) >= min(numReturnContacts, r.numInstances) {
+		if r.numConnected++; r.numConnected >= numReturnContacts {
 			r.setState(now, Returning)
 			r.returnedAt = now
 		}
@@ -159,7 +169,6 @@
 // and since when. A single instance that fails is no reason to doubt the VM's links, nor
 // is a failure that began before a connection was opened.
 func (r *Reach) RecordFailure(now, since time.Time, instance string) {
-	delete(r.connected, instance)
 	if since.Before(r.connectedAt) {
 		return
 	}
@@ -179,15 +188,27 @@
 	r.probedAt = time.Time{}
 }
 
-// RecordProbe records the end of a probe.
+// RecordProbe records the end of a probe. The connection that a successful one opened is
+// recorded as any other.
 func (r *Reach) RecordProbe(now time.Time, instance string, ok bool) {
 	r.numProbing--
 	if ok {
-		r.RecordConnected(now, instance)
+		r.roundSucceeded = true
 		return
 	}
 	r.RecordFailure(now, r.probedAt, instance)
-	if r.state == Suspected && r.numProbing == 0 && len(r.failedAt) >= min(maxTargets, r.numInstances) {
+	if r.numProbing > 0 {
+		return
+	}
+	if !r.roundSucceeded {
+		r.numConnected = 0
+	}
+	needed := minUnreachable
+	if len(r.aliveAt) < numTargets {
+		// No instances are known to have been alive, so the probes were drawn blindly.
+		needed += numTargetsAgain
+	}
+	if r.state == Suspected && len(r.failedAt) >= min(needed, r.numInstances) {
 		r.isolate(now)
 	}
 }
@@ -199,13 +220,14 @@
 		r.ramp = r.cfg.Ramp
 	}
 	r.setState(now, Isolated)
-	clear(r.connected)
+	r.numConnected = 0
 }
 
 // Tick advances the state, and returns the instances to probe now. RecordProbe must be
 // called for each.
 func (r *Reach) Tick(now time.Time, instances []string) (targets []string) {
 	r.numInstances = len(instances)
+	r.forgetGone(instances)
 	switch r.state {
 	case Reachable:
 		if r.awaitingSince.IsZero() || now.Sub(r.awaitingSince) < r.cfg.Silence {
@@ -221,50 +243,63 @@
 	if r.numProbing > 0 || len(instances) == 0 || (!r.probedAt.IsZero() && now.Sub(r.probedAt) < r.probeInterval()) {
 		return nil
 	}
-	count := maxTargets
+	count := numTargets
 	switch {
 	case r.state == Isolated:
-		count = numReturnContacts
-	case len(r.failedAt) == 0 && r.numAwaiting < maxTargets:
+	case !r.probedAt.IsZero():
+		count = numTargetsAgain
+	case len(r.failedAt) == 0 && r.numAwaiting < numTargets:
 		// Nothing but the silence of a few requests raised the suspicion.
 		count = 1
 	}
 	targets = r.drawTargets(instances, count)
-	r.numProbing, r.probedAt = len(targets), now
+	r.numProbing, r.probedAt, r.roundSucceeded = len(targets), now, false
 	return targets
 }
 
 // probeInterval returns the time between two rounds of probes.
 func (r *Reach) probeInterval() time.Duration {
-	if r.state == Suspected {
+	if r.state == Suspected || r.numConnected > 0 {
 		return r.cfg.ProbeTimeout / 5
 	}
 	// VMs that were isolated together don't return together.
 	return time.Duration((0.75 + r.cfg.Random()/2) * float64(r.cfg.ProbeInterval))
 }
 
-// drawTargets draws instances to probe, those that have not failed yet first.
+// drawTargets draws instances to probe: those that have not failed lately first, and of
+// these the ones that showed a sign of life last.
 func (r *Reach) drawTargets(instances []string, count int) []string {
 	shuffled := slices.Clone(instances)
 	for k := range shuffled {
 		other := k + int(r.cfg.Random()*float64(len(shuffled)-k))
 		shuffled[k], shuffled[other] = shuffled[other], shuffled[k]
 	}
-	if r.state == Suspected {
-		slices.SortStableFunc(shuffled, func(a, b string) int {
-			switch {
-			case r.failedAt[a].IsZero() == r.failedAt[b].IsZero():
-				return 0
-			case r.failedAt[a].IsZero():
-				return -1
-			default:
+	slices.SortStableFunc(shuffled, func(a, b string) int {
+		if hasFailed := !r.failedAt[a].IsZero(); hasFailed != !r.failedAt[b].IsZero() {
+			if hasFailed {
 				return 1
 			}
-		})
-	}
+			return -1
+		}
+		return r.aliveAt[b].Compare(r.aliveAt[a])
+	})
 	return shuffled[:min(count, len(shuffled))]
 }
 
+// forgetGone drops what is known of instances that are no longer listed.
+func (r *Reach) forgetGone(instances []string) {
+	if len(r.aliveAt) <= 2*len(instances) {
+		return
+	}
+	kept := make(map[string]time.Time, len(instances))
+	for _, id := range instances {
+		if at, ok := r.aliveAt[id]; ok {
+			kept[id] = at
+		}
+	}
+	r.aliveAt = kept
+}
+
 // PassesOn reports whether the next request is passed on to another VM. While requests
 // return, a falling share of them is.
 func (r *Reach) PassesOn(now time.Time) bool {
--- /dev/null
+++ b/transit/reach_test.go
@@ -0,0 +1,269 @@
+package transit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/internal/testkit"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func addresses(n int) []string {
+	out := make([]string, n)
+	for k := range out {
+		out[k] = fmt.Sprint("i-", k)
+	}
+	return out
+}
+
+// linkModel is a VM with its links to instances in virtual time. A connection that hangs is
+// given up after dialTimeout, a probe after its own bound.
+type linkModel struct {
+	reach     *Reach
+	rng       *rand.Rand
+	instances []string
+	dead      map[string]bool
+	// isCut hangs new connections; with refuses they fail at once, and open ones live on.
+	isCut, refuses bool
+	// affected holds when requests were sent that the cut affects, the first to each
+	// instance, and touched these instances.
+	affected []time.Duration
+	touched  map[string]bool
+	cutAt    time.Duration
+	now      time.Duration
+	events   []linkEvent
+}
+
+type linkEvent struct {
+	due time.Duration
+	run func()
+}
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	rtt         = 110 * time.Millisecond
+)
+
+func newLinkModel(seed uint64, numInstances int) *linkModel {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	return &linkModel{reach: NewReach(Config{Random: rng.Float64}), rng: rng, instances: addresses(numInstances), dead: make(map[string]bool)}
+}
+
+func (m *linkModel) after(d time.Duration, run func()) {
+	m.events = append(m.events, linkEvent{m.now + d, run})
+}
+
+// connect opens a connection, and calls done with the result.
+func (m *linkModel) connect(address string, timeout time.Duration, done func(ok bool)) {
+	began := m.now
+	m.reach.RecordAttempt(at(m.now))
+	fail := func() {
+		m.reach.RecordFailure(at(m.now), at(began), address)
+		done(false)
+	}
+	switch {
+	case m.isCut && !m.refuses:
+		m.after(timeout, fail)
+	case m.isCut || m.dead[address]:
+		m.after(rtt, fail)
+	default:
+		m.after(rtt, func() {
+			m.reach.RecordConnected(at(m.now), address)
+			done(true)
+		})
+	}
+}
+
+// request sends a request to an instance, on a new connection or on one that is open.
+func (m *linkModel) request(work time.Duration) {
+	address := m.instances[m.rng.IntN(len(m.instances))]
+	isNew := m.rng.IntN(2) == 0
+	if m.isCut && m.now > m.cutAt+rtt && (isNew || !m.refuses) && !m.touched[address] {
+		m.touched[address] = true
+		m.affected = append(m.affected, m.now)
+	}
+	if isNew {
+		m.connect(address, dialTimeout, func(bool) {})
+		return
+	}
+	m.reach.RecordAttempt(at(m.now))
+	if m.dead[address] || (m.isCut && !m.refuses) {
+		return
+	}
+	m.after(work, func() {
+		if !m.isCut || m.refuses {
+			m.reach.RecordAnswer(at(m.now), address)
+		}
+	})
+}
+
+// advance runs the model for a time, with requests at a rate per second.
+func (m *linkModel) advance(d time.Duration, rate float64, work time.Duration, observe func()) {
+	const tick = 10 * time.Millisecond
+	for end := m.now + d; m.now < end; m.now += tick {
+		for k := 0; k < len(m.events); k++ {
+			if e := m.events[k]; e.due <= m.now {
+				m.events = append(m.events[:k], m.events[k+1:]...)
+				k--
+				e.run()
+			}
+		}
+		if m.rng.Float64() < rate*tick.Seconds() && !m.reach.PassesOn(at(m.now)) {
+			m.request(work)
+		}
+		if m.now%(100*time.Millisecond) == 0 {
+			for _, target := range m.reach.Tick(at(m.now), m.instances) {
+				m.connect(target, m.reach.ProbeTimeout(), func(ok bool) { m.reach.RecordProbe(at(m.now), target, ok) })
+			}
+		}
+		observe()
+	}
+}
+
+// A cut from all instances must be noticed within 2 s of the first requests to two
+// instances that it affects, whatever its kind, the load and the number of instances, and the end of it within 2.5 s, and the VM
+// must not return before. Instances that are dead, slow or few must not count as a cut as
+// long as others accept connections.
+func TestReachFollowsTheLinks(t *testing.T) {
+	const defaultRounds = 200
+	seed, rounds := testkit.Seed(t, 1), testkit.Rounds(t, defaultRounds)
+	for round := range rounds {
+		m := newLinkModel(seed+uint64(round), []int{3, 12, 40, 200}[round%4])
+		rate := []float64{2, 10, 90, 300}[m.rng.IntN(4)]
+		work := []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, 2500 * time.Millisecond}[m.rng.IntN(3)]
+		for _, address := range m.instances[:len(m.instances)/3] {
+			m.dead[address] = true
+		}
+		fail := func(format string, args ...any) {
+			t.Helper()
+			t.Fatalf("round %d, seed %d, %d instances, %g/s, work %s: %s", round, seed, len(m.instances), rate, work, fmt.Sprintf(format, args...))
+		}
+		m.advance(5*time.Second, rate, work, func() {
+			if s, _ := m.reach.State(); s == Isolated {
+				fail("isolated at %s without a cut", m.now)
+			}
+		})
+		m.isCut, m.refuses = true, m.rng.IntN(2) == 0
+		m.affected, m.touched, m.cutAt = nil, make(map[string]bool), m.now
+		isolatedAt := time.Duration(0)
+		m.advance(10*time.Second, rate, work, func() {
+			if s, _ := m.reach.State(); s != Isolated && isolatedAt > 0 {
+				fail("not isolated at %s during the cut", m.now)
+			} else if s == Isolated && isolatedAt == 0 {
+				isolatedAt = m.now
+			}
+		})
+		if len(m.affected) >= 2 && (isolatedAt == 0 || isolatedAt-m.affected[1] > 2*time.Second) {
+			fail("isolated at %s, affected at %s", isolatedAt, m.affected[:2])
+		}
+		m.isCut = false
+		m.advance(2500*time.Millisecond, rate, work, func() {})
+		if s, _ := m.reach.State(); s == Isolated {
+			fail("still isolated 2.5 s after the cut")
+		}
+		m.advance(3*time.Second, rate, work, func() {
+			if s, _ := m.reach.State(); s == Isolated {
+				fail("isolated again after the cut")
+			}
+		})
+	}
+}
+
+// Requests must return to the instances gradually, and more slowly after a flap.
+func TestRequestsReturnGradually(t *testing.T) {
+	next := 0.0
+	r := NewReach(Config{Random: func() float64 { return next }})
+	isolate := func(now time.Duration) {
+		r.Tick(at(now), addresses(5))
+		for _, id := range addresses(2) {
+			r.RecordFailure(at(now), at(now), id)
+		}
+		for range 3 {
+			now += 200 * time.Millisecond
+			for _, target := range r.Tick(at(now), addresses(5)) {
+				r.RecordProbe(at(now), target, false)
+			}
+		}
+	}
+	for n, ramp := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		now := time.Duration(n) * 6 * time.Second
+		isolate(now)
+		if s, _ := r.State(); s != Isolated || !r.PassesOn(at(now)) {
+			t.Fatalf("%s at %s", s, now)
+		}
+		now += time.Second
+		r.RecordConnected(at(now), "i-0")
+		if s, _ := r.State(); s != Isolated {
+			t.Fatalf("%s after one connection", s)
+		}
+		r.RecordConnected(at(now), "i-1")
+		for _, share := range []float64{0.25, 0.75} {
+			next = share + 0.1
+			if !r.PassesOn(at(now + time.Duration(share*float64(ramp)))) {
+				t.Errorf("at %g of a ramp of %s a draw of %g is not passed on", share, ramp, next)
+			}
+			next = share - 0.1
+			if r.PassesOn(at(now + time.Duration(share*float64(ramp)))) {
+				t.Errorf("at %g of a ramp of %s a draw of %g is passed on", share, ramp, next)
+			}
+		}
+		r.Tick(at(now+ramp), addresses(5))
+		if s, _ := r.State(); s != Reachable {
+			t.Errorf("%s after the ramp", s)
+		}
+	}
+}
+
+// A VM must choose VMs that reach instances, those of its region first, in allowed regions
+// only, and must leave those that failed alone for a while.
+func TestChoiceOfAnotherVM(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	p := NewPeers("styria", 1, rng.Float64)
+	p.Set([]Peer{{"a", "a:1", "styria", 1}, {"b", "b:1", "styria", 1}, {"c", "c:1", "tyrol", 1}, {"d", "d:1", "vienna", 1}})
+	choose := func(now time.Duration, regions ...string) string {
+		seen := make(map[string]bool)
+		for range 50 {
+			if v, ok := p.Choose(at(now), regions, nil); ok {
+				seen[v.ID] = true
+				p.Done(v.ID)
+			}
+		}
+		out := ""
+		for _, id := range []string{"a", "b", "c", "d"} {
+			if seen[id] {
+				out += id
+			}
+		}
+		return out
+	}
+	p.RecordState(at(0), "a", true)
+	for _, c := range []struct{ got, want string }{
+		// One VM of the region can't carry the requests of two others.
+		{choose(0), "bcd"},
+		{choose(0, "styria"), "b"},
+		{choose(0, "tyrol", "vienna"), "cd"},
+		{choose(0, "elsewhere"), ""},
+		{choose(stateTTL), "ab"},
+	} {
+		if c.got != c.want {
+			t.Errorf("%q, want %q", c.got, c.want)
+		}
+	}
+	p.RecordState(at(time.Second), "b", true)
+	p.RecordState(at(time.Second), "a", true)
+	if got := choose(time.Second); got != "cd" {
+		t.Errorf("%q while the region is isolated", got)
+	}
+	p.Avoid(at(time.Second), "c")
+	if got := choose(time.Second); got != "d" {
+		t.Errorf("%q while one VM is avoided", got)
+	}
+	if got := choose(time.Second + avoidTime); got != "cd" {
+		t.Errorf("%q after that", got)
+	}
+}
