--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,8 +6,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"log/slog"
-	"math/rand/v2"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -169,12 +170,12 @@
 		budget: budget.NewRetry(budget.Config{Ratio: retryShare * s.RetryRatio, Burst: retryBurst}),
 		self: inventory.VM{
 			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller.String(), Relay: s.Peer.String(),
-			Boot: uint64(time.Now().UnixNano()), Capacity: capacity(s), Transit: true,
+			Boot: uint64(time.Now().UnixNano()), Capacity: capacity(s), TransitKey: rand.Text(),
 		},
 	}
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
-		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: rand.Float64,
+		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: mathrand.Float64,
 	}, n.log, n.metrics.Scope())
 	n.selector.reach = newReachMonitor(s.Region, weightOf(&n.self), n.log, n.metrics.Scope())
 	n.selector.admission = transit.NewAdmission(n.self.Capacity)
@@ -182,7 +183,7 @@
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Metrics: n.metrics, Log: n.log,
 		MaxConcurrent: maxConcurrentRequests, MaxConnections: maxConnectionsPerInstance, MaxBufferBytes: maxBufferedBodyBytes, DeadlineGrace: deadlineGrace,
-		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(s),
+		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(),
 	})
 	n.reach.open = n.proxy.Client().Open
 	n.follower = feed.New(feed.Options{
--- a/entry/transit.go
+++ b/entry/transit.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
+	"crypto/subtle"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -23,10 +23,9 @@
 	maxIdleTransitConnections = 64
 )
 
-// transitOptions are the options of the connections to other VMs, which know this VM by
-// the address of its record.
-func transitOptions(s *Settings) upstream.Options {
-	return upstream.Options{LocalIP: s.Peer.Addr(), MaxConnections: maxTransitConnections, MaxIdleConnections: maxIdleTransitConnections}
+// transitOptions are the options of the connections to other VMs.
+func transitOptions() upstream.Options {
+	return upstream.Options{MaxConnections: maxTransitConnections, MaxIdleConnections: maxIdleTransitConnections}
 }
 
 // transitHandler serves the requests that other VMs pass on, and leaves all others to
@@ -37,7 +36,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if from, err := netip.ParseAddrPort(r.RemoteAddr); err != nil || !n.view.Load().hosts[from.Addr().Unmap()] {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(proxy.HeaderTransitKey)), []byte(n.self.TransitKey)) != 1 {
 			event.TransitDenied.Log(n.log, "from", r.RemoteAddr)
 			n.proxy.RefuseTransit(w, r, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter))
 			return
@@ -50,8 +49,8 @@
 func (m *reachMonitor) setPeers(v *view, self string) {
 	var peers []transit.Peer
 	for i := range v.vms {
-		if vm := &v.vms[i]; vm.ID != self && vm.Transit && !vm.Starting {
-			peers = append(peers, transit.Peer{ID: vm.ID, Address: vm.Relay, Region: vm.Region, Weight: weightOf(vm)})
+		if vm := &v.vms[i]; vm.ID != self && vm.TransitKey != "" && !vm.Starting {
+			peers = append(peers, transit.Peer{ID: vm.ID, Address: vm.Relay, Key: vm.TransitKey, Region: vm.Region, Weight: weightOf(vm)})
 		}
 	}
 	m.mu.Lock()
@@ -120,6 +119,9 @@
 	return proxy.Instance{ID: c.peer.ID, Address: c.peer.Address}
 }
 
+// Key returns what the other VM expects of those that pass requests on.
+func (c *transitSelection) Key() string { return c.peer.Key }
+
 // SetInstance records the instance that answered.
 func (c *transitSelection) SetInstance(id string) { c.instance = id }
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -73,8 +72,6 @@
 	// remoteRelays holds the first VMs of other regions, in an order that differs
 	// between regions. They relay while no VM of this region has a record.
 	remoteRelays []string
-	// hosts holds the addresses of all VMs, and of those whose records were removed lately.
-	hosts map[netip.Addr]bool
 	// remoteVMs holds the VMs of the other regions, by region.
 	remoteVMs map[string][]inventory.VM
 
@@ -91,7 +88,7 @@
 // newView ranks the VMs of a region. VMs that have a record in the old view but no longer
 // in the new one become previous VMs. The old view may be nil.
 func newView(old *view, now time.Time, vms []inventory.VM, region string) *view {
-	v := &view{vms: vms, hosts: make(map[netip.Addr]bool), remoteVMs: make(map[string][]inventory.VM), cachedAnswers: make(map[answerKey][]string)}
+	v := &view{vms: vms, remoteVMs: make(map[string][]inventory.VM), cachedAnswers: make(map[answerKey][]string)}
 	var others []inventory.VM
 	for i := range vms {
 		if vms[i].Region == region {
@@ -108,7 +105,6 @@
 			v.remoteRelays = append(v.remoteRelays, others[i].Relay)
 		}
 	}
-	defer v.setHosts()
 	if old == nil {
 		return v
 	}
@@ -126,22 +122,6 @@
 	return v
 }
 
-// setHosts collects the addresses of the VMs.
-func (v *view) setHosts() {
-	add := func(relay string) {
-		// An address that can't be parsed can't be that of a request.
-		if a, err := netip.ParseAddrPort(relay); err == nil {
-			v.hosts[a.Addr().Unmap()] = true
-		}
-	}
-	for i := range v.vms {
-		add(v.vms[i].Relay)
-	}
-	for i := range v.previous {
-		add(v.previous[i].Relay)
-	}
-}
-
 // sortByScore sorts VMs by weighted rendezvous hashing, the highest score first.
 func sortByScore(vms []inventory.VM, purpose string) {
 	seed := xxhash.Sum64String(purpose)
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -80,8 +80,9 @@
 	// Capacity is the number of requests per second that the VM can handle. Zero means
 	// unknown.
 	Capacity float64 `json:"capacity,omitempty"`
-	// Transit says that the VM takes over requests of VMs that reach no instance.
-	Transit bool `json:"transit,omitempty"`
+	// TransitKey is what VMs that reach no instance state when they pass a request on to
+	// this VM. Only VMs can read it. Empty means that the VM takes none over.
+	TransitKey string `json:"transit_key,omitempty"`
 	// Starting VMs relay requests, but are not announced to callers yet.
 	Starting bool `json:"starting,omitempty"`
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -127,8 +127,8 @@
 	if a.x.body.length == 0 {
 		req.Body = http.NoBody
 	}
-	if _, ok := a.selection.(transitSelection); ok {
-		a.setTransitHeaders(req.Header)
+	if s, ok := a.selection.(transitSelection); ok {
+		a.setTransitHeaders(req.Header, s.Key())
 		return req, nil
 	}
 	a.x.h.options.Protocol.SetRequestHeaders(req.Header, &a.x.meta, a.selection.Instance(), time.Until(a.x.query.Deadline))
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -20,6 +20,8 @@
 	// HeaderTransit marks the request and identifies it on its connection. The answer
 	// repeats it.
 	HeaderTransit = transitPrefix
+	// HeaderTransitKey is the key that the other VM announced to VMs only.
+	HeaderTransitKey = transitPrefix + "-Key"
 	// headerTransitLeft is the time until the deadline in milliseconds,
 	// headerTransitAttempts the number of instances to which the request may still be sent,
 	// and headerTransitTried the ID of an instance that was tried.
@@ -36,6 +38,8 @@
 // the instance.
 type transitSelection interface {
 	Selection
+	// Key is what the other VM expects of VMs that pass requests on to it.
+	Key() string
 	// SetInstance is called with the instance that answered.
 	SetInstance(id string)
 }
@@ -87,7 +91,7 @@
 	x.serveAdmitted(err)
 }
 
-// RefuseTransit refuses a request that was passed on by an unknown sender.
+// RefuseTransit refuses a request that was passed on without the right key.
 func (h *Handler) RefuseTransit(w http.ResponseWriter, r *http.Request, e *verdict.Error) {
 	x := &exchange{h: h, w: w, r: r, received: h.options.Now(), transit: &transitRequest{from: callerAddress(r)}}
 	w.Header().Set(HeaderTransit, r.Header.Get(HeaderTransit))
@@ -104,8 +108,9 @@
 }
 
 // setTransitHeaders sets the headers of a request to another VM.
-func (a *attempt) setTransitHeaders(h http.Header) {
+func (a *attempt) setTransitHeaders(h http.Header, key string) {
 	x := a.x
+	h.Set(HeaderTransitKey, key)
 	a.nonce = strconv.FormatUint(x.h.nextTransit.Add(1), 10)
 	h.Set(HeaderTransit, a.nonce)
 	h.Set(headerTransitLeft, strconv.FormatInt(max(1, time.Until(x.query.Deadline).Milliseconds()), 10))
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -78,6 +78,7 @@
 	crashInstances
 	nameLimits
 	restoreStore
+	cutFromInstances
 	numFaultKinds
 )
 
@@ -162,6 +163,8 @@
 		w.leaveInAnswers()
 	case askToWait:
 		w.askToWait(u)
+	case cutFromInstances:
+		w.cutFromInstances()
 	case restoreStore:
 		w.restoreStore()
 	case nameLimits:
@@ -336,6 +339,7 @@
 	}
 	out = append(out, w.ignoredNotices()...)
 	out = append(out, w.exceededLimits()...)
+	out = append(out, w.underservedCuts()...)
 	out = append(out, w.excessCrashes(informed)...)
 	for id, n := range w.extraRuns {
 		runs[id] += n
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -80,6 +80,9 @@
 	sentAt  time.Time
 	// version is the version of the routes whose marker route was requested, or 0.
 	version int
+	// isCut says that the VM had been cut off from all instances for cutDelay, isDuringCut
+	// that some VM had, and mayPassOn that the VM may have passed the request on.
+	isCut, isDuringCut, mayPassOn bool
 	// dueReason says why the VM must have that version. Empty means that it need not.
 	dueReason string
 }
@@ -104,6 +107,10 @@
 	disturbances []time.Time
 	// isStorePathFaulty says that the relay between the VM and the store misbehaves.
 	isStorePathFaulty bool
+	// links is the file by which the links to instances are cut, cutSince when they were, or
+	// zero, and healedAt when the last cut ended.
+	links              string
+	cutSince, healedAt time.Time
 	// stopping says that a planned stop is in progress.
 	stopping bool
 	paused   bool
@@ -169,8 +176,10 @@
 	isStoreFaulty bool
 	// isRestoring says that a restore of the store is in progress; restores waits for it.
 	isRestoring bool
-	restores    sync.WaitGroup
-	started     time.Time
+	// isCutting says that VMs are cut off from the instances.
+	isCutting bool
+	restores  sync.WaitGroup
+	started   time.Time
 	// served counts the answers with status 200, by VM.
 	served map[int]int
 }
@@ -291,6 +300,7 @@
 	free := testkit.FreeAddresses(w.t, testkit.UniqueLoopbackIP(), 4)
 	v := &vm{number: n, region: n % w.size.regions, caller: free[0], ready: free[1], lookup: free[2], relay: testkit.NewRelay(w.t, w.store.Address())}
 	v.settings = filepath.Join(w.dir, fmt.Sprintf("vm-%d.ini", n))
+	v.links = filepath.Join(w.dir, fmt.Sprintf("vm-%d.links", n))
 	var text strings.Builder
 	fmt.Fprintf(&text, "[vm]\nid = vm-%d\ndata_centre = %s\nregion = region%d\n", n, zoneOf(v.region, n/w.size.regions), v.region)
 	fmt.Fprintf(&text, "[listen]\ncaller = %s\nready = %s\nlookup = %s\npeer = %s\n[data_centres]\n", v.caller, v.ready, free[2], free[3])
@@ -324,6 +334,7 @@
 	}
 	cmd := exec.Command(w.daemon, "entry", "-config", v.settings)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), "CURRANTFERRY_SOAK_LINKS="+v.links)
 	if err := cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
@@ -471,6 +482,7 @@
 	w.mu.Unlock()
 	sentAt := time.Now()
 	r := &request{id: call.ID, order: call.Order, vm: n, undisturbed: sentAt.Sub(lastDisturbed) > settleTime, sentAt: sentAt, version: call.Version}
+	w.markCut(r)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	req, err := call.Request(ctx, v.caller)
@@ -501,6 +513,20 @@
 	w.record(r)
 }
 
+// markCut records whether VMs were cut off from the instances when a request was sent.
+func (w *world) markCut(r *request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.vms[r.vm]
+	for _, other := range w.vms {
+		r.isDuringCut = r.isDuringCut || (!other.cutSince.IsZero() && r.sentAt.Sub(other.cutSince) > cutDelay)
+	}
+	r.isCut = !v.cutSince.IsZero() && r.sentAt.Sub(v.cutSince) > cutDelay
+	r.mayPassOn = !v.cutSince.IsZero() || r.sentAt.Sub(v.healedAt) < transitTime
+	// A VM that was cut off a moment ago serves neither as usual nor through others yet.
+	r.isDuringCut = r.isDuringCut && (r.isCut || !r.mayPassOn)
+}
+
 func (w *world) record(r *request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/transit/peers.go
+++ b/transit/peers.go
@@ -17,6 +17,8 @@
 // Peer is another VM.
 type Peer struct {
 	ID, Address, Region string
+	// Key is stated to the VM with each request that is passed on to it.
+	Key string
 	// Weight is proportional to the VM's capacity.
 	Weight float64
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,7 +8,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -60,8 +59,6 @@
 	// MaxConnections bounds the connections of this client to one instance. Zero means
 	// no bound.
 	MaxConnections int
-	// LocalIP is the local address of connections. The zero value lets the system choose.
-	LocalIP netip.Addr
 	// Dial, if not nil, opens the connections instead of a net.Dialer with the timeouts
 	// above. Tests use it to cut this client off.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -191,12 +188,7 @@
 // newDialer returns the dialer for connections to instances. UnackedTimeout also decides
 // when unanswered keep-alive probes end an idle connection, whatever their count.
 func (o *Options) newDialer() *net.Dialer {
-	var local net.Addr
-	if o.LocalIP.IsValid() && !o.LocalIP.IsUnspecified() {
-		local = net.TCPAddrFromAddrPort(netip.AddrPortFrom(o.LocalIP, 0))
-	}
 	return &net.Dialer{
-		LocalAddr:       local,
 		Timeout:         o.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.UnackedTimeout / 3, Interval: o.UnackedTimeout / 3, Count: 2},
 		Control:         userTimeoutControl(o.UnackedTimeout),
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -92,7 +92,7 @@
 	{ReasonAskedToWait, http.StatusServiceUnavailable, "destination_unavailable", "every instance that may serve the request leaves or asked for a pause"},
 	{ReasonAtLimit, http.StatusServiceUnavailable, "connection_limit_reached", "every instance that may serve the request is at the limit that it named, leaves or asked for a pause"},
 	{ReasonWithdrawn, http.StatusServiceUnavailable, "destination_unavailable", "the instance asked for no more requests before this one was sent"},
-	{ReasonIsolated, http.StatusServiceUnavailable, "destination_unavailable", "this VM reaches no instance, or does not know the VM that passed the request on"},
+	{ReasonIsolated, http.StatusServiceUnavailable, "destination_unavailable", "this VM reaches no instance, or the request was passed on to it without its key"},
 	{ReasonBodyNotRepeatable, http.StatusBadGateway, "connection_terminated", "the body was partly sent and cannot be sent again"},
 }
 
