Tell VMs that start what a restored copy lacks

A VM that started after a restore, before the operators and instances had written again, knew only the copy, also through a relay: older routes, instances that had left or drained.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -28,6 +28,8 @@
 	// Position is the one up to which the answer is complete. All records are of its
 	// epoch.
 	history.Position
+	// HasEarlier says that a relay knows more of the epoch before, see relaySource.Earlier.
+	HasEarlier bool
 	// Age is the time since the store confirmed Revision. It is zero in answers of the
 	// store itself.
 	Age time.Duration
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -394,6 +394,15 @@
 			"epoch_before", before.Epoch, "revision_before", before.Revision)
 	}
 	f.reportContact(now, false)
+	if relay, ok := source.(*relaySource); ok && a.HasEarlier && !wasLoaded {
+		earlier, err := relay.Earlier(bounded)
+		if err != nil {
+			// This VM then knows the restored state only, as it does without a relay.
+			event.FeedLost.Log(f.options.Log, "source", relay.address, "error", err)
+		} else {
+			replayEarlier(f.options.Sink, now, &earlier, &a)
+		}
+	}
 	f.options.Sink.Reset(now, a.Position, a.Records)
 	return nil
 }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -24,6 +24,7 @@
 const (
 	statePath   = "/feed/state"
 	changesPath = "/feed/changes"
+	earlierPath = "/feed/earlier"
 )
 
 // maxRelayWait bounds how long a relay holds a request that waits for a change.
@@ -39,6 +40,8 @@
 	headerRevision = "Feed-Revision"
 	// headerEpoch is left out if the store does not tell its epoch.
 	headerEpoch = "Feed-Epoch"
+	// headerEarlier says that earlierPath has an answer.
+	headerEarlier = "Feed-Earlier"
 	// headerAge holds the age of the store's confirmation in microseconds.
 	headerAge = "Feed-Age-Us"
 )
@@ -55,9 +58,13 @@
 	bodies map[uint64][]byte
 }
 
-// wholeState is the cache key of the whole state; other keys are the revisions after
+// wholeState is the cache key of the whole state, earlierState that of what was known before
+// the last restore; other keys are the revisions after
 // which the changes begin.
-const wholeState = ^uint64(0)
+const (
+	wholeState   = ^uint64(0)
+	earlierState = wholeState - 1
+)
 
 // encode returns the compressed body of an answer with the changes after a revision,
 // or with the whole state if after is wholeState.
@@ -89,6 +96,17 @@
 func (f *Follower) Serve(router *httprouter.Router) {
 	router.GET(statePath, f.serveState)
 	router.GET(changesPath, f.serveChanges)
+	router.GET(earlierPath, f.serveEarlier)
+}
+
+// serveEarlier answers with what was known before the last restore.
+func (f *Follower) serveEarlier(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	a, ok := f.replica.earlierState(f.options.Uptime())
+	if !ok {
+		http.Error(w, "no restore lately", http.StatusNotFound)
+		return
+	}
+	f.writeAnswer(w, &a, earlierState)
 }
 
 // serveState waits until the state has at least the requested position, so that VMs
@@ -107,6 +125,9 @@
 	for {
 		a, changed, ok := f.replica.state(f.options.Uptime())
 		if ok && !a.Before(minPosition) {
+			if _, hasEarlier := f.replica.earlierState(f.options.Uptime()); hasEarlier {
+				w.Header().Set(headerEarlier, "1")
+			}
 			f.writeAnswer(w, &a, wholeState)
 			return
 		}
@@ -243,6 +264,12 @@
 	return s.get(ctx, changesPath, "after", after, wait)
 }
 
+// Earlier returns what the relay knew before the last restore, as far as it differs from
+// its state.
+func (s *relaySource) Earlier(ctx context.Context) (Answer, error) {
+	return s.get(ctx, earlierPath, "least", history.Position{}, 0)
+}
+
 // get sends a request for a position, whose revision is in the named parameter.
 func (s *relaySource) get(ctx context.Context, path, parameter string, p history.Position, wait time.Duration) (Answer, error) {
 	q := url.Values{
@@ -282,6 +309,7 @@
 			return a, errors.Wrap(err, headerEpoch)
 		}
 	}
+	a.HasEarlier = res.Header.Get(headerEarlier) != ""
 	age, err := strconv.ParseInt(res.Header.Get(headerAge), 10, 64)
 	if err != nil || age < 0 || age > math.MaxInt64/int64(time.Microsecond) {
 		return a, errors.Errorf("%s: %q", headerAge, res.Header.Get(headerAge))
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -25,10 +25,14 @@
 	confirmedAt time.Duration
 	loaded      bool
 	changed     chan struct{}
+	// removed holds the records that were removed lately, and earlier what was known at the
+	// end of the epoch before and differs from the state after the restore.
+	removed map[string]removedRecord
+	earlier earlierEpoch
 }
 
 func newReplica() *replica {
-	return &replica{records: make(map[string]Record), changed: make(chan struct{})}
+	return &replica{records: make(map[string]Record), changed: make(chan struct{}), removed: make(map[string]removedRecord)}
 }
 
 // load replaces the state by that of an answer. It returns ErrOutdated if the answer is
@@ -40,14 +44,18 @@
 	if c.loaded && a.Position.Before(c.at) || a.Position.Before(minPosition) {
 		return ErrOutdated
 	}
-	c.records = make(map[string]Record, len(a.Records))
+	records := make(map[string]Record, len(a.Records))
 	for _, r := range a.Records {
-		c.records[r.Key] = r
+		records[r.Key] = r
 	}
 	if c.at.Epoch != a.Epoch {
 		// A confirmation of the old epoch says nothing about the new one.
 		c.confirmedAt = 0
+		if c.loaded {
+			c.beginEpoch(uptime, records)
+		}
 	}
+	c.records = records
 	c.changes, c.compactedRevision, c.at, c.loaded = nil, a.Revision, a.Position, true
 	c.confirm(uptime, a.Age)
 	c.wake()
@@ -72,7 +80,9 @@
 			continue
 		}
 		changes = append(changes, r)
+		delete(c.earlier.records, r.Key)
 		if r.Removed {
+			c.recordRemoval(uptime, r)
 			delete(c.records, r.Key)
 		} else {
 			c.records[r.Key] = r
--- a/feed/restore_test.go
+++ b/feed/restore_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -251,3 +253,50 @@
 	store.put(2, "a")
 	eventually(t, "change", func() bool { return vm.sink.has("a") })
 }
+
+// A relay must hand over what it knew before a restore, removals included, also if it has
+// just answered with the whole state of that time, and only for a while.
+func TestRelayHandsOverWhatItKnewBeforeARestore(t *testing.T) {
+	store := newMemorySource()
+	var offset atomic.Int64
+	relay := newTestVM(store, func() ([]string, bool) { return nil, true })
+	relay.follower.options.Uptime = func() time.Duration { return Uptime() + time.Duration(offset.Load()) }
+	defer relay.server.Close()
+	r := relay.follower.replica
+	now := relay.follower.options.Uptime
+	first := &Answer{Position: history.Position{Epoch: 1, Revision: 4}, Records: []Record{{Key: "kept", Revision: 2}, {Key: "old", Revision: 3}, {Key: "left", Revision: 4}}}
+	if err := r.load(now(), first, history.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	changes := &Answer{Position: history.Position{Epoch: 1, Revision: 7}, Records: []Record{{Key: "old", Revision: 5}, {Key: "left", Revision: 6, Removed: true}, {Key: "new", Revision: 7}}}
+	if _, err := r.apply(now(), changes); err != nil {
+		t.Fatal(err)
+	}
+	source := &relaySource{http.DefaultClient, relay.address(), time.Second, history.Position{}}
+	if a, err := source.Read(t.Context()); err != nil || a.HasEarlier || len(a.Records) != 3 {
+		t.Fatalf("%+v %v before the restore", a, err)
+	}
+	restored := &Answer{Position: history.Position{Epoch: 2, Revision: 4}, Records: first.Records}
+	if err := r.load(now(), restored, history.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	a, err := source.Earlier(t.Context())
+	want := []Record{{Key: "left", Revision: 4}, {Key: "left", Revision: 6, Removed: true}, {Key: "new", Revision: 7}, {Key: "old", Revision: 5}}
+	if err != nil || a.Position != (history.Position{Epoch: 1, Revision: 7}) || fmt.Sprint(a.Records) != fmt.Sprint(want) {
+		t.Fatalf("%+v %v, want %v", a, err, want)
+	}
+	if a, err := source.Read(t.Context()); err != nil || !a.HasEarlier {
+		t.Errorf("%+v %v after the restore", a, err)
+	}
+	// What its owner has written again is no longer handed over.
+	if _, err := r.apply(now(), &Answer{Position: history.Position{Epoch: 2, Revision: 5}, Records: []Record{{Key: "new", Revision: 5}}}); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := source.Earlier(t.Context()); err != nil || len(a.Records) != 3 {
+		t.Errorf("%+v %v after one owner has written again", a, err)
+	}
+	offset.Store(int64(earlierTTL + time.Second))
+	if _, err := source.Earlier(t.Context()); err == nil {
+		t.Error("handed over too late")
+	}
+}
