Don't use an evacuated instance before its record is back

An instance whose record is missing when the evacuation of its data centre ends now waits for its record, 2.2 s at most. TestInstanceWithoutRecordIsNotUsedAfterEvacuation failed before.

--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -169,3 +169,30 @@
 		t.Fatal("a VM that the state lacks is still there")
 	}
 }
+
+// An instance whose record is missing when the evacuation of its data centre ends must not
+// get requests before it has written its record again: it may have become cold meanwhile.
+func TestInstanceWithoutRecordIsNotUsedAfterEvacuation(t *testing.T) {
+	v := New()
+	evacuation := func(revision uint64, ended bool) Change {
+		return Change{Kind: KindEvacuation, ID: "a", Position: history.Position{Revision: revision}, Removed: ended}
+	}
+	v.Apply(at(0), []Change{registration("x", 1), registration("y", 2), evacuation(3, false)})
+	v.RecordContact(at(1), true)
+	v.RecordContact(at(5), false)
+	v.Apply(at(5), []Change{removal("x", 4), evacuation(5, true)})
+	if got := instanceIDs(v); got != "y " {
+		t.Errorf("%q after the evacuation, while the record of x is missing", got)
+	}
+	v.Apply(at(6), []Change{registration("x", 6)})
+	if got := instanceIDs(v); got != "x y " {
+		t.Errorf("%q after the record of x is back", got)
+	}
+	// Some time after an evacuation a missing record changes nothing for a while.
+	v.RecordContact(at(20), true)
+	v.RecordContact(at(25), false)
+	v.Apply(at(25), []Change{removal("x", 7), removal("y", 8)})
+	if got := instanceIDs(v); got != "x y " {
+		t.Errorf("%q some time after the evacuation", got)
+	}
+}
--- a/inventory/view.go
+++ b/inventory/view.go
@@ -47,7 +47,13 @@
 		return false
 	}
 	evacuation := v.entries[entryKey{KindEvacuation, i.DataCentre}]
-	return evacuation == nil || !evacuation.removedAt.IsZero()
+	if evacuation == nil {
+		return true
+	}
+	// Without a record, an instance that was evacuated until now may be cold unnoticed.
+	isUnknown := !e.deferredUntil.IsZero() && e.presentAt.Before(evacuation.change.Position) &&
+		e.deferredUntil.Sub(evacuation.removedAt) < 2*removalDeferralTime
+	return !evacuation.removedAt.IsZero() && !isUnknown
 }
 
 // VMs returns the entry VMs, ordered by ID.
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -60,7 +60,7 @@
 		kinds: []faultKind{drainInstance}, noticed: "after its drain began",
 	},
 	"evacuated data centres get new work": {
-		file: "inventory/view.go", old: "return evacuation == nil || !evacuation.removedAt.IsZero()", with: "return evacuation == nil || i.Slots > 0",
+		file: "inventory/view.go", old: "return !evacuation.removedAt.IsZero() && !isUnknown", with: "return i.Slots > 0 || isUnknown",
 		kinds: []faultKind{evacuate}, noticed: "after it was to be empty",
 	},
 	"instances that said they leave get new work": {
