--- a/entry/transit.go
+++ b/entry/transit.go
@@ -83,7 +83,9 @@
 func (m *reachMonitor) passOn(now time.Time, q *proxy.Query, refused bool) (transit.Peer, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.reach.PassesOn(now) && !((refused || q.IsRetry) && m.reach.IsDoubtful(now)) {
+	// A VM that reaches a part of the instances passes on only what these don't take.
+	isLeftOver := (refused || q.IsRetry) && m.reach.IsDoubtful(now)
+	if !isLeftOver && !m.reach.PassesOn(now) {
 		return transit.Peer{}, false
 	}
 	return m.peers.Choose(now, q.Regions, q.Exclude)
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -41,7 +41,7 @@
 func (c *replica) load(uptime time.Duration, a *Answer, minPosition history.Position) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.loaded && a.Position.Before(c.at) || a.Position.Before(minPosition) {
+	if c.loaded && a.Before(c.at) || a.Before(minPosition) {
 		return ErrOutdated
 	}
 	records := make(map[string]Record, len(a.Records))
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -38,9 +38,9 @@
 	DefaultProbeTimeout = 250 * time.Millisecond
 	// DefaultProbeInterval is the time between two probes of an isolated VM.
 	DefaultProbeInterval = 400 * time.Millisecond
-	// DefaultRamp is the time over which requests return to the instances, and DefaultMaxRamp
-	// that of a VM that was isolated again soon after its return.
-	DefaultRamp    = time.Second
+	// DefaultRamp is the time over which requests return to the instances.
+	DefaultRamp = time.Second
+	// DefaultMaxRamp bounds that time for a VM that was isolated again soon after its return.
 	DefaultMaxRamp = 8 * time.Second
 	// flapWindow is the time after a return within which a new isolation counts as a flap.
 	flapWindow = 10 * time.Second
--- a/transit/reach_test.go
+++ b/transit/reach_test.go
@@ -225,8 +225,10 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	p := NewPeers("styria", 1, rng.Float64)
 	p.Set([]Peer{
-		{ID: "a", Region: "styria", Weight: 1}, {ID: "b", Region: "styria", Weight: 1},
-		{ID: "c", Region: "tyrol", Weight: 1}, {ID: "d", Region: "vienna", Weight: 1},
+		{ID: "a", Region: "styria", Weight: 1},
+		{ID: "b", Region: "styria", Weight: 1},
+		{ID: "c", Region: "tyrol", Weight: 1},
+		{ID: "d", Region: "vienna", Weight: 1},
 	})
 	choose := func(now time.Duration, regions ...string) string {
 		seen := make(map[string]bool)
