Abandon requests under way when a VM loses its way

Requests that a VM had sent, or wanted to send, in the 0.7 s before it noticed a cut waited for their connections to time out or for their deadlines. When the VM is isolated they end: what was not sent is passed on at once, reads that were sent are sent again within the retry budget; orders that were sent wait for their answers.

--- a/entry/reach.go
+++ b/entry/reach.go
@@ -32,6 +32,9 @@
 	reach     *transit.Reach
 	peers     *transit.Peers
 	instances []string
+	// path is cancelled when this VM is isolated, and replaced when it returns.
+	path     context.Context
+	losePath context.CancelFunc
 	// isConfirming says that confirm waits for a connection.
 	isConfirming bool
 }
@@ -39,8 +42,9 @@
 var _ upstream.Observer = (*reachMonitor)(nil)
 
 func newReachMonitor(region string, weight float64, log *slog.Logger, scope tally.Scope) *reachMonitor {
+	path, losePath := context.WithCancel(context.Background())
 	return &reachMonitor{
-		log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
+		path: path, losePath: losePath, log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
 		peers: transit.NewPeers(region, weight, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
 	}
 }
@@ -53,6 +57,14 @@
 	change(now)
 	after, _ := m.reach.State()
 	numInstances := len(m.instances)
+	if after != before {
+		switch after {
+		case transit.Isolated:
+			m.losePath()
+		case transit.Returning:
+			m.path, m.losePath = context.WithCancel(context.Background())
+		}
+	}
 	m.mu.Unlock()
 	if after == before {
 		return
@@ -139,3 +151,11 @@
 		m.mu.Unlock()
 	})
 }
+
+// currentPath returns a context that is cancelled when this VM reaches no instance any
+// more. A VM that is isolated has not begun new attempts since.
+func (m *reachMonitor) currentPath() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.path
+}
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -325,6 +325,9 @@
 	return proxy.Instance{ID: c.ticket.Instance.ID, Address: c.ticket.Instance.Address}
 }
 
+// Path returns a context that is cancelled when this VM reaches no instance any more.
+func (c *selection) Path() context.Context { return c.s.reach.currentPath() }
+
 // LogAttrs returns the log attributes that explain the choice of the instance.
 func (c *selection) LogAttrs() []any {
 	t := &c.ticket
@@ -363,7 +366,7 @@
 // isConnectionFailure reports whether an attempt failed without an answer.
 func isConnectionFailure(o *proxy.Outcome) bool {
 	switch o.Reason {
-	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost, verdict.ReasonTruncated, verdict.ReasonDeadline:
+	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost, verdict.ReasonTruncated, verdict.ReasonDeadline, verdict.ReasonIsolated:
 		return o.Verdict != verdict.Ran
 	default:
 		return false
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,8 @@
 	res *http.Response
 	err *verdict.Error
 
+	// state is attemptConnecting, attemptSending or attemptAbandoned.
+	state atomic.Int32
 	// nonce identifies the attempt to another VM.
 	nonce string
 	// written means that bytes of the request may have reached the instance.
@@ -64,8 +67,12 @@
 		MatchAnswer: func(res *http.Response) upstream.Match { return o.Protocol.MatchAnswer(&a.x.meta, res) },
 	}
 	receiver, isReceiver := a.selection.(noticeReceiver)
-	if isReceiver {
-		x.CanSend = receiver.CanSend
+	x.CanSend = func() bool {
+		return (!isReceiver || receiver.CanSend()) && a.state.CompareAndSwap(attemptConnecting, attemptSending)
+	}
+	if s, ok := a.selection.(pathSelection); ok {
+		stop := context.AfterFunc(s.Path(), a.abandon)
+		defer stop()
 	}
 	res, err := a.x.h.client.Do(a.ctx, &x)
 	a.latency = o.Now().Sub(a.started)
@@ -152,6 +159,8 @@
 		return verdict.Wrap(err, v, verdict.ReasonDeadline)
 	case a.x.ctx.Err() != nil:
 		return verdict.Wrap(err, v, verdict.ReasonCallerGone)
+	case a.state.Load() == attemptAbandoned:
+		return verdict.Wrap(err, v, verdict.ReasonIsolated)
 	case a.ctx.Err() != nil:
 		return verdict.Wrap(err, v, verdict.ReasonSlowUpstream)
 	case failed != nil && failed.Stray > 0:
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -44,6 +45,31 @@
 	SetInstance(id string)
 }
 
+// pathSelection is implemented by selections that know when this VM has lost its way to
+// all instances.
+type pathSelection interface {
+	// Path returns a context that is cancelled when this VM reaches no instance any more.
+	Path() context.Context
+}
+
+// States of an attempt, which decide whether it can be abandoned.
+const (
+	attemptConnecting int32 = iota
+	attemptSending
+	attemptAbandoned
+)
+
+// abandon ends an attempt whose VM has lost its way to the instances, so that the request
+// can be passed on: if nothing was sent, or if the request may run again.
+func (a *attempt) abandon() {
+	if !a.state.CompareAndSwap(attemptConnecting, attemptAbandoned) {
+		if !a.x.query.Idempotent || !a.state.CompareAndSwap(attemptSending, attemptAbandoned) {
+			return
+		}
+	}
+	a.cancel()
+}
+
 // transitRequest is what the VM that passed a request on states about it.
 type transitRequest struct {
 	nonce string
