--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,7 @@
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: mathrand.Float64,
 	}, n.log, n.metrics.Scope())
-	n.selector.reach = newReachMonitor(s.Region, weightOf(&n.self), n.log, n.metrics.Scope())
+	n.selector.reach = newReachMonitor(s.Region, n.log, n.metrics.Scope())
 	n.selector.admission = transit.NewAdmission(n.self.Capacity)
 	n.reach = n.selector.reach
 	n.proxy = proxy.New(proxy.Options{
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -41,11 +41,11 @@
 
 var _ upstream.Observer = (*reachMonitor)(nil)
 
-func newReachMonitor(region string, weight float64, log *slog.Logger, scope tally.Scope) *reachMonitor {
+func newReachMonitor(region string, log *slog.Logger, scope tally.Scope) *reachMonitor {
 	path, losePath := context.WithCancel(context.Background())
 	return &reachMonitor{
 		path: path, losePath: losePath, log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
-		peers: transit.NewPeers(region, weight, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
+		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
 	}
 }
 
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -65,7 +65,7 @@
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
 		closeIdle: func(string) {}, quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
-		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: newReachMonitor(cfg.Region, defaultCapacity, log, scope),
+		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: newReachMonitor(cfg.Region, log, scope),
 		admission: transit.NewAdmission(0),
 	}
 	for _, kind := range crashguard.StepKinds() {
--- a/transit/peers.go
+++ b/transit/peers.go
@@ -35,16 +35,15 @@
 // Peers are the other VMs, of which those with a way to the instances take requests over.
 type Peers struct {
 	region string
-	weight float64
 	random func() float64
 	peers  []*peer
 	byID   map[string]*peer
 }
 
-// NewPeers returns an empty set for a VM of a region, with its weight. Random returns
-// random numbers in [0, 1).
-func NewPeers(region string, weight float64, random func() float64) *Peers {
-	return &Peers{region: region, weight: weight, random: random, byID: make(map[string]*peer)}
+// NewPeers returns an empty set for a VM of a region. Random returns random numbers in
+// [0, 1).
+func NewPeers(region string, random func() float64) *Peers {
+	return &Peers{region: region, random: random, byID: make(map[string]*peer)}
 }
 
 // Set replaces the list of peers. Those that remain keep their state.
@@ -83,12 +82,11 @@
 }
 
 // Choose returns a VM that takes a request over: of two drawn by weight the one with fewer
-// requests of this VM. VMs of this region come first, as long as that at most doubles
-// their load. If regions is not empty, the request may not be sent to VMs of others. Done
-// must be called for the VM.
+// requests of this VM. VMs of this region come first; those at their capacity refuse and are
+// avoided for a while. If regions is not empty, the request may not be sent to VMs of
+// others. Done must be called for the VM.
 func (p *Peers) Choose(now time.Time, regions, exclude []string) (Peer, bool) {
 	var local, remote []*peer
-	carried, cut := 0.0, max(p.weight, 1)
 	for _, candidate := range p.peers {
 		isUsable := candidate.isUsable(now, regions, exclude)
 		switch {
@@ -98,12 +96,9 @@
 			}
 		case isUsable:
 			local = append(local, candidate)
-			carried += max(candidate.Weight, 1)
-		default:
-			cut += max(candidate.Weight, 1)
 		}
 	}
-	if len(local) == 0 || (len(remote) > 0 && p.random() >= carried/cut) {
+	if len(local) == 0 {
 		local = remote
 	}
 	if len(local) == 0 {
