--- a/transit/peers.go
+++ b/transit/peers.go
@@ -88,14 +88,12 @@
 func (p *Peers) Choose(now time.Time, regions, exclude []string) (Peer, bool) {
 	var local, remote []*peer
 	for _, candidate := range p.peers {
-		isUsable := candidate.isUsable(now, regions, exclude)
 		switch {
-		case candidate.Region != p.region:
-			if isUsable {
-				remote = append(remote, candidate)
-			}
-		case isUsable:
+		case !candidate.isUsable(now, regions, exclude):
+		case candidate.Region == p.region:
 			local = append(local, candidate)
+		default:
+			remote = append(remote, candidate)
 		}
 	}
 	if len(local) == 0 {
