--- a/entry/record_test.go
+++ b/entry/record_test.go
@@ -116,7 +116,7 @@
 		m.restoreBefore = func() {}
 		var owners []Lease
 		for k, r := range records {
-			// The feed may not have told this VM yet; the answers of its calls do.
+			// The feed of this VM may lag behind; the answers of its calls name the epoch.
 			for err := errLost; err != nil; {
 				err = r.maintain(t.Context(), known[k], nil, false)
 			}
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -354,7 +354,7 @@
 	if o.Load != nil {
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
 	}
-	// The connections of a VM without a way to the instances fail without their doing.
+	// The connections of an isolated VM fail whatever state the instances are in.
 	isOwnFailure := isConnectionFailure(&o) && c.s.reach.wasIsolated(c.chosenAt)
 	out.Cancelled = out.Cancelled || isOwnFailure
 	c.s.mu.Lock()
--- a/feed/earlier.go
+++ b/feed/earlier.go
@@ -11,7 +11,7 @@
 	// removedTTL is how long a removed record is remembered. A restored copy is some seconds
 	// old.
 	removedTTL = time.Minute
-	// earlierTTL is how long after a restore VMs that start are told what was known before
+	// earlierTTL is how long after a restore VMs that start receive what was known before
 	// it. Owners have written their records again by then.
 	earlierTTL = 5 * time.Second
 )
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -49,7 +49,7 @@
 	SetInstance(id string)
 }
 
-// pathSelection is implemented by selections that know when this VM has lost its way to
+// pathSelection is implemented by selections that know when this VM has lost its path to
 // all instances.
 type pathSelection interface {
 	// Path returns a context that is cancelled when this VM reaches no instance any more.
@@ -63,7 +63,7 @@
 	attemptAbandoned
 )
 
-// abandon ends an attempt whose VM has lost its way to the instances, so that the request
+// abandon ends an attempt whose VM has lost its path to the instances, so that the request
 // can be passed on: if nothing was sent, or if the request may run again.
 func (a *attempt) abandon() {
 	if !a.state.CompareAndSwap(attemptConnecting, attemptAbandoned) {
--- a/transit/peers.go
+++ b/transit/peers.go
@@ -32,7 +32,7 @@
 	outstanding int
 }
 
-// Peers are the other VMs, of which those with a way to the instances take requests over.
+// Peers are the other VMs, of which those that reach instances take requests over.
 type Peers struct {
 	region string
 	random func() float64
