Tell lost links from crashed instances

Callers: a VM whose connections were all lost at once for less than the 0.65 to 1.05 s that it takes to notice a cut reported the instances as crashed. A request with three such reports is refused by all VMs for 10 min.

Change: an exchange with another instance proves sound links only if it began at least 50 ms after the loss, and for a refused connection only if it opened a connection, as open ones live on in some cuts. If three other instances, or those of a round of probes, can't be reached, the evidence is dropped. Losses at once count only where one instance alone lost connections and has not accepted a new one since.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -22,7 +22,8 @@
 	// not reported again.
 	clearDedupWindow = time.Second
 	// minSimultaneousLosses connections to one instance that are lost within
-	// simultaneousLossWindow are evidence that it crashed.
+	// simultaneousLossWindow are evidence that it crashed, unless it accepts a new one or
+	// another instance lost connections at the same time.
 	simultaneousLossWindow = 100 * time.Millisecond
 	minSimultaneousLosses  = 3
 )
@@ -154,8 +155,9 @@
 	request Fingerprint
 	process Process
 	at      time.Time
-	// unanswered means that the request was abandoned while its connection was open.
-	unanswered bool
+	// unanswered means that the request was abandoned while its connection was open, and
+	// reconnected that the address of the process has accepted a connection since.
+	unanswered, reconnected bool
 }
 
 // crash is a crash of a process that ran a request.
@@ -183,18 +185,41 @@
 	return &Ledger{cfg: cfg, crashed: make(map[Process]time.Time), crashes: make(map[Fingerprint][]crash), cleared: make(map[Fingerprint]time.Time), recorded: make(map[Fingerprint]bool)}
 }
 
-// RecordLoss records that the connection of a running request was lost.
-func (l *Ledger) RecordLoss(now time.Time, f Fingerprint, p Process) {
-	l.addLoss(now, loss{request: f, process: p, at: now})
-	simultaneous := 0
-	for _, x := range l.losses {
-		if x.process == p && !x.unanswered && now.Sub(x.at) <= simultaneousLossWindow {
-			simultaneous++
+// Loss is the loss of a connection with a running request.
+type Loss struct {
+	Request Fingerprint
+	Process Process
+	At      time.Time
+	// Reconnected means that the address of the process has accepted a connection since.
+	Reconnected bool
+}
+
+// RecordLosses records connections of running requests that were lost.
+func (l *Ledger) RecordLosses(lost []Loss) {
+	for _, x := range lost {
+		l.addLoss(x.At, loss{request: x.Request, process: x.Process, at: x.At, reconnected: x.Reconnected})
+	}
+	for _, x := range lost {
+		if l.isSimultaneous(x.At, x.Process) {
+			l.RecordCrash(x.At, x.Process, EvidenceSimultaneous)
 		}
 	}
-	if simultaneous >= minSimultaneousLosses {
-		l.RecordCrash(now, p, EvidenceSimultaneous)
+}
+
+// isSimultaneous reports whether several connections to a process were lost at a time, and
+// to no other process, whose loss would suggest that the links of this VM failed.
+func (l *Ledger) isSimultaneous(now time.Time, p Process) bool {
+	count := 0
+	for _, x := range l.losses {
+		switch {
+		case x.unanswered || now.Sub(x.at).Abs() > simultaneousLossWindow:
+		case x.process != p:
+			return false
+		case !x.reconnected:
+			count++
+		}
 	}
+	return count >= minSimultaneousLosses
 }
 
 // RecordUnanswered records that a request was abandoned before its process answered. A
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -27,7 +27,7 @@
 		}
 		crashed++
 		instance := fmt.Sprint("i", crashed)
-		l.RecordLoss(now, requestNumber(1), process(instance))
+		recordLoss(l, now, requestNumber(1), process(instance))
 		l.RecordCrash(now.Add(200*time.Millisecond), process(instance), EvidenceRefused)
 		reports := l.Outbox(now.Add(400*time.Millisecond), 1, 8)
 		for _, other := range vms {
@@ -46,14 +46,14 @@
 func TestInnocentRequestsPass(t *testing.T) {
 	l := NewLedger(LedgerConfig{})
 	for n := range 10 {
-		l.RecordLoss(second(float64(n)), requestNumber(1), process(fmt.Sprint("i", n)))
+		recordLoss(l, second(float64(n)), requestNumber(1), process(fmt.Sprint("i", n)))
 	}
 	if _, refused := l.Refuses(second(10), requestNumber(1)); refused {
 		t.Error("refused though no instance crashed")
 	}
 	for n := range 6 {
 		instance := fmt.Sprint("j", n)
-		l.RecordLoss(second(20+float64(n)), requestNumber(2), process(instance))
+		recordLoss(l, second(20+float64(n)), requestNumber(2), process(instance))
 		l.RecordCrash(second(20.1+float64(n)), process(instance), EvidenceRefused)
 		if n%2 == 1 {
 			l.RecordSuccess(second(20.2+float64(n)), requestNumber(2))
@@ -65,7 +65,7 @@
 	const apart = 301.0
 	for n := range 6 {
 		instance := fmt.Sprint("k", n)
-		l.RecordLoss(second(100+apart*float64(n)), requestNumber(3), process(instance))
+		recordLoss(l, second(100+apart*float64(n)), requestNumber(3), process(instance))
 		l.RecordCrash(second(100.1+apart*float64(n)), process(instance), EvidenceRefused)
 	}
 	if _, refused := l.Refuses(second(101+5*apart), requestNumber(3)); refused {
@@ -84,7 +84,7 @@
 			continue
 		}
 		crashed++
-		l.RecordLoss(now, requestNumber(1), process(fmt.Sprint(n)))
+		recordLoss(l, now, requestNumber(1), process(fmt.Sprint(n)))
 		l.RecordCrash(now, process(fmt.Sprint(n)), EvidenceRefused)
 	}
 	if crashed != DefaultLedgerMaxCrashes {
@@ -112,26 +112,26 @@
 // process is counted at most once.
 func TestCrashEvidence(t *testing.T) {
 	l := NewLedger(LedgerConfig{MaxCrashes: 1})
-	l.RecordLoss(second(0), requestNumber(1), process("a"))
+	recordLoss(l, second(0), requestNumber(1), process("a"))
 	l.RecordCrash(second(8.1), process("a"), EvidenceRecord)
 	if _, refused := l.Refuses(second(8.1), requestNumber(1)); refused {
 		t.Error("evidence after 8.1 s is counted, though the record would have expired before")
 	}
-	l.RecordLoss(second(0), requestNumber(2), process("c"))
+	recordLoss(l, second(0), requestNumber(2), process("c"))
 	l.RecordAnswer(second(0.5), process("c"))
 	l.RecordCrash(second(1), process("c"), EvidenceRefused)
 	if _, refused := l.Refuses(second(1), requestNumber(2)); refused {
 		t.Error("a crash is counted though the process answered after the loss")
 	}
 	for n := range byte(minSimultaneousLosses) {
-		l.RecordLoss(second(9), requestNumber(10+n), process("b"))
+		recordLoss(l, second(9), requestNumber(10+n), process("b"))
 	}
 	if wait, refused := l.Refuses(second(10), requestNumber(10)); !refused || wait != DefaultLedgerTTL-time.Second {
 		t.Errorf("connections lost at once: refused %v for %s", refused, wait)
 	}
 	two := NewLedger(LedgerConfig{MaxCrashes: 2})
 	for n := range 3 {
-		two.RecordLoss(second(float64(n)), requestNumber(1), process("a"))
+		recordLoss(two, second(float64(n)), requestNumber(1), process("a"))
 		two.RecordCrash(second(float64(n)+0.1), process("a"), EvidenceRefused)
 	}
 	if _, refused := two.Refuses(second(4), requestNumber(1)); refused {
@@ -148,7 +148,7 @@
 		if _, refused := l.Refuses(second(float64(startTime)), requestNumber(1)); refused {
 			t.Errorf("refused after %d crashes", startTime)
 		}
-		l.RecordLoss(second(float64(startTime)), requestNumber(1), Process{"a", startTime})
+		recordLoss(l, second(float64(startTime)), requestNumber(1), Process{"a", startTime})
 		l.RecordCrash(second(float64(startTime)+0.1), Process{"a", startTime}, EvidenceRecord)
 	}
 	if _, refused := l.Refuses(second(4), requestNumber(1)); !refused {
@@ -161,7 +161,7 @@
 	l := NewLedger(LedgerConfig{MaxRequests: 8})
 	for n := range 100 {
 		f := Fingerprint{byte(n), 1}
-		l.RecordLoss(second(float64(n)/10), f, process(fmt.Sprint("i", n)))
+		recordLoss(l, second(float64(n)/10), f, process(fmt.Sprint("i", n)))
 		l.RecordCrash(second(float64(n)/10), process(fmt.Sprint("i", n)), EvidenceRefused)
 	}
 	for n := range 100 {
@@ -177,7 +177,7 @@
 // unreachable host end at their deadline, before or after that.
 func TestLateCrashEvidenceIsCounted(t *testing.T) {
 	l := NewLedger(LedgerConfig{MaxCrashes: 1})
-	l.RecordLoss(second(0), requestNumber(1), process("a"))
+	recordLoss(l, second(0), requestNumber(1), process("a"))
 	l.RecordCrash(second(5.3), process("a"), EvidenceRecord)
 	l.RecordUnanswered(second(4), requestNumber(2), process("b"))
 	l.RecordCrash(second(5), process("b"), EvidenceRecord)
@@ -200,7 +200,7 @@
 // once, so that they do not circulate for ever.
 func TestReportsAreRepeatedAndForwardedOnce(t *testing.T) {
 	a, b := NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{})
-	a.RecordLoss(second(0), requestNumber(1), process("x"))
+	recordLoss(a, second(0), requestNumber(1), process("x"))
 	a.RecordCrash(second(0.1), process("x"), EvidenceRefused)
 	for n := range 3 {
 		reports := a.Outbox(second(1), 3, 8)
@@ -216,7 +216,7 @@
 		t.Errorf("forwarded %+v", reports)
 	}
 	for n := range 5 {
-		a.RecordLoss(second(2), requestNumber(2), process(fmt.Sprint(n)))
+		recordLoss(a, second(2), requestNumber(2), process(fmt.Sprint(n)))
 		a.RecordCrash(second(2), process(fmt.Sprint(n)), EvidenceRefused)
 	}
 	if first, rest := a.Outbox(second(2), 1, 3), a.Outbox(second(2), 1, 3); len(first) != 3 || len(rest) != 2 {
@@ -239,7 +239,7 @@
 		}
 	}
 	for n, l := range vms {
-		l.RecordLoss(second(0), requestNumber(1), process(fmt.Sprint(n)))
+		recordLoss(l, second(0), requestNumber(1), process(fmt.Sprint(n)))
 		l.RecordCrash(second(0.1), process(fmt.Sprint(n)), EvidenceRefused)
 	}
 	exchangeReports(second(0.2))
@@ -259,7 +259,7 @@
 func TestRefusedRequestsAreRecordedOnce(t *testing.T) {
 	observer, receiver := NewLedger(LedgerConfig{}), NewLedger(LedgerConfig{})
 	for n := range DefaultLedgerMaxCrashes {
-		observer.RecordLoss(second(float64(n)), requestNumber(1), process(fmt.Sprint(n)))
+		recordLoss(observer, second(float64(n)), requestNumber(1), process(fmt.Sprint(n)))
 		observer.RecordCrash(second(float64(n)), process(fmt.Sprint(n)), EvidenceRefused)
 		receiver.Merge(second(float64(n)), observer.Outbox(second(float64(n)), 1, 8), false)
 	}
@@ -287,7 +287,7 @@
 func TestEachSuccessClears(t *testing.T) {
 	l := NewLedger(LedgerConfig{MaxCrashes: 1})
 	for _, s := range []float64{0, 0.4, 0.8} {
-		l.RecordLoss(second(s), requestNumber(1), process(fmt.Sprint(s)))
+		recordLoss(l, second(s), requestNumber(1), process(fmt.Sprint(s)))
 		l.RecordCrash(second(s), process(fmt.Sprint(s)), EvidenceRefused)
 		l.RecordSuccess(second(s+0.2), requestNumber(1))
 		if _, refused := l.Refuses(second(s+0.2), requestNumber(1)); refused {
@@ -302,16 +302,47 @@
 	l := NewLedger(LedgerConfig{MaxCrashes: 1})
 	l.RecordCrash(second(0), process("a"), EvidenceRecord)
 	l.RecordAnswer(second(1), process("a"))
-	l.RecordLoss(second(2), requestNumber(1), process("a"))
+	recordLoss(l, second(2), requestNumber(1), process("a"))
 	if _, refused := l.Refuses(second(2), requestNumber(1)); refused {
 		t.Error("a crash is counted though the process answered after its record was deleted")
 	}
 	l.RecordCrash(second(3), process("b"), EvidenceRefused)
 	for n := range byte(minSimultaneousLosses) {
-		l.RecordLoss(second(3.05), requestNumber(10+n), process("c"))
+		recordLoss(l, second(3.05), requestNumber(10+n), process("c"))
 		l.RecordUnanswered(second(3.05), requestNumber(20+n), process("b"))
 	}
 	if _, refused := l.Refuses(second(3.1), requestNumber(10)); !refused {
 		t.Error("connections lost at once are not counted")
 	}
 }
+
+// recordLoss records a single lost connection.
+func recordLoss(l *Ledger, at time.Time, f Fingerprint, p Process) {
+	l.RecordLosses([]Loss{{Request: f, Process: p, At: at}})
+}
+
+// Connections that are lost at once must not count as crashes if several instances lose
+// them or accept new ones: the links of this VM failed.
+func TestLossesOfSeveralInstancesAreNoCrashes(t *testing.T) {
+	for instances, refused := range map[int]bool{1: true, 2: false, 5: false} {
+		l := NewLedger(LedgerConfig{MaxCrashes: 1})
+		var lost []Loss
+		for k := range instances {
+			for n := range minSimultaneousLosses {
+				at := second(0.01 * float64(n+k))
+				lost = append(lost, Loss{Request: requestNumber(byte(n)), Process: process(fmt.Sprint("i", k)), At: at})
+			}
+		}
+		l.RecordLosses(lost)
+		if _, got := l.Refuses(second(1), requestNumber(0)); got != refused {
+			t.Errorf("%d instances: refused %t, want %t", instances, got, refused)
+		}
+	}
+	l := NewLedger(LedgerConfig{MaxCrashes: 1})
+	for range minSimultaneousLosses {
+		l.RecordLosses([]Loss{{Request: requestNumber(0), Process: process("a"), At: second(0), Reconnected: true}})
+	}
+	if _, refused := l.Refuses(second(1), requestNumber(0)); refused {
+		t.Error("a crash is counted though the instance accepted a new connection")
+	}
+}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -52,14 +52,16 @@
 	return c
 }
 
-// answerElsewhere lets another instance than that of c answer another request, which shows
-// that this VM still reaches instances.
+// answerElsewhere lets another instance than that of c accept a connection and answer
+// another request, which shows that this VM still reaches instances.
 func answerElsewhere(t *testing.T, s *selector, c *selection) {
 	t.Helper()
 	time.Sleep(minEvidenceDelay)
 	q := orderQuery()
 	q.Fingerprint, q.Exclude = [32]byte{2}, []string{c.Instance().ID}
-	choose(t, s, q).Done(proxy.Outcome{Verdict: verdict.Ran, Status: http.StatusOK})
+	other := choose(t, s, q)
+	s.onConnected(time.Now(), time.Now(), other.Instance().Address)
+	other.Done(proxy.Outcome{Verdict: verdict.Ran, Status: http.StatusOK})
 }
 
 // Lost connections must not count as crashes if this VM turns out to reach no instance, and
@@ -105,3 +107,40 @@
 		}
 	}
 }
+
+// Signs of life from before a loss must not let it count as a crash, nor must answers over
+// open connections prove that an instance refused a new one.
+func TestEarlierExchangesConfirmNoCrash(t *testing.T) {
+	t.Parallel()
+	for name, confirm := range map[string]func(s *selector, early, late *selection, began time.Time){
+		"answer to an earlier request": func(_ *selector, early, _ *selection, _ time.Time) {
+			early.Done(proxy.Outcome{Verdict: verdict.Ran, Status: http.StatusOK})
+		},
+		"connection begun earlier": func(s *selector, early, _ *selection, began time.Time) {
+			s.onConnected(time.Now(), began, early.Instance().Address)
+		},
+		"answer over an open connection": func(_ *selector, _, late *selection, _ time.Time) {
+			late.Done(proxy.Outcome{Verdict: verdict.Ran, Status: http.StatusOK})
+		},
+		"connection after a failed round": func(s *selector, early, _ *selection, _ time.Time) {
+			s.dropEvidence()
+			s.onConnected(time.Now(), time.Now(), early.Instance().Address)
+		},
+	} {
+		s := newTestSelector(t, 8)
+		for range crashguard.DefaultLedgerMaxCrashes {
+			began := time.Now()
+			c := choose(t, s, orderQuery())
+			other := orderQuery()
+			other.Fingerprint, other.Exclude = [32]byte{2}, []string{c.Instance().ID}
+			early := choose(t, s, other)
+			c.Done(proxy.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost})
+			s.onConnRefused(crashguard.Process{ID: c.Instance().ID, StartMillis: 1}, c.Instance().Address)
+			time.Sleep(2 * minEvidenceDelay)
+			confirm(s, early, choose(t, s, other), began)
+		}
+		if _, err := s.Select(t.Context(), orderQuery()); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,6 +195,7 @@
 	n.selector.pause = n.pause
 	n.reach.onConnected = n.selector.onConnected
 	n.reach.onIsolated = n.selector.forgiveFailures
+	n.reach.onRoundFailed = n.selector.dropEvidence
 	n.selector.closeIdle = n.proxy.Client().CloseIdleTo
 	n.selector.requestQuota = n.requestQuota
 	n.selector.probe = newCrashProbe(n.proxy.Client().Open, n.selector.onConnRefused)
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -9,48 +9,70 @@
 )
 
 const (
-	// minEvidenceDelay is the time after a connection was lost from which an answer shows
-	// that this VM still reaches instances. Earlier ones may have been on their way before.
+	// minEvidenceDelay is the time after a connection was lost from which a new exchange
+	// shows that this VM still reaches instances: its links don't lose all connections in
+	// the same moment.
 	minEvidenceDelay = 50 * time.Millisecond
 	// maxHeldEvidence bounds the evidence that is held. Beyond it the oldest is dropped.
 	maxHeldEvidence = 1024
 )
 
 // heldEvidence is evidence for the crash of a process that a connection gave. Connections
-// also fail when this VM loses its links, so it counts only once another process has
-// answered or accepted a connection since.
+// also fail when this VM loses its links, so it counts only once an exchange with another
+// process has succeeded that began after it.
 type heldEvidence struct {
 	at      time.Time
 	process crashguard.Process
 	address string
-	record  func(at time.Time)
+	// isRefusal means that a new connection was refused. Open connections may live on when
+	// links fail, so only another new connection shows that the process refused it.
+	isRefusal bool
+	// lost is the connection that was lost. If nil, record records the evidence.
+	lost   *crashguard.Loss
+	record func(at time.Time)
 }
 
 // holdEvidence holds evidence for the crash of a process. The lock is held.
-func (s *selector) holdEvidence(now time.Time, p crashguard.Process, address string, record func(at time.Time)) {
+func (s *selector) holdEvidence(e heldEvidence) {
 	if len(s.evidence) >= maxHeldEvidence {
 		s.evidence = s.evidence[1:]
 	}
-	s.evidence = append(s.evidence, heldEvidence{now, p, address, record})
+	s.evidence = append(s.evidence, e)
 }
 
-// releaseEvidence records the evidence that a sign of life from an address lets count, and
-// drops what is too old. The lock is held.
-func (s *selector) releaseEvidence(now time.Time, address string) {
+// holdRefusal holds the evidence that a process refused a connection. The lock is held.
+func (s *selector) holdRefusal(now time.Time, p crashguard.Process, address string) {
+	s.holdEvidence(heldEvidence{at: now, process: p, address: address, isRefusal: true, record: func(at time.Time) {
+		s.addCrashLocked(at, p, crashguard.EvidenceRefused)
+	}})
+}
+
+// releaseEvidence records the evidence that counts since an exchange with an address has
+// succeeded, and drops what is too old. began is when that exchange began, and
+// isConnection says that it opened a connection. The lock is held.
+func (s *selector) releaseEvidence(now, began time.Time, address string, isConnection bool) {
 	var due []heldEvidence
 	s.evidence = slices.DeleteFunc(s.evidence, func(e heldEvidence) bool {
-		age := now.Sub(e.at)
-		if age > crashguard.DefaultConfirmWindow {
+		if now.Sub(e.at) > crashguard.DefaultConfirmWindow {
 			return true
 		}
-		if age < minEvidenceDelay || e.address == address {
+		if began.Sub(e.at) < minEvidenceDelay || e.address == address || (e.isRefusal && !isConnection) {
 			return false
 		}
 		due = append(due, e)
 		return true
 	})
+	var losses []crashguard.Loss
 	for _, e := range due {
-		e.record(e.at)
+		if e.lost != nil {
+			losses = append(losses, *e.lost)
+		}
+	}
+	s.ledger.RecordLosses(losses)
+	for _, e := range due {
+		if e.record != nil {
+			e.record(e.at)
+		}
 	}
 }
 
@@ -62,14 +84,20 @@
 	})
 }
 
-// onConnected is called when an instance accepts a connection.
-func (s *selector) onConnected(now time.Time, address string) {
+// onConnected is called when an instance accepts a connection, with the time at which
+// opening it began.
+func (s *selector) onConnected(now, began time.Time, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.evidence) == 0 {
 		return
 	}
-	s.releaseEvidence(now, address)
+	for _, e := range s.evidence {
+		if e.lost != nil && e.address == address && began.After(e.at) {
+			e.lost.Reconnected = true
+		}
+	}
+	s.releaseEvidence(now, began, address, true)
 	s.logSteps("")
 }
 
@@ -99,6 +127,14 @@
 	s.evidence = nil
 }
 
+// dropEvidence drops the evidence that connections gave, since this VM's own links may have
+// failed.
+func (s *selector) dropEvidence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence = nil
+}
+
 // processOf returns the process of an instance.
 func processOf(i *placement.Instance) crashguard.Process {
 	return crashguard.Process{ID: i.ID, StartMillis: i.StartMillis}
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -23,10 +24,13 @@
 	// open opens a connection to an instance and keeps it for a request.
 	open func(ctx context.Context, address string) error
 
-	// onConnected is called when an instance accepts a connection.
-	onConnected func(now time.Time, address string)
-	// onIsolated is called when this VM has found that it reaches no instance.
-	onIsolated func(now time.Time)
+	// onConnected is called when an instance accepts a connection, with the time at which
+	// opening it began.
+	onConnected func(now, began time.Time, address string)
+	// onIsolated is called when this VM has found that it reaches no instance, and
+	// onRoundFailed when none of several instances that it probed could be reached.
+	onIsolated    func(now time.Time)
+	onRoundFailed func()
 
 	mu        sync.Mutex
 	reach     *transit.Reach
@@ -45,7 +49,7 @@
 	path, losePath := context.WithCancel(context.Background())
 	return &reachMonitor{
 		path: path, losePath: losePath, log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
-		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {}, onConnected: func(time.Time, string) {},
+		peers: transit.NewPeers(region, rand.Float64), onIsolated: func(time.Time) {}, onRoundFailed: func() {}, onConnected: func(time.Time, time.Time, string) {},
 	}
 }
 
@@ -54,8 +58,10 @@
 	now := time.Now()
 	m.mu.Lock()
 	before, since := m.reach.State()
+	failedBefore := m.reach.RoundFailedAt()
 	change(now)
 	after, _ := m.reach.State()
+	hasRoundFailed := m.reach.RoundFailedAt().After(failedBefore)
 	numInstances := len(m.instances)
 	if after != before {
 		switch after {
@@ -66,6 +72,9 @@
 		}
 	}
 	m.mu.Unlock()
+	if hasRoundFailed {
+		m.onRoundFailed()
+	}
 	if after == before {
 		return
 	}
@@ -95,9 +104,9 @@
 }
 
 // Connected implements upstream.Observer.
-func (m *reachMonitor) Connected(address string) {
+func (m *reachMonitor) Connected(address string, began time.Time) {
 	m.update(func(now time.Time) { m.reach.RecordConnected(now, address) })
-	m.onConnected(time.Now(), address)
+	m.onConnected(time.Now(), began, address)
 }
 
 // Answered implements upstream.Observer.
@@ -124,8 +133,13 @@
 	}
 }
 
-// confirm opens a connection to an instance at none of the doubted addresses. If it
-// succeeds, this VM reaches instances, and the doubted ones have failed themselves.
+// numConfirming is the number of instances that confirm tries at once, since some may have
+// crashed together with the doubted ones.
+const numConfirming = 3
+
+// confirm opens connections to instances at none of the doubted addresses. If one
+// succeeds, this VM reaches instances, and the doubted ones have failed themselves. If all
+// fail, its own links may have failed.
 func (m *reachMonitor) confirm(ctx context.Context, group *conc.WaitGroup, doubted map[string]bool) {
 	m.mu.Lock()
 	var others []string
@@ -140,15 +154,27 @@
 	if busy {
 		return
 	}
-	address := others[rand.IntN(len(others))]
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	others = others[:min(numConfirming, len(others))]
 	group.Go(func() {
 		bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
 		defer cancel()
-		// After a failure the next tick tries another instance.
-		_ = m.open(bounded, address)
-		m.mu.Lock()
-		m.isConfirming = false
-		m.mu.Unlock()
+		var attempts conc.WaitGroup
+		var succeeded atomic.Bool
+		for _, address := range others {
+			attempts.Go(func() {
+				if m.open(bounded, address) == nil {
+					succeeded.Store(true)
+				}
+			})
+		}
+		attempts.Wait()
+		m.update(func(now time.Time) {
+			m.isConfirming = false
+			if !succeeded.Load() && len(others) == numConfirming && ctx.Err() == nil {
+				m.reach.RecordRoundFailure(now)
+			}
+		})
 	})
 }
 
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -146,7 +146,7 @@
 func (s *selector) onConnRefused(p crashguard.Process, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holdEvidence(time.Now(), p, address, func(at time.Time) { s.addCrashLocked(at, p, crashguard.EvidenceRefused) })
+	s.holdRefusal(time.Now(), p, address)
 }
 
 // addCrashLocked records in the ledger that a process has crashed or was replaced, and
@@ -355,13 +355,16 @@
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
 	}
 	// The connections of an isolated VM fail whatever state the instances are in.
-	isOwnFailure := isConnectionFailure(&o) && c.s.reach.wasIsolated(c.chosenAt)
+	var isOwnFailure, isDoubtful bool
+	if isConnectionFailure(&o) {
+		isOwnFailure, isDoubtful = c.s.reach.wasIsolated(c.chosenAt)
+	}
 	out.Cancelled = out.Cancelled || isOwnFailure
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	now := time.Now()
 	c.s.picker.Done(now, &c.ticket, out)
-	if !isOwnFailure {
+	if !isDoubtful {
 		c.recordOutcome(now, &o)
 	}
 }
@@ -381,7 +384,7 @@
 	s, p, address := c.s, processOf(&c.ticket.Instance), c.ticket.Instance.Address
 	switch {
 	case o.Verdict == verdict.Ran:
-		s.releaseEvidence(now, address)
+		s.releaseEvidence(now, c.chosenAt, address, false)
 		s.refuteEvidence(now, p)
 		s.ledger.RecordAnswer(now, p)
 		if o.Status < http.StatusInternalServerError {
@@ -389,11 +392,11 @@
 			s.ledger.RecordSuccess(now, c.fingerprint)
 		}
 	case o.Reason == verdict.ReasonUpstreamRefused:
-		s.releaseEvidence(now, address)
+		s.releaseEvidence(now, c.chosenAt, address, false)
 		s.refuteEvidence(now, p)
 		s.ledger.RecordAnswer(now, p)
 	case o.Reason == verdict.ReasonConnectionLost, o.Reason == verdict.ReasonTruncated:
-		s.holdEvidence(now, p, address, func(at time.Time) { s.ledger.RecordLoss(at, c.fingerprint, p) })
+		s.holdEvidence(heldEvidence{at: now, process: p, address: address, lost: &crashguard.Loss{Request: c.fingerprint, Process: p, At: now}})
 		if state := s.picker.StateOf(&c.ticket); !state.IsLeaving() && !state.IsWaiting(now) {
 			// A leaving instance exits anyway, and one that asked to wait is not probed.
 			s.probe.enqueue(now, p, address)
@@ -402,9 +405,9 @@
 		event.InstanceReplaced.Log(s.log, "id", p.ID, "heard_from", "")
 		s.addCrashLocked(now, p, crashguard.EvidenceMisdirects)
 	case o.ConnectionRefused:
-		s.holdEvidence(now, p, address, func(at time.Time) { s.addCrashLocked(at, p, crashguard.EvidenceRefused) })
+		s.holdRefusal(now, p, address)
 	case o.Verdict == verdict.MayHaveRun && o.Answered.IsZero():
-		s.holdEvidence(now, p, address, func(at time.Time) { s.ledger.RecordUnanswered(at, c.fingerprint, p) })
+		s.holdEvidence(heldEvidence{at: now, process: p, address: address, record: func(at time.Time) { s.ledger.RecordUnanswered(at, c.fingerprint, p) }})
 	}
 	s.logSteps("")
 }
--- a/entry/transit.go
+++ b/entry/transit.go
@@ -99,11 +99,13 @@
 	return state == transit.Isolated
 }
 
-// wasIsolated reports whether this VM reached no instance at some time since then.
-func (m *reachMonitor) wasIsolated(since time.Time) bool {
+// wasIsolated reports whether this VM reached no instance at some time since then, and
+// wasDoubtful whether it found none of several.
+func (m *reachMonitor) wasIsolated(since time.Time) (wasIsolated, wasDoubtful bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.reach.WasIsolated(since)
+	wasIsolated = m.reach.WasIsolated(since)
+	return wasIsolated, wasIsolated || since.Before(m.reach.RoundFailedAt())
 }
 
 // transitSelection is another VM, chosen for a request that this VM can't serve.
--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -70,6 +70,16 @@
 func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	for {
+		c, err := l.dial(ctx, network, address)
+		if err != nil || c != nil {
+			return c, err
+		}
+	}
+}
+
+// dial opens a connection. It returns nil if the links were cut meanwhile.
+func (l *Links) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	for {
 		kind, healed := l.state()
 		if kind == RefuseCut {
@@ -95,6 +105,10 @@
 	c := &linkConn{TCPConn: tcp, links: l, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.kind != NoCut {
+		tcp.Close()
+		return nil, nil
+	}
 	if l.conns == nil {
 		l.conns = make(map[*linkConn]bool)
 	}
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -108,8 +108,12 @@
 	// numProbing is the number of probes in progress, and probedAt when they began.
 	numProbing int
 	probedAt   time.Time
-	// roundSucceeded says that one of these probes succeeded.
+	// roundSize is their number, and roundSucceeded says that one of them succeeded.
+	roundSize      int
 	roundSucceeded bool
+	// roundFailedAt is when none of several instances that were probed at once could be
+	// reached last.
+	roundFailedAt time.Time
 	// numInstances is the number of known instances.
 	numInstances int
 	ramp         time.Duration
@@ -202,6 +206,9 @@
 	}
 	if !r.roundSucceeded {
 		r.numConnected = 0
+		if r.roundSize > 1 {
+			r.RecordRoundFailure(now)
+		}
 	}
 	needed := minUnreachable
 	if len(r.aliveAt) < numTargets {
@@ -253,7 +260,7 @@
 		count = 1
 	}
 	targets = r.drawTargets(instances, count)
-	r.numProbing, r.probedAt, r.roundSucceeded = len(targets), now, false
+	r.numProbing, r.roundSize, r.probedAt, r.roundSucceeded = len(targets), len(targets), now, false
 	return targets
 }
 
@@ -324,6 +331,14 @@
 	return r.state == Suspected
 }
 
+// RecordRoundFailure records that none of several instances could be reached.
+func (r *Reach) RecordRoundFailure(now time.Time) { r.roundFailedAt = now }
+
+// RoundFailedAt returns when none of several instances could be reached last, or zero. It
+// is a reason not to count what failed before as a fault of instances, but, unlike
+// isolation, none to pass requests on.
+func (r *Reach) RoundFailedAt() time.Time { return r.roundFailedAt }
+
 // WasIsolated reports whether this VM was isolated at some time since then, so that the
 // connections of that time may have been lost by its own links.
 func (r *Reach) WasIsolated(since time.Time) bool {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -99,9 +99,9 @@
 type Observer interface {
 	// Attempt is called before a connection is opened or a request is written.
 	Attempt(address string)
-	// Connected is called when a connection was opened, and Answered when the first bytes
-	// of an answer arrived.
-	Connected(address string)
+	// Connected is called when a connection was opened, with the time at which that began,
+	// and Answered when the first bytes of an answer arrived.
+	Connected(address string, began time.Time)
 	Answered(address string)
 	// Failed is called when a connection could not be opened, or was lost before an answer.
 	// An exchange that its caller gave up is no failure. since is the time from which the
@@ -251,7 +251,7 @@
 		return nil, err
 	}
 	if o := c.options.Observer; o != nil {
-		o.Connected(address)
+		o.Connected(address, began)
 	}
 	n := &conn{client: c, address: address, raw: raw, maxIdleTime: c.options.MaxIdleTime}
 	n.reader = bufio.NewReaderSize(&n.input, bufferBytes)
