--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -57,6 +58,40 @@
 	writes        int
 	// downUntil is the last time at which some VMs could not reach the store.
 	downUntil time.Time
+	// copies are copies of the store from which it can be restored, the oldest first.
+	copies []storeCopy
+}
+
+// storeCopy is the content of a store at some time.
+type storeCopy struct {
+	at      time.Time
+	entries map[int]Record
+	index   map[int]uint64
+}
+
+// copyInterval is the time between two copies of the store, and copiesKept their number.
+const (
+	copyInterval = time.Second
+	copiesKept   = 12
+)
+
+// copyStore takes a copy of the store.
+func (f *fleet) copyStore() {
+	s := &f.store
+	s.copies = append(s.copies, storeCopy{f.now, maps.Clone(s.entries), maps.Clone(s.index)})
+	s.copies = s.copies[max(0, len(s.copies)-copiesKept):]
+}
+
+// restoreStore replaces the content of the store by a copy of at least that age, or the
+// oldest one. Indexes are given out again.
+func (f *fleet) restoreStore(age time.Duration) {
+	s := &f.store
+	for n := len(s.copies) - 1; n >= 0; n-- {
+		if c := s.copies[n]; n == 0 || f.now.Sub(c.at) >= age {
+			s.entries, s.index = maps.Clone(c.entries), maps.Clone(c.index)
+			return
+		}
+	}
 }
 
 type event struct {
