Confirm views with the other VMs, and write records again

Callers of the product's own daemon: after the platform's store had come back from an older copy, requests with a key ran twice.

Cause: the store was taken as the only witness of the newest view of a partition. A VM that had restarted read an earlier record, sealed a member that did not know better, and installed a second view beside the one in force. VMs that knew the newer record took the earlier one for no answer and never changed the view again.

A VM that reads an earlier record than it knows writes the one in force again under the index that it read; if the read was only stale, the index prevents it.

A view change takes two rounds of messages more and two messages to each VM.

--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -32,6 +32,7 @@
 		{"once_view_changes", "counter", "`reason`, `outcome` (`started`, `installed`, `failed`, `history_lost`)", "membership changes of partitions that this VM made"},
 		{"once_messages", "counter", "`kind`, `outcome` (`answered`, `failed`, `dropped`)", "messages about claims to other VMs; `dropped` ones exceeded the limit on calls in flight"},
 		{"once_store_calls", "counter", "`call` (`get`, `swap`, `list`), `outcome` (`ok`, `not_found`, `conflict`, `failed`)", "calls to the store about partition records"},
+		{"once_records_written_again", "counter", "", "partition records in force that were written to a store which had an earlier one"},
 		{"once_claims_held", "gauge", "", "claims in this VM's memory"},
 		{"once_claim_bytes", "gauge", "", "memory of these claims in bytes"},
 		{"certificate_reloads", "counter", "`listener` (`caller`, `peer`, `admin`), `outcome` (`loaded`, `rejected`)", "certificate files that changed; after `rejected` the previous certificate stays in use"},
--- a/once/change.go
+++ b/once/change.go
@@ -13,6 +13,10 @@
 	// stepReading reads the record. It precedes sealing, so that during a store
 	// outage nothing is sealed and a view whose members are up keeps granting.
 	stepReading changeStep = iota + 1
+	// stepConfirming asks the other VMs whether they know a newer record than the store,
+	// which may have been restored from an older copy: before sealing, so that no obsolete
+	// claims are copied, and before swapping, as the store may lose a view meanwhile.
+	stepConfirming
 	stepSealing
 	stepInstalling
 	stepSwapping
@@ -27,6 +31,11 @@
 	owner  string // preferred owner, or empty
 	base   Record
 	index  uint64
+	// unconfirmed holds the VMs that have not answered while confirming, of numAsked.
+	// isInstalled says that the new members hold the copy.
+	unconfirmed map[string]bool
+	numAsked    int
+	isInstalled bool
 	// Used while sealing.
 	source       int // index of the member that is asked for its claims, -1 before the first
 	numTried     int
@@ -136,10 +145,15 @@
 	}
 	p.staleRead = false
 	ch := p.change
-	stale := !ok || (found && r.Epoch < p.rec.Epoch) || (!found && p.rec.Epoch > 0)
+	isBehind := ok && r.Epoch < p.rec.Epoch
+	if isBehind {
+		m.writeAgain(p, index)
+	}
 	switch {
 	case ch == nil:
-	case ch.step == stepReading && stale:
+	case ch.step == stepReading && isBehind:
+		m.failChange(p, "the store has an earlier record")
+	case ch.step == stepReading && !ok:
 		m.failChange(p, "the store did not answer")
 	case ch.step == stepReading:
 		if need, _ := m.changeNeeded(p); need == "" && ch.owner == "" {
@@ -150,8 +164,8 @@
 			ch.base = r
 		}
 		ch.index = index
-		m.beginSeal(p, ch)
-	case ch.step == stepReadingBack && !stale && index == ch.index:
+		m.beginConfirm(p, ch)
+	case ch.step == stepReadingBack && ok && !isBehind && index == ch.index && r.View == ch.base.View:
 		// The write has not taken effect so far. It may still do so, so the same
 		// record is written again.
 		m.beginSwap(ch)
@@ -159,6 +173,76 @@
 	return m.finish()
 }
 
+// writeAgain writes the record in force to a store that has an earlier one, as after a
+// restore from a copy. If the read was only stale, the index prevents the write.
+func (m *Machine) writeAgain(p *partition, index uint64) {
+	m.notify(EventRecordWrittenAgain, p, p.rec.Epoch, "", "")
+	m.eff.Swaps = append(m.eff.Swaps, Swap{Record: p.rec, Index: index})
+}
+
+// beginConfirm asks the other VMs whether they know a newer record than the base.
+func (m *Machine) beginConfirm(p *partition, ch *viewChange) {
+	ch.step, ch.progress, ch.sent = stepConfirming, m.now, m.now
+	ch.unconfirmed = make(map[string]bool)
+	for _, id := range m.dir.order {
+		if id != m.cfg.Self.VM && m.dir.vms[id].State != VMGone {
+			ch.unconfirmed[id] = true
+		}
+	}
+	ch.numAsked = len(ch.unconfirmed)
+	m.sendConfirm(p, ch)
+	m.checkConfirmed(p, ch)
+}
+
+// sendConfirm sends the base to the VMs that have not answered. A VM that knows a newer
+// record answers with it.
+func (m *Machine) sendConfirm(p *partition, ch *viewChange) {
+	var base *Record
+	if ch.base.Epoch > 0 {
+		r := ch.base
+		base = &r
+	}
+	for _, id := range m.dir.order {
+		if ch.unconfirmed[id] {
+			m.send(id, Message{Kind: KindView, Partition: p.n, Epoch: ch.base.Epoch, View: ch.base.View, Record: base})
+		}
+	}
+}
+
+// handleViewReply handles the answer of a VM that knows no newer record.
+func (m *Machine) handleViewReply(p *partition, from string, msg *Message) {
+	ch := p.change
+	if ch == nil || ch.step != stepConfirming || msg.Epoch != ch.base.Epoch || msg.View != ch.base.View {
+		return
+	}
+	delete(ch.unconfirmed, from)
+	m.checkConfirmed(p, ch)
+}
+
+// checkConfirmed goes on once all VMs that are not known to be unreachable have answered.
+func (m *Machine) checkConfirmed(p *partition, ch *viewChange) {
+	for id := range ch.unconfirmed {
+		if m.isEligible(m.dir.vms[id]) {
+			return
+		}
+	}
+	m.endConfirm(p, ch)
+}
+
+// endConfirm goes on with the change, unless most VMs did not answer: this VM may be cut
+// off from a newer view, and the others can change the view themselves.
+func (m *Machine) endConfirm(p *partition, ch *viewChange) {
+	if 2*len(ch.unconfirmed) > ch.numAsked {
+		m.failChange(p, "most VMs do not answer")
+		return
+	}
+	if ch.isInstalled {
+		m.beginSwap(ch)
+	} else {
+		m.beginSeal(p, ch)
+	}
+}
+
 // StoreSwapped reports the outcome of a swap.
 func (m *Machine) StoreSwapped(now time.Time, r Record, res SwapResult) Effects {
 	m.begin(now)
@@ -362,7 +446,8 @@
 			return
 		}
 	}
-	m.beginSwap(ch)
+	ch.isInstalled = true
+	m.beginConfirm(m.parts[ch.next.Partition], ch)
 }
 
 func (m *Machine) beginSwap(ch *viewChange) {
@@ -383,6 +468,13 @@
 	}
 	resendAfter, giveUpAfter := m.cfg.ResendInterval, 2*m.cfg.ResendInterval
 	switch ch.step {
+	case stepConfirming:
+		if m.now.Sub(ch.progress) >= resendAfter {
+			m.endConfirm(p, ch)
+		} else if m.now.Sub(ch.sent) >= resendAfter/2 {
+			ch.sent = m.now
+			m.sendConfirm(p, ch)
+		}
 	case stepSealing:
 		if m.now.Sub(ch.progress) >= giveUpAfter {
 			m.nextSource(p, ch)
--- a/once/event.go
+++ b/once/event.go
@@ -30,6 +30,9 @@
 	EventChangeFailed
 	// EventHistoryLost: a view was installed after all members were lost.
 	EventHistoryLost
+	// EventRecordWrittenAgain: the store had an earlier record than this VM, as after a
+	// restore from a copy, and the one in force is written again.
+	EventRecordWrittenAgain
 )
 
 // Event reports a step of a view change for logs and metrics.
--- a/once/machine.go
+++ b/once/machine.go
@@ -269,7 +269,9 @@
 		m.handleInstallReply(p, from, msg)
 	case msg.Kind == KindInstall:
 		m.handleInstall(p, from, msg)
-	case msg.Kind == KindView && !msg.Reply:
+	case msg.Kind == KindView && msg.Reply:
+		m.handleViewReply(p, from, msg)
+	case msg.Kind == KindView:
 		m.reply(from, msg, Message{Result: ResultAcked, Record: p.newerRecord(msg.Epoch)})
 	}
 }
--- a/once/message.go
+++ b/once/message.go
@@ -26,7 +26,8 @@
 	// KindPing is sent by the owner to its witnesses. It carries the record if the
 	// witness has acknowledged nothing for Config.PeerTimeout.
 	KindPing
-	// KindView announces a new record to the members of the old and new views.
+	// KindView announces a new record to the members of the old and new views, or asks
+	// whether a VM knows a newer one. The reply carries it.
 	KindView
 )
 
--- a/once/oncerpc/metrics.go
+++ b/once/oncerpc/metrics.go
@@ -32,6 +32,8 @@
 	m.inc("messages", map[string]string{"kind": k.String(), "outcome": outcome})
 }
 
+func (m *metrics) recordWrittenAgain() { m.inc("records_written_again", nil) }
+
 func (m *metrics) storeCall(call string, err error) {
 	outcome := "ok"
 	switch {
--- a/once/oncerpc/runner.go
+++ b/once/oncerpc/runner.go
@@ -344,5 +344,8 @@
 	case once.EventHistoryLost:
 		r.metrics.change(n.Reason, "history_lost")
 		event.OnceHistoryLost.Log(r.opt.Logger, args...)
+	case once.EventRecordWrittenAgain:
+		r.metrics.recordWrittenAgain()
+		event.OnceRecordWrittenAgain.Log(r.opt.Logger, args...)
 	}
 }
--- a/once/restore_test.go
+++ b/once/restore_test.go
@@ -36,7 +36,7 @@
 // A store that comes back from an older copy must not let two owners of a partition grant
 // the same claim.
 func TestRestoredStoreRunsNothingTwice(t *testing.T) {
-	first, rounds := envUint(t, "CURRANTFERRY_SEED", 1), envUint(t, "CURRANTFERRY_ROUNDS", 20)
+	first, rounds := envUint(t, "CURRANTFERRY_SEED", 1), envUint(t, "CURRANTFERRY_ROUNDS", 40)
 	got := violations(t)
 	t.Run("seeds", func(t *testing.T) {
 		for seed := first; seed < first+rounds; seed++ {
