Take one new connection as proof for all that were lost

The connection that the first loss led to showed that the instance lived, but only for losses from before it was begun; the nine later ones counted as a crash.

Now a connection that was accepted after the first of several simultaneous losses speaks for all of them.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -207,15 +207,16 @@
 }
 
 // isSimultaneous reports whether several connections to a process were lost at a time, and
-// to no other process, whose loss would suggest that the links of this VM failed.
+// none to another process, whose loss would suggest that the links of this VM failed. A
+// process that has accepted a connection since the first loss is alive.
 func (l *Ledger) isSimultaneous(now time.Time, p Process) bool {
 	count := 0
 	for _, x := range l.losses {
 		switch {
 		case x.unanswered || now.Sub(x.at).Abs() > simultaneousLossWindow:
-		case x.process != p:
+		case x.process != p || x.reconnected:
 			return false
-		case !x.reconnected:
+		default:
 			count++
 		}
 	}
--- /dev/null
+++ b/transit/monitor/monitor.go
@@ -0,0 +1,267 @@
+// Package monitor observes whether a VM can reach upstream instances, probes them when it may
+// not, and names the VM through which a request is passed on.
+package monitor
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/transit"
+	"github.com/currantferry/currantferry/upstream"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// Monitor observes whether this VM can reach instances. It is safe for concurrent use. The
+// exported fields are set before its first use.
+type Monitor struct {
+	// Open opens a connection to an instance and keeps it for a request.
+	Open func(ctx context.Context, address string) error
+	// OnConnected is called when an instance accepts a connection, with the time at which
+	// opening it began.
+	OnConnected func(now, began time.Time, address string)
+	// OnIsolated is called when this VM has found that it reaches no instance, and
+	// OnRoundFailed when none of several instances that it probed could be reached.
+	OnIsolated    func(now time.Time)
+	OnRoundFailed func()
+
+	log   *slog.Logger
+	gauge tally.Gauge
+
+	mu        sync.Mutex
+	reach     *transit.Reach
+	peers     *transit.Peers
+	instances []string
+	// path is cancelled when this VM is isolated, and replaced when it returns.
+	path     context.Context
+	losePath context.CancelFunc
+	// isConfirming says that Confirm waits for a connection.
+	isConfirming bool
+}
+
+var _ upstream.Observer = (*Monitor)(nil)
+
+// New returns a monitor for a VM of a region.
+func New(region string, log *slog.Logger, scope tally.Scope) *Monitor {
+	path, losePath := context.WithCancel(context.Background())
+	return &Monitor{
+		path: path, losePath: losePath, log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
+		peers: transit.NewPeers(region, rand.Float64), OnIsolated: func(time.Time) {}, OnRoundFailed: func() {}, OnConnected: func(time.Time, time.Time, string) {},
+	}
+}
+
+// update applies a change to the tracker and reports a change of its state.
+func (m *Monitor) update(change func(now time.Time)) {
+	now := time.Now()
+	m.mu.Lock()
+	before, since := m.reach.State()
+	failedBefore := m.reach.RoundFailedAt()
+	change(now)
+	after, _ := m.reach.State()
+	hasRoundFailed := m.reach.RoundFailedAt().After(failedBefore)
+	numInstances := len(m.instances)
+	if after != before {
+		switch after {
+		case transit.Isolated:
+			m.losePath()
+		case transit.Returning:
+			m.path, m.losePath = context.WithCancel(context.Background())
+		}
+	}
+	m.mu.Unlock()
+	if hasRoundFailed {
+		m.OnRoundFailed()
+	}
+	if after == before {
+		return
+	}
+	switch after {
+	case transit.Isolated:
+		m.gauge.Update(1)
+		event.InstancesUnreachable.Log(m.log, "instances", numInstances)
+		m.OnIsolated(now)
+	case transit.Returning:
+		m.gauge.Update(0)
+		event.InstancesReachable.Log(m.log, "isolated_ms", now.Sub(since).Milliseconds())
+	}
+}
+
+// SetInstances replaces the addresses of the instances.
+func (m *Monitor) SetInstances(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances = addresses
+}
+
+// Attempt implements upstream.Observer.
+func (m *Monitor) Attempt(string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reach.RecordAttempt(time.Now())
+}
+
+// Connected implements upstream.Observer.
+func (m *Monitor) Connected(address string, began time.Time) {
+	m.update(func(now time.Time) { m.reach.RecordConnected(now, address) })
+	m.OnConnected(time.Now(), began, address)
+}
+
+// Answered implements upstream.Observer.
+func (m *Monitor) Answered(address string) {
+	m.update(func(now time.Time) { m.reach.RecordAnswer(now, address) })
+}
+
+// Failed implements upstream.Observer.
+func (m *Monitor) Failed(address string, since time.Time) {
+	m.update(func(now time.Time) { m.reach.RecordFailure(now, since, address) })
+}
+
+// Tick advances the tracker, and probes the instances that it names.
+func (m *Monitor) Tick(ctx context.Context, group *conc.WaitGroup) {
+	var targets []string
+	m.update(func(now time.Time) { targets = m.reach.Tick(now, m.instances) })
+	for _, address := range targets {
+		group.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
+			defer cancel()
+			err := m.Open(bounded, address)
+			m.update(func(now time.Time) { m.reach.RecordProbe(now, address, err == nil) })
+		})
+	}
+}
+
+// numConfirming is the number of instances that Confirm tries at once, since some may have
+// crashed together with the doubted ones.
+const numConfirming = 3
+
+// Confirm opens connections to instances at none of the doubted addresses. If one
+// succeeds, this VM reaches instances, and the doubted ones have failed themselves. If all
+// fail, its own links may have failed.
+func (m *Monitor) Confirm(ctx context.Context, group *conc.WaitGroup, doubted map[string]bool) {
+	m.mu.Lock()
+	var others []string
+	for _, address := range m.instances {
+		if !doubted[address] {
+			others = append(others, address)
+		}
+	}
+	busy := m.isConfirming || len(others) == 0
+	m.isConfirming = m.isConfirming || !busy
+	m.mu.Unlock()
+	if busy {
+		return
+	}
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	others = others[:min(numConfirming, len(others))]
+	group.Go(func() {
+		bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
+		defer cancel()
+		var attempts conc.WaitGroup
+		var succeeded atomic.Bool
+		for _, address := range others {
+			attempts.Go(func() {
+				if m.Open(bounded, address) == nil {
+					succeeded.Store(true)
+				}
+			})
+		}
+		attempts.Wait()
+		m.update(func(now time.Time) {
+			m.isConfirming = false
+			if !succeeded.Load() && len(others) == numConfirming && ctx.Err() == nil {
+				m.reach.RecordRoundFailure(now)
+			}
+		})
+	})
+}
+
+// Path returns a context that is cancelled when this VM reaches no instance any
+// more. A VM that is isolated has not begun new attempts since.
+func (m *Monitor) Path() context.Context {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.path
+}
+
+// SetPeers replaces the VMs to which requests can be passed on.
+func (m *Monitor) SetPeers(peers []transit.Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers.Set(peers)
+}
+
+// RecordPeer records whether another VM reports that it reaches no instance.
+func (m *Monitor) RecordPeer(id string, isIsolated bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers.RecordState(time.Now(), id, isIsolated)
+}
+
+// IsReportDue reports whether the state must be reported to the other VMs: as long as
+// this VM is isolated, and for a while after its return.
+func (m *Monitor) IsReportDue(now time.Time) (isIsolated, isDue bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, since := m.reach.State()
+	isIsolated = state == transit.Isolated
+	return isIsolated, isIsolated || (state == transit.Returning && now.Sub(since) < returnReportTime)
+}
+
+// returnReportTime is how long a VM reports that it reaches instances again.
+const returnReportTime = time.Second
+
+// PassOn returns the VM to which a request is passed on, or false if this VM serves it.
+// refused says that no instance was available here.
+func (m *Monitor) PassOn(now time.Time, q *proxy.Query, refused bool) (transit.Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// A VM that reaches a part of the instances passes on only what these don't take.
+	isLeftOver := (refused || q.IsRetry) && m.reach.IsDoubtful(now)
+	if !isLeftOver && !m.reach.PassesOn(now) {
+		return transit.Peer{}, false
+	}
+	return m.peers.Choose(now, q.Regions, q.Exclude)
+}
+
+// IsIsolated reports whether this VM reaches no instance.
+func (m *Monitor) IsIsolated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, _ := m.reach.State()
+	return state == transit.Isolated
+}
+
+// WasIsolated reports whether this VM reached no instance at some time since then, and
+// wasDoubtful whether it found none of several.
+func (m *Monitor) WasIsolated(since time.Time) (wasIsolated, wasDoubtful bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wasIsolated = m.reach.WasIsolated(since)
+	return wasIsolated, wasIsolated || since.Before(m.reach.RoundFailedAt())
+}
+
+
+// RecordOutcome records the outcome of a request that was passed on. A VM that failed, or
+// refused for a reason of its own, is avoided for a while.
+func (m *Monitor) RecordOutcome(peer string, o *proxy.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers.Done(peer)
+	switch o.Reason {
+	case verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded:
+		m.peers.Avoid(time.Now(), peer)
+	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost:
+		// If the VM answered, its own connection to an instance failed.
+		if o.Answered.IsZero() {
+			m.peers.Avoid(time.Now(), peer)
+		}
+	}
+}
