Give VMs more time to confirm a view

Its log has view changes that ended with "most VMs do not answer" within 0.2 to 0.5 s: of three VMs one was lost, and the other did not answer within the 400 ms on the busy machine. Other steps of a view change allow 800 ms; so does this one now. Beside ten busy processes TestRegionLost, TestRegionsCut, TestKilledVM and TestFrozenVM pass three times each, as on the code before.

--- a/once/change.go
+++ b/once/change.go
@@ -469,9 +469,9 @@
 	resendAfter, giveUpAfter := m.cfg.ResendInterval, 2*m.cfg.ResendInterval
 	switch ch.step {
 	case stepConfirming:
-		if m.now.Sub(ch.progress) >= resendAfter {
+		if m.now.Sub(ch.progress) >= giveUpAfter {
 			m.endConfirm(p, ch)
-		} else if m.now.Sub(ch.sent) >= resendAfter/2 {
+		} else if m.now.Sub(ch.sent) >= resendAfter {
 			ch.sent = m.now
 			m.sendConfirm(p, ch)
 		}
