Move the monitor of links to its own package

The product's own daemon needs it too. No change of behaviour: methods that entry and its package share are exported, and what a selection records of another VM is a method of the monitor.

--- a/entry/digest.go
+++ b/entry/digest.go
@@ -48,7 +48,7 @@
 	}
 	rounds := (len(v.ranked) + maxDigestPeers - 1) / maxDigestPeers
 	digest, crashes := n.selector.buildDigest(now, max(1, rounds))
-	isIsolated, isReportDue := n.reach.isReportDue(now)
+	isIsolated, isReportDue := n.reach.IsReportDue(now)
 	for address, reports := range remoteCrashReports(v, crashes) {
 		n.sendDatagram(encodeDigest(sender{id: n.self.ID, remote: true, isolated: isIsolated}, new(placement.Digest), reports), address)
 	}
@@ -131,7 +131,7 @@
 			event.DigestFailed.Log(n.log, "error", err, "bytes", size)
 			continue
 		}
-		n.reach.recordPeer(from.id, from.isolated)
+		n.reach.RecordPeer(from.id, from.isolated)
 		n.selector.receiveDigest(time.Now(), from, digest, crashes)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/store"
 	"github.com/currantferry/currantferry/transit"
+	"github.com/currantferry/currantferry/transit/monitor"
 	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
 )
@@ -122,7 +123,7 @@
 	pause    *pauseGuard
 	router   *router
 	selector *selector
-	reach    *reachMonitor
+	reach    *monitor.Monitor
 	self     inventory.VM
 
 	budgetMu sync.Mutex
@@ -177,7 +178,7 @@
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: mathrand.Float64,
 	}, n.log, n.metrics.Scope())
-	n.selector.reach = newReachMonitor(s.Region, n.log, n.metrics.Scope())
+	n.selector.reach = monitor.New(s.Region, n.log, n.metrics.Scope())
 	n.selector.admission = transit.NewAdmission(n.self.Capacity)
 	n.reach = n.selector.reach
 	n.proxy = proxy.New(proxy.Options{
@@ -185,7 +186,7 @@
 		MaxConcurrent: maxConcurrentRequests, MaxConnections: maxConnectionsPerInstance, MaxBufferBytes: maxBufferedBodyBytes, DeadlineGrace: deadlineGrace,
 		DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(),
 	})
-	n.reach.open = n.proxy.Client().Open
+	n.reach.Open = n.proxy.Client().Open
 	n.follower = feed.New(feed.Options{
 		Store: o.Platform.Source, Sink: n, Lister: o.Platform.Source, RelayPrefix: vmPrefix, Log: n.log,
 		Relays:        func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
@@ -193,9 +194,9 @@
 	})
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
-	n.reach.onConnected = n.selector.onConnected
-	n.reach.onIsolated = n.selector.forgiveFailures
-	n.reach.onRoundFailed = n.selector.dropEvidence
+	n.reach.OnConnected = n.selector.onConnected
+	n.reach.OnIsolated = n.selector.forgiveFailures
+	n.reach.OnRoundFailed = n.selector.dropEvidence
 	n.selector.closeIdle = n.proxy.Client().CloseIdleTo
 	n.selector.requestQuota = n.requestQuota
 	n.selector.probe = newCrashProbe(n.proxy.Client().Open, n.selector.onConnRefused)
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -17,6 +17,7 @@
 	"github.com/currantferry/currantferry/placement"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/transit"
+	"github.com/currantferry/currantferry/transit/monitor"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -28,7 +29,7 @@
 	// probe checks whether a process crashed after a connection to it was lost.
 	probe *crashProbe
 	// reach says whether this VM reaches instances, and names VMs that do.
-	reach *reachMonitor
+	reach *monitor.Monitor
 	// admission bounds the requests that this VM takes over.
 	admission *transit.Admission
 	// closeIdle closes the idle connections to an address.
@@ -65,7 +66,7 @@
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
 		closeIdle: func(string) {}, quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
-		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: newReachMonitor(cfg.Region, log, scope),
+		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: monitor.New(cfg.Region, log, scope),
 		admission: transit.NewAdmission(0),
 	}
 	for _, kind := range crashguard.StepKinds() {
@@ -249,7 +250,7 @@
 		Target: q.Target, Deadline: q.Deadline, Regions: q.Regions, Exclude: q.Exclude,
 		Timeout: q.Timeout, Priority: q.Priority,
 	}
-	if !s.reach.isIsolated() {
+	if !s.reach.IsIsolated() {
 		s.awaitToken(ctx, &r)
 	}
 	now := time.Now()
@@ -273,7 +274,7 @@
 	if selected := s.selectVM(now, q, false); selected != nil {
 		return selected, nil
 	}
-	if s.reach.isIsolated() {
+	if s.reach.IsIsolated() {
 		// Nor does any other VM that may serve the request. Probes notice the end.
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter)
 	}
@@ -298,7 +299,7 @@
 	if q.IsTransit {
 		return nil
 	}
-	peer, ok := s.reach.passOn(now, q, refused)
+	peer, ok := s.reach.PassOn(now, q, refused)
 	if !ok {
 		return nil
 	}
@@ -329,7 +330,7 @@
 }
 
 // Path returns a context that is cancelled when this VM reaches no instance any more.
-func (c *selection) Path() context.Context { return c.s.reach.currentPath() }
+func (c *selection) Path() context.Context { return c.s.reach.Path() }
 
 // LogAttrs returns the log attributes that explain the choice of the instance.
 func (c *selection) LogAttrs() []any {
@@ -357,7 +358,7 @@
 	// The connections of an isolated VM fail whatever state the instances are in.
 	var isOwnFailure, isDoubtful bool
 	if isConnectionFailure(&o) {
-		isOwnFailure, isDoubtful = c.s.reach.wasIsolated(c.chosenAt)
+		isOwnFailure, isDoubtful = c.s.reach.WasIsolated(c.chosenAt)
 	}
 	out.Cancelled = out.Cancelled || isOwnFailure
 	c.s.mu.Lock()
--- a/entry/state.go
+++ b/entry/state.go
@@ -107,9 +107,9 @@
 	n.mu.Lock()
 	n.applyEffects(now, n.inv.Tick(now))
 	n.mu.Unlock()
-	n.reach.tick(n.ctx, &n.group)
-	if doubted := n.selector.doubtedAddresses(now); doubted != nil && !n.reach.isIsolated() {
-		n.reach.confirm(n.ctx, &n.group, doubted)
+	n.reach.Tick(n.ctx, &n.group)
+	if doubted := n.selector.doubtedAddresses(now); doubted != nil && !n.reach.IsIsolated() {
+		n.reach.Confirm(n.ctx, &n.group, doubted)
 	}
 	n.selector.tick(now)
 	n.tickQuota(now)
@@ -162,7 +162,7 @@
 		n.setVMs(now)
 	}
 	if all || len(changed) > 0 {
-		n.reach.setInstances(n.instanceAddresses())
+		n.reach.SetInstances(n.instanceAddresses())
 	}
 	switch {
 	case all:
@@ -215,7 +215,7 @@
 func (n *Node) setVMs(now time.Time) {
 	v := newView(n.view.Load(), now, n.inv.VMs(), n.self.Region)
 	n.view.Store(v)
-	n.reach.setPeers(v, n.self.ID)
+	n.reach.SetPeers(transitPeers(v, n.self.ID))
 	total, own := 0.0, weightOf(&n.self)
 	for i := range v.vms {
 		total += weightOf(&v.vms[i])
--- a/entry/transit.go
+++ b/entry/transit.go
@@ -45,67 +45,15 @@
 	})
 }
 
-// setPeers updates the VMs to which requests can be passed on.
-func (m *reachMonitor) setPeers(v *view, self string) {
+// transitPeers returns the VMs to which requests can be passed on.
+func transitPeers(v *view, self string) []transit.Peer {
 	var peers []transit.Peer
 	for i := range v.vms {
 		if vm := &v.vms[i]; vm.ID != self && vm.TransitKey != "" && !vm.Starting {
 			peers = append(peers, transit.Peer{ID: vm.ID, Address: vm.Relay, Key: vm.TransitKey, Region: vm.Region, Weight: weightOf(vm)})
 		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.peers.Set(peers)
-}
-
-// recordPeer records whether another VM reports that it reaches no instance.
-func (m *reachMonitor) recordPeer(id string, isIsolated bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.peers.RecordState(time.Now(), id, isIsolated)
-}
-
-// isReportDue reports whether the state must be reported to the other VMs: as long as
-// this VM is isolated, and for a while after its return.
-func (m *reachMonitor) isReportDue(now time.Time) (isIsolated, isDue bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	state, since := m.reach.State()
-	isIsolated = state == transit.Isolated
-	return isIsolated, isIsolated || (state == transit.Returning && now.Sub(since) < returnReportTime)
-}
-
-// returnReportTime is how long a VM reports that it reaches instances again.
-const returnReportTime = time.Second
-
-// passOn returns the VM to which a request is passed on, or false if this VM serves it.
-// refused says that no instance was available here.
-func (m *reachMonitor) passOn(now time.Time, q *proxy.Query, refused bool) (transit.Peer, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	// A VM that reaches a part of the instances passes on only what these don't take.
-	isLeftOver := (refused || q.IsRetry) && m.reach.IsDoubtful(now)
-	if !isLeftOver && !m.reach.PassesOn(now) {
-		return transit.Peer{}, false
-	}
-	return m.peers.Choose(now, q.Regions, q.Exclude)
-}
-
-// isIsolated reports whether this VM reaches no instance.
-func (m *reachMonitor) isIsolated() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	state, _ := m.reach.State()
-	return state == transit.Isolated
-}
-
-// wasIsolated reports whether this VM reached no instance at some time since then, and
-// wasDoubtful whether it found none of several.
-func (m *reachMonitor) wasIsolated(since time.Time) (wasIsolated, wasDoubtful bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	wasIsolated = m.reach.WasIsolated(since)
-	return wasIsolated, wasIsolated || since.Before(m.reach.RoundFailedAt())
+	return peers
 }
 
 // transitSelection is another VM, chosen for a request that this VM can't serve.
@@ -144,23 +92,8 @@
 // Hedge implements proxy.Selection.
 func (c *transitSelection) Hedge() (proxy.Selection, bool) { return nil, false }
 
-// Done implements proxy.Selection. A VM that failed, or refused for a reason of its own, is
-// avoided for a while.
-func (c *transitSelection) Done(o proxy.Outcome) {
-	m := c.s.reach
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.peers.Done(c.peer.ID)
-	switch o.Reason {
-	case verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded:
-		m.peers.Avoid(time.Now(), c.peer.ID)
-	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost:
-		// If the VM answered, its own connection to an instance failed.
-		if o.Answered.IsZero() {
-			m.peers.Avoid(time.Now(), c.peer.ID)
-		}
-	}
-}
+// Done implements proxy.Selection.
+func (c *transitSelection) Done(o proxy.Outcome) { c.s.reach.RecordOutcome(c.peer.ID, &o) }
 
 // ReceiveNotice records the notice of the instance that answered the other VM. This VM has
 // passed it on to a caller and is bound by it from now on.
--- a/transit/monitor/monitor.go
+++ b/transit/monitor/monitor.go
@@ -248,7 +248,6 @@
 	return wasIsolated, wasIsolated || since.Before(m.reach.RoundFailedAt())
 }
 
-
 // RecordOutcome records the outcome of a request that was passed on. A VM that failed, or
 // refused for a reason of its own, is avoided for a while.
 func (m *Monitor) RecordOutcome(peer string, o *proxy.Outcome) {
