Let VMs of the product's own daemon pass requests on

Callers: a VM of the product's own daemon that reached no instance refused all requests (0 of 330 to 353 served from 1.5 s after the cut, each kind of cut).

Change: each VM listens for requests of other VMs ([listen] transit), over mutual TLS where messages between VMs use it, and gossips address, key and whether it is isolated. A VM that reaches no instance passes requests on; the claim of a keyed request stays with the first VM, which keeps the answer for resends. Probes of an isolated VM are not reported as instances that are down, and failures of its connections count neither for the balancer nor for the crash guard.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -58,14 +58,22 @@
 	controlServer *http.Server
 	version       uint64
 	log           *slog.Logger
+	// dial, if not nil, returns the dialer of a VM for its connections to instances.
+	dial func(vm string) func(ctx context.Context, network, address string) (net.Conn, error)
+	// tls holds the files with which VMs authenticate each other. Empty means plain TCP.
+	tls settings.TLS
 }
 
-// StartFleet starts the whole fleet and waits until all entry VMs are ready.
-func StartFleet(ctx context.Context, log *slog.Logger) (*Fleet, error) {
-	f := &Fleet{
+func newFleet(log *slog.Logger) *Fleet {
+	return &Fleet{
 		Store: storestandin.New(), Ledger: standin.NewLedger(), Rules: new(rules.Rules),
 		upstreams: make(map[string]*standin.Upstream), nodes: make(map[string]*node.Node), log: log,
 	}
+}
+
+// StartFleet starts the whole fleet and waits until all entry VMs are ready.
+func StartFleet(ctx context.Context, log *slog.Logger) (*Fleet, error) {
+	f := newFleet(log)
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -187,7 +195,12 @@
 	for _, n := range f.nodes {
 		s.Peers.Seeds = append(s.Peers.Seeds, netip.MustParseAddrPort(n.PeerAddress()))
 	}
-	n, err := node.Start(node.Options{Settings: s, Store: f.client, Lister: f.client, Log: f.log})
+	s.TLS = f.tls
+	o := node.Options{Settings: s, Store: f.client, Lister: f.client, Log: f.log}
+	if f.dial != nil {
+		o.Dial = f.dial(id)
+	}
+	n, err := node.Start(o)
 	if err != nil {
 		return errors.Wrap(err, id)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -24,6 +24,7 @@
 	endpoints    map[string]endpoint
 	measurements map[string]timedMeasurement
 	down         map[string]downSection
+	transit      map[string]transitSection
 	// planner is the VM that took the lease of the planner last, and plannerSince
 	// when it did, in Unix nanoseconds.
 	planner      string
@@ -40,6 +41,7 @@
 		s.endpoints = make(map[string]endpoint)
 		s.measurements = make(map[string]timedMeasurement)
 		s.down = make(map[string]downSection)
+		s.transit = make(map[string]transitSection)
 	}
 }
 
@@ -144,6 +146,11 @@
 			n.sections.updatePlanner(s.Owner, h.Since)
 			n.control.SetCollector(n.sections.planner)
 		}
+	case sectionTransit:
+		if t, ok := decodeSection[transitSection](s); ok {
+			n.sections.transit[s.Owner] = t
+			n.reach.RecordPeer(s.Owner, t.Isolated)
+		}
 	case sectionDown:
 		if d, ok := decodeSection[downSection](s); ok {
 			n.sections.down[s.Owner] = d
@@ -171,6 +178,7 @@
 	members := n.control.Members()
 	n.runner.SetDirectory(n.directory(now, members))
 	n.setPeers(members)
+	n.setTransitPeers(members)
 	n.updateSteering(now, members)
 	n.setInstances(now)
 	n.updateRegionStates(now, members)
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,8 @@
 	"github.com/currantferry/currantferry/settings"
 	"github.com/currantferry/currantferry/steer"
 	"github.com/currantferry/currantferry/store"
+	"github.com/currantferry/currantferry/transit/monitor"
+	"github.com/currantferry/currantferry/upstream"
 )
 
 // Options configures a Node.
@@ -47,6 +49,8 @@
 	// Store and Lister are the platform's services.
 	Store  store.Store
 	Lister store.VMLister
+	// Dial, if not nil, opens the connections to instances.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Log receives the log events. Nil discards them.
 	Log *slog.Logger
 }
@@ -78,6 +82,11 @@
 	servers        []*http.Server
 	callerListener net.Listener
 	adminListener  net.Listener
+	// transitAddress is where other VMs pass requests on, with transitKey. reach observes
+	// whether this VM has to pass its own on.
+	transitAddress netip.AddrPort
+	transitKey     string
+	reach          *monitor.Monitor
 	tls            tlsReloaders
 
 	boot    uint64
@@ -151,7 +160,7 @@
 	if err := n.openPeerListener(o); err != nil {
 		return err
 	}
-	n.openRequestPath()
+	n.openRequestPath(o)
 	if err := n.openLookups(); err != nil {
 		return err
 	}
@@ -191,6 +200,7 @@
 		ID: s.VM.ID, DataCentre: s.VM.DataCentre, Region: s.VM.Region,
 		Address: advertised(s.Listen.AdvertisePeer, l.Addr()),
 	}
+	n.reach = n.newReachMonitor()
 	n.counters = &peer.Counters{Scope: n.metrics.Scope()}
 	pool := peer.PoolOptions{Log: n.log, Counters: n.counters}
 	server := peer.ServerOptions{Log: n.log, Counters: n.counters}
@@ -264,18 +274,20 @@
 	return n.oncePool.Conn(m.Address), nil
 }
 
-func (n *Node) openRequestPath() {
+func (n *Node) openRequestPath(o Options) {
 	s := n.settings
 	gate := plan.NewGate(plan.GateConfig{VM: s.VM.ID, Incarnation: n.boot, Region: s.VM.Region})
 	n.crash = &crashTracker{guard: crashguard.New(crashguard.Config{VM: s.VM.ID}), broadcast: n.broadcast}
-	n.selector = newSelector(gate, n.crash, n.observed)
+	n.selector = newSelector(gate, n.crash, n.observed, n.reach)
 	n.planner = &planner{n: n}
-	n.prober = newProber(n)
+	n.prober = newProber(n, o.Dial)
 	n.proxy = proxy.New(proxy.Options{
 		Services: n, Selector: n.selector, Claimer: &claimer{n.runner}, Budget: n,
 		Metrics: n.metrics, Log: n.log, Zone: s.Lookup.Zone,
 		MaxConcurrent: s.Request.MaxConcurrent, MaxBody: unlimitedIfZero(s.Request.MaxBody), DefaultTimeout: s.Request.DefaultTimeout,
+		Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: n.transitOptions(),
 	})
+	n.reach.Open = n.proxy.Client().Open
 	n.selector.log, n.selector.closeIdle = n.log, n.proxy.Client().CloseIdleTo
 }
 
@@ -306,6 +318,9 @@
 	if n.callerListener, err = n.listen(s.Listen.Caller, n.closeWhenLeaving(router), n.tls.caller, (*certs.Reloader).Caller); err != nil {
 		return errors.Wrap(err, "caller listener")
 	}
+	if err := n.openTransitListener(); err != nil {
+		return err
+	}
 	if !s.Listen.Admin.IsValid() {
 		return nil
 	}
@@ -363,6 +378,7 @@
 func (n *Node) run() {
 	n.peers.Serve()
 	n.publishEndpoint()
+	n.publishTransit()
 	n.control.Start()
 	n.group.Go(func() { _ = n.runner.Run(n.ctx) })
 	for _, loop := range []struct {
@@ -370,6 +386,7 @@
 		step     func(now time.Time)
 	}{
 		{10 * time.Millisecond, n.pollPools},
+		{reachInterval, n.tickReach},
 		{200 * time.Millisecond, n.refresh},
 		{time.Second, n.everySecond},
 		{planInterval, n.planner.step},
@@ -445,3 +462,6 @@
 
 // Traffic returns the bytes received from and sent to other VMs.
 func (n *Node) Traffic() (in, out int64) { return n.counters.Bytes() }
+
+// TransitAddress returns the address at which other VMs pass requests on to this one.
+func (n *Node) TransitAddress() string { return n.transitAddress.String() }
--- a/node/permit_test.go
+++ b/node/permit_test.go
@@ -3,22 +3,26 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/currantferry/currantferry/balance"
 	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/plan"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/register"
+	"github.com/currantferry/currantferry/transit/monitor"
 	"github.com/currantferry/currantferry/verdict"
 )
 
 // newTestSelector returns a selector of one service with instances i-1 to i-N.
 func newTestSelector(instances, slots int) *selector {
-	s := newSelector(plan.NewGate(plan.GateConfig{VM: "vm-1"}), &crashTracker{guard: crashguard.New(crashguard.Config{VM: "vm-1"})}, new(observations))
+	s := newSelector(plan.NewGate(plan.GateConfig{VM: "vm-1"}), &crashTracker{guard: crashguard.New(crashguard.Config{VM: "vm-1"})}, new(observations), monitor.New("", slog.New(slog.DiscardHandler), tally.NoopScope))
 	p := newPool(balance.Config{}, 1)
 	var list []balance.Instance
 	addresses := make(map[string]string)
--- a/node/pool.go
+++ b/node/pool.go
@@ -236,6 +236,16 @@
 	return p.addresses[instance]
 }
 
+// appendAddresses appends the addresses of the instances to a list.
+func (p *pool) appendAddresses(list []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range p.addresses {
+		list = append(list, address)
+	}
+	return list
+}
+
 func (p *pool) hedgeAfter(t balance.Ticket) (time.Duration, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/prober.go
+++ b/node/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -49,9 +50,15 @@
 	loadsPublishedAt time.Time
 }
 
-func newProber(n *Node) *prober {
+// newProber returns a prober that opens connections by dial, or by the default dialer if it is
+// nil.
+func newProber(n *Node, dial func(ctx context.Context, network, address string) (net.Conn, error)) *prober {
+	client := &http.Client{Timeout: probeTimeout}
+	if dial != nil {
+		client.Transport = &http.Transport{DialContext: dial}
+	}
 	return &prober{
-		n: n, client: &http.Client{Timeout: probeTimeout},
+		n: n, client: client,
 		failures: make(map[string]int), down: make(map[string]bool),
 		recoveredAt: make(map[string]time.Time), downRegions: make(map[string]bool),
 	}
@@ -192,6 +199,13 @@
 
 // publishDown gossips the instances whose probes from this VM fail.
 func (p *prober) publishDown() {
+	if p.n.reach.IsIsolated() {
+		// The probes of this VM say nothing about the instances. What it reported before is
+		// withdrawn below.
+		p.mu.Lock()
+		clear(p.failures)
+		p.mu.Unlock()
+	}
 	p.mu.Lock()
 	var d downSection
 	for id, failures := range p.failures {
--- a/node/sections.go
+++ b/node/sections.go
@@ -15,6 +15,7 @@
 	sectionDown        uint8 = 3
 	sectionPlanner     uint8 = 4
 	sectionLoads       uint8 = 5
+	sectionTransit     uint8 = 6
 	// sectionRecord is the kind of partition 0's record. The kinds above it are those
 	// of the other partitions.
 	sectionRecord uint8 = 16
@@ -29,6 +30,7 @@
 		sectionPlanner:     {Reconciled: true, Urgent: true},
 		sectionLoads:       {SameRegion: true},
 		sectionDown:        {Reconciled: true, Urgent: true},
+		sectionTransit:     {Reconciled: true, Urgent: true},
 	}
 	for p := range partitions {
 		if kind := int(sectionRecord) + p; kind <= math.MaxUint8 {
--- a/node/selector.go
+++ b/node/selector.go
@@ -15,6 +15,7 @@
 	"github.com/currantferry/currantferry/crashguard"
 	"github.com/currantferry/currantferry/plan"
 	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/transit/monitor"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -32,6 +33,8 @@
 
 	crash    *crashTracker
 	observed *observations
+	// reach observes whether this VM reaches instances.
+	reach *monitor.Monitor
 
 	// log receives events and may be nil. closeIdle closes the idle connections to an
 	// address.
@@ -41,9 +44,9 @@
 
 type poolKey struct{ service, region string }
 
-func newSelector(gate *plan.Gate, crash *crashTracker, observed *observations) *selector {
+func newSelector(gate *plan.Gate, crash *crashTracker, observed *observations, reach *monitor.Monitor) *selector {
 	return &selector{
-		gate: gate, crash: crash, observed: observed,
+		gate: gate, crash: crash, observed: observed, reach: reach,
 		closeIdle: func(string) {},
 		pools:     make(map[poolKey]*pool), meters: make(map[string]*workMeter), queues: make(map[string]*gateQueue),
 	}
@@ -63,8 +66,26 @@
 }
 
 // Select implements proxy.Selector. A suspect of the crash guard waits for its trial
-// permit before it takes a place in a region.
+// permit before it takes a place in a region. A VM that reaches no instance passes the
+// request on, and the other VM does all this.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
+	if selected := s.selectVM(q, false); selected != nil {
+		return selected, nil
+	}
+	if s.reach.IsIsolated() {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonIsolated, transitRefuseRetryAfter)
+	}
+	chosen, err := s.selectInstance(ctx, q)
+	if err == nil || !isRegionalRefusal(err) {
+		return chosen, err
+	}
+	if selected := s.selectVM(q, true); selected != nil {
+		return selected, nil
+	}
+	return nil, err
+}
+
+func (s *selector) selectInstance(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
 	permit, waitUntil, err := s.crash.acquirePermit(ctx, q)
 	if err != nil {
 		return nil, err
@@ -72,7 +93,7 @@
 	for {
 		chosen, err := s.selectOnce(ctx, q)
 		if err == nil {
-			chosen.permit = permit
+			chosen.permit, chosen.chosenAt = permit, time.Now()
 			return chosen, nil
 		}
 		if !permit.shouldRetry(ctx, err) && !shouldRetryAfterWait(ctx, waitUntil, err) {
@@ -196,6 +217,8 @@
 	ticket balance.Ticket
 	trial  crashguard.Ticket
 	grant  plan.Grant
+	// chosenAt is when the instance was chosen.
+	chosenAt time.Time
 	// permit is nil unless the request was a suspect of the crash guard.
 	permit *trialPermit
 }
@@ -225,7 +248,7 @@
 		c.s.release(c.q.Service.Name, &grant, 0)
 		return nil, false
 	}
-	second := &selection{s: c.s, q: c.q, pool: c.pool, region: c.region, ticket: ticket, grant: grant}
+	second := &selection{s: c.s, q: c.q, chosenAt: time.Now(), pool: c.pool, region: c.region, ticket: ticket, grant: grant}
 	trial, err := c.s.crash.begin(context.Background(), &c.q, ticket.Instance)
 	if err != nil {
 		c.pool.done(ticket, balance.Cancelled)
@@ -238,6 +261,11 @@
 
 // Done implements proxy.Selection.
 func (c *selection) Done(o proxy.Outcome) {
+	if o.Verdict != verdict.Ran && o.Status == 0 {
+		// If this VM reached no instance meanwhile, its connections say nothing about them.
+		_, isDoubtful := c.s.reach.WasIsolated(c.chosenAt)
+		o.Cancelled = o.Cancelled || isDoubtful
+	}
 	c.pool.done(c.ticket, balancerOutcome(o))
 	c.s.crash.end(c.trial, o)
 	c.s.crash.releasePermit(c.permit)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,15 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"os"
 	"path/filepath"
 	"reflect"
 	"testing"
@@ -21,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/currantferry/currantferry/certs"
+	"github.com/currantferry/currantferry/internal/testkit"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/peer/peerpb"
 )
@@ -235,8 +229,8 @@
 // file that was replaced.
 func TestMutualTLSAndReload(t *testing.T) {
 	dir := t.TempDir()
-	trusted := newAuthority(t)
-	trusted.write(t, dir)
+	trusted := testkit.NewAuthority(t)
+	trusted.WriteFiles(t, dir)
 	trustedKeeper := loadKeeper(t, dir)
 	s := serve(t, "127.0.0.1:0", echoHandler{}, ServerOptions{TLS: trustedKeeper.PeerServer})
 	m := sampleMessage()
@@ -249,7 +243,7 @@
 		t.Error("a connection without TLS was served")
 	}
 	foreignDir := t.TempDir()
-	newAuthority(t).write(t, foreignDir)
+	testkit.NewAuthority(t).WriteFiles(t, foreignDir)
 	foreignKeeper := loadKeeper(t, foreignDir)
 	if _, err := newPool(t, PoolOptions{TLS: foreignKeeper.PeerClient}).Exchange(ctx, s.Address(), &m); err == nil {
 		t.Error("a server of another authority was accepted")
@@ -265,7 +259,7 @@
 	if _, err := newPool(t, PoolOptions{TLS: withoutVerification}).Exchange(ctx, s.Address(), &m); err == nil {
 		t.Error("a certificate of another authority was accepted")
 	}
-	trusted.write(t, dir)
+	trusted.WriteFiles(t, dir)
 	if err := trustedKeeper.Check(); err != nil {
 		t.Fatal(err)
 	}
@@ -302,69 +296,6 @@
 	return k
 }
 
-type authority struct {
-	cert   *x509.Certificate
-	key    *ecdsa.PrivateKey
-	serial int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tmpl := &x509.Certificate{
-		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &authority{cert: cert, key: key}
-}
-
-func (a *authority) issue(t *testing.T) tls.Certificate {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.serial++
-	tmpl := &x509.Certificate{
-		SerialNumber: big.NewInt(a.serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
-}
-
-func (a *authority) write(t *testing.T, dir string) {
-	t.Helper()
-	c := a.issue(t)
-	key, err := x509.MarshalPKCS8PrivateKey(c.PrivateKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for file, block := range map[string]*pem.Block{
-		"cert": {Type: "CERTIFICATE", Bytes: c.Certificate[0]},
-		"key":  {Type: "PRIVATE KEY", Bytes: key},
-		"ca":   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
-	} {
-		if err := os.WriteFile(filepath.Join(dir, file), pem.EncodeToMemory(block), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
 // A heartbeat from the network must neither make the decoder panic nor pass
 // its limits.
 func FuzzFromProto(f *testing.F) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -123,7 +123,9 @@
 
 // isClaimed reports whether the request needs a claim: it has an idempotency key and
 // is not idempotent by itself.
-func (x *exchange) isClaimed() bool { return x.key != "" && !x.query.Idempotent }
+func (x *exchange) isClaimed() bool {
+	return x.key != "" && !x.query.Idempotent && x.transit == nil
+}
 
 // callerAddress returns the caller's address without its port.
 func callerAddress(r *http.Request) string {
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -55,6 +55,7 @@
 
 	address("caller", emptyIsOff, "address to which callers send lookups and requests", func(s *Settings) *netip.AddrPort { return &s.Listen.Caller }),
 	address("peer", emptyIsOff, "address to which the other VMs connect", func(s *Settings) *netip.AddrPort { return &s.Listen.Peer }),
+	address("transit", "empty: a free port of the address of peer", "address at which the other VMs pass on requests while they reach no upstream instance", func(s *Settings) *netip.AddrPort { return &s.Listen.Transit }),
 	address("admin", emptyIsOff, "address for operators, health checks and metrics", func(s *Settings) *netip.AddrPort { return &s.Listen.Admin }),
 	address("dns", emptyIsOff, "address for DNS queries over UDP and TCP; needs [lookup] zone", func(s *Settings) *netip.AddrPort { return &s.Listen.DNS }),
 	address("advertise_caller", "empty: the address of caller", "the address that lookups return; needed when caller listens on every address", func(s *Settings) *netip.AddrPort { return &s.Listen.AdvertiseCaller }),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,9 @@
 // the zero AddrPort.
 type Listen struct {
 	Caller, Peer, Admin, DNS netip.AddrPort
+	// Transit is the address at which other VMs pass on requests. If it is not valid, it is
+	// a free port of the address of Peer.
+	Transit netip.AddrPort
 	// AdvertiseCaller and AdvertisePeer are the addresses at which others reach the
 	// listeners. After Load they are valid if the listener is on.
 	AdvertiseCaller, AdvertisePeer netip.AddrPort
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -62,6 +63,8 @@
 	// Dial, if not nil, opens the connections instead of a net.Dialer with the timeouts
 	// above. Tests use it to cut this client off.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// TLS, if not nil, returns the configuration with which each connection is encrypted.
+	TLS func() (*tls.Config, error)
 	// Observer, if not nil, observes the connections.
 	Observer Observer
 	// Now replaces the clock in tests. Nil means time.Now.
@@ -182,6 +185,9 @@
 	if o.Dial == nil {
 		o.Dial = o.newDialer().DialContext
 	}
+	if o.TLS != nil {
+		o.Dial = dialTLS(o.Dial, o.TLS)
+	}
 	return &Client{options: o, pools: make(map[string]*pool)}
 }
 
