--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -115,7 +115,11 @@
 	{"without-digests", func(*sim) {}},
 	{"random", func(s *sim) { s.choose = s.randomOfRegion }},
 	{"plain-hash", func(s *sim) { s.choose = s.firstOfRegion }},
-	{"all-knowing", func(s *sim) { s.choose = s.earliestCompletion }},
+	{"all-knowing", func(s *sim) {
+		s.choose = func(r *simRequest) *simInstance {
+			return s.earliestCompletion(r, func(*simInstance) bool { return true })
+		}
+	}},
 }
 
 // BenchmarkPlacement compares the policies on the same arrivals. It reports the
@@ -176,15 +180,15 @@
 	return best
 }
 
-// earliestCompletion returns the instance that would answer first, given the current
-// queues, objects and slowness of all instances. It decides on one request at a time,
+// earliestCompletion returns the usable instance that would answer first, given the current
+// queues, objects and slowness of all instances, or nil. It decides on one request at a time,
 // so its result is not a proven optimum, but no VM can know as much.
-func (s *sim) earliestCompletion(r *simRequest) *simInstance {
+func (s *sim) earliestCompletion(r *simRequest, isUsable func(*simInstance) bool) *simInstance {
 	var best *simInstance
 	var shortest float64
 	for _, id := range s.ids {
 		i := s.instances[id]
-		if i == nil || i.down {
+		if i == nil || i.down || !isUsable(i) {
 			continue
 		}
 		work := float64(s.work) * i.slow
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantferry/currantferry/availability"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -99,8 +100,11 @@
 	tail float64
 	// limit is the route's timeout, at which a request is aborted, or zero.
 	limit time.Duration
-	// choose is a baseline policy that replaces the placement. Nil means none.
+	// choose is a baseline policy that replaces the placement. It returns nil to refuse a
+	// request. Nil means none.
 	choose func(r *simRequest) *simInstance
+	// limits are the requests per second that instances name in their answers, by ID.
+	limits map[string]float64
 
 	windows []simWindow
 }
@@ -224,6 +228,9 @@
 	if s.digests > 0 {
 		s.every(s.digests, s.exchangeDigests)
 	}
+	if len(s.limits) > 0 {
+		s.every(200*time.Millisecond, s.exchangeQuotas)
+	}
 	if s.noise > 0 {
 		s.every(600*time.Millisecond, func() {
 			for _, id := range s.ids {
@@ -297,21 +304,39 @@
 	s.window(s.now).asked++
 	if s.choose != nil {
 		i := s.choose(r)
+		if i == nil {
+			s.window(r.arrived).refused++
+			return
+		}
 		r.ticket, r.sent = Ticket{Instance: i.Instance}, s.now
 		s.at(s.now.Add(s.delay(region, i.Region)), func() { s.deliver(r) })
 		return
 	}
 	r.vm.RecordArrival("proofs")
-	t, refused := r.vm.Pick(s.now, &Request{
+	q := &Request{
 		Service: "proofs", Route: "/a/", Key: r.key, Idempotent: true, Target: r.target, Timeout: r.timeout,
 		Deadline: s.now.Add(s.timeLimit(r)), Priority: r.priority,
-	})
+	}
+	if wait := s.awaitToken(r, q); wait > 0 {
+		s.at(s.now.Add(wait), func() { s.pick(r, q) })
+		return
+	}
+	s.pick(r, q)
+}
+
+func (s *sim) pick(r *simRequest, q *Request) {
+	t, refused := r.vm.Pick(s.now, q)
+	if refused == nil && !r.vm.CanSend(s.now, &t) {
+		r.vm.Done(s.now, &t, Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonWithdrawn, Cancelled: true})
+		t, refused = r.vm.Pick(s.now, q)
+	}
 	if refused != nil {
 		s.window(r.arrived).refused++
 		return
 	}
+	t.sentAt = s.now
 	r.ticket, r.sent = t, s.now
-	s.at(s.now.Add(s.delay(region, t.Instance.Region)), func() { s.deliver(r) })
+	s.at(s.now.Add(s.delay(r.region, t.Instance.Region)), func() { s.deliver(r) })
 }
 
 // timeLimit returns the time after which a request is abandoned.
@@ -412,6 +437,9 @@
 	s.startNext(i)
 	load := Load{i.running, len(i.queue), i.Slots, int(100 * i.slow)}
 	s.at(s.now.Add(s.delay(r.region, i.Region)), func() {
+		if limit, ok := s.limits[i.ID]; ok && s.choose == nil {
+			r.vm.ApplyNotice(s.now, &r.ticket, availability.Notice{HasLimit: true, Limit: limit})
+		}
 		r.vm.Done(s.now, &r.ticket, Outcome{Verdict: verdict.Ran, Latency: s.now.Sub(r.sent), Load: &load})
 		w := s.window(r.arrived)
 		if s.now.Sub(r.arrived) <= r.target {
