--- a/node/fleet.go
+++ b/node/fleet.go
@@ -149,7 +149,6 @@
 	case sectionTransit:
 		if t, ok := decodeSection[transitSection](s); ok {
 			n.sections.transit[s.Owner] = t
-			n.reach.RecordPeer(s.Owner, t.Isolated)
 		}
 	case sectionDown:
 		if d, ok := decodeSection[downSection](s); ok {
--- a/node/transit.go
+++ b/node/transit.go
@@ -120,15 +120,20 @@
 // setTransitPeers updates the VMs to which requests can be passed on.
 func (n *Node) setTransitPeers(members []member.Member) {
 	var peers []transit.Peer
+	isIsolated := make(map[string]bool)
 	n.mu.Lock()
 	n.sections.init()
 	for _, m := range members {
 		if s, ok := n.sections.transit[m.ID]; ok && m.ID != n.self.ID && m.State == member.Serving {
 			peers = append(peers, transit.Peer{ID: m.ID, Address: s.Address.String(), Key: s.Key, Region: m.Region, Weight: 1})
+			isIsolated[m.ID] = s.Isolated
 		}
 	}
 	n.mu.Unlock()
 	n.reach.SetPeers(peers)
+	for id, isolated := range isIsolated {
+		n.reach.RecordPeer(id, isolated)
+	}
 }
 
 // tickReach probes instances if their connections suggest that this VM reaches none, and
