--- a/node/node.go
+++ b/node/node.go
@@ -200,7 +200,7 @@
 		ID: s.VM.ID, DataCentre: s.VM.DataCentre, Region: s.VM.Region,
 		Address: advertised(s.Listen.AdvertisePeer, l.Addr()),
 	}
-	n.reach = n.newReachMonitor()
+	n.reach = monitor.New(n.self.Region, n.log, n.metrics.Scope())
 	n.counters = &peer.Counters{Scope: n.metrics.Scope()}
 	pool := peer.PoolOptions{Log: n.log, Counters: n.counters}
 	server := peer.ServerOptions{Log: n.log, Counters: n.counters}
--- a/node/transit.go
+++ b/node/transit.go
@@ -12,12 +12,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/currantferry/currantferry/certs"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/transit"
-	"github.com/currantferry/currantferry/transit/monitor"
 	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
 )
@@ -41,13 +39,6 @@
 	Isolated bool           `json:"i,omitempty"`
 }
 
-// newReachMonitor returns the monitor of the links to the instances.
-func (n *Node) newReachMonitor() *monitor.Monitor {
-	m := monitor.New(n.self.Region, n.log, n.metrics.Scope())
-	n.transitKey = rand.Text()
-	return m
-}
-
 // transitOptions are the options of the connections to other VMs, which are encrypted as
 // those for messages are.
 func (n *Node) transitOptions() upstream.Options {
@@ -74,6 +65,7 @@
 		l.Close()
 		return errors.Wrap(err, "address of the transit listener")
 	}
+	n.transitKey = rand.Text()
 	server := &http.Server{
 		Handler: http.HandlerFunc(n.serveTransit), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
@@ -83,7 +75,7 @@
 		n.group.Go(func() { _ = server.Serve(l) })
 		return nil
 	}
-	if server.TLSConfig, err = (*certs.Reloader).PeerServer(n.tls.peer); err != nil {
+	if server.TLSConfig, err = n.tls.peer.PeerServer(); err != nil {
 		l.Close()
 		return err
 	}
