--- a/once/random_test.go
+++ b/once/random_test.go
@@ -55,10 +55,17 @@
 	f.net = netFaults{lossProb: 0.02, dupProb: 0.03, delayProb: 0.02}
 	f.store.replyLossProb = 0.1
 	f.abandonProb = 0.1
+	f.claimSteadily()
+	f.every(1500*time.Millisecond, func() { f.injectFault() })
+	f.run(45 * time.Second)
+	return f
+}
+
+// claimSteadily starts a claim every 15 ms, half of them resends of recent keys.
+func (f *fleet) claimSteadily() {
 	keys := make([]Key, 0, 400)
 	f.every(15*time.Millisecond, func() {
 		var k Key
-		// Half of the requests are resends of recent keys.
 		if len(keys) > 0 && f.rnd.IntN(2) == 0 {
 			k = keys[max(0, len(keys)-1-f.rnd.IntN(20))]
 		} else {
@@ -68,9 +75,6 @@
 		n := f.nodes[f.rnd.IntN(len(f.nodes))]
 		n.do(func() { f.startClaim(n, k, f.runRequest) })
 	})
-	f.every(1500*time.Millisecond, func() { f.injectFault() })
-	f.run(45 * time.Second)
-	return f
 }
 
 // injectFault injects one random fault, which ends after a while.
--- a/once/restore_test.go
+++ b/once/restore_test.go
@@ -15,18 +15,7 @@
 	f.run(5 * time.Second)
 	f.net = netFaults{lossProb: 0.02, dupProb: 0.03, delayProb: 0.02}
 	f.store.replyLossProb = 0.1
-	keys := make([]Key, 0, 400)
-	f.every(15*time.Millisecond, func() {
-		var k Key
-		if len(keys) > 0 && f.rnd.IntN(2) == 0 {
-			k = keys[max(0, len(keys)-1-f.rnd.IntN(20))]
-		} else {
-			k = KeyOf("s", strconv.Itoa(len(keys)))
-			keys = append(keys, k)
-		}
-		n := f.nodes[f.rnd.IntN(len(f.nodes))]
-		n.do(func() { f.startClaim(n, k, f.runRequest) })
-	})
+	f.claimSteadily()
 	f.every(1500*time.Millisecond, func() { f.injectFault() })
 	f.every(8*time.Second, func() { f.restoreStore(time.Duration(f.rnd.IntN(12000)) * time.Millisecond) })
 	f.run(45 * time.Second)
