--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -29,7 +29,8 @@
 	NotRun = 2
 )
 
-// Regions holds the region of each data centre of the deployment.
+// Regions holds the region of each data centre in the settings that are written from now
+// on.
 var Regions = map[string]string{"north-1": "north", "north-2": "north", "south-1": "south", "south-2": "south"}
 
 // Settings are the settings of a VM that cases change. The others are those of a small site.
