--- a/review/1/case.go
+++ b/review/1/case.go
@@ -1,16 +1,18 @@
 //go:build review
 
-// Command 1 sends a request that crashes instances, and kills all entry VMs one second
-// after its third crash.
+// Command 1 cuts a third of the instances off for some seconds, and counts whether the
+// orders for their service are served again after the cut.
 package main
 
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/currantferry/currantferry/platform/standin"
@@ -18,180 +20,226 @@
 )
 
 const (
-	// stableWindow is stableWindowS, and maxLateRetries the retries that the rule allows
-	// later than that after the third crash.
-	stableWindow   = 4 * time.Second
-	maxLateRetries = 3
-	// numInstances instances are back restartDelay after a crash.
-	numInstances = 12
-	restartDelay = 3 * time.Second
-	// killDelay is the time from the third crash until all VMs are killed, and vmDownTime
-	// the time until their processes are started again.
-	killDelay  = time.Second
-	vmDownTime = 500 * time.Millisecond
-	// comesAgain is when the caller comes again after the third crash, and tryTime how long
-	// it tries then.
-	comesAgain = 12 * time.Second
-	tryTime    = 6 * time.Second
-	// repeats is how many more times the caller repeats at once after a failure.
-	repeats = 3
+	host = "portal.example"
+	// readsPrefix is the route of the first configuration, ordersPrefix the one that is
+	// added later.
+	readsPrefix, ordersPrefix = "/reads/", "/pickups/"
+	// numCatalogue instances serve the reads, numPickup the orders. The latter are cut off for
+	// cutTime, a share of 0.33 of all instances.
+	numCatalogue, numPickup = 8, 4
+	cutTime                 = 5500 * time.Millisecond
+	// steadyAfter is the time after the cut from which requests are counted, countTime how
+	// long they are.
+	steadyAfter = 10 * time.Second
+	countTime   = 15 * time.Second
+	// minRequests and minShare are the figures of the rule.
+	minRequests = 20
+	minShare    = 0.25
 )
 
-// crash is a crash of an instance on a try of the request.
-type crash struct {
-	instance, try string
-	at            time.Time
-}
+// link is the path from the VMs to an instance, which can be cut.
+type link struct {
+	address string
+	target  string
 
-type state struct {
-	w   *harness.World
-	vms []*harness.VM
-
-	mu      sync.Mutex
-	crashes []crash
-	// lostOrders counts the orders of other callers that were answered 502 or cut off.
-	lostOrders, orders int
-	numTries           int
+	mu       sync.Mutex
+	isCut    bool
+	listener net.Listener
+	conns    map[net.Conn]bool
 }
 
-func behave(id string) standin.Behaviour {
-	if strings.HasPrefix(id, "crash-") {
-		return standin.Behaviour{Work: 20 * time.Millisecond, Crash: true}
-	}
-	return standin.Behaviour{Work: 300 * time.Millisecond}
+func newLink(w *harness.World, target string) *link {
+	l := &link{address: w.NewIP() + ":0", target: target, conns: make(map[net.Conn]bool)}
+	l.open()
+	return l
 }
 
-// runInstance runs an instance, which is back restartDelay after each crash.
-func (s *state) runInstance(id, zone string) {
-	address := s.w.NewIP() + ":0"
-	for {
-		i, err := standin.StartInstance(address, id, 9, 27, behave)
-		harness.Must(err)
-		address = i.Address()
-		s.w.Store.Register(i, "shop", zone, "ready")
-		for !i.HasCrashed() {
-			time.Sleep(2 * time.Millisecond)
-		}
-		for _, r := range i.Runs() {
-			if strings.HasPrefix(r.ID, "crash-") {
-				s.w.Logf("instance %s begins to run %s and crashes", id, r.ID)
-				s.mu.Lock()
-				s.crashes = append(s.crashes, crash{id, r.ID, r.At})
-				s.mu.Unlock()
+func (l *link) open() {
+	listener, err := net.Listen("tcp", l.address)
+	harness.Must(err)
+	l.mu.Lock()
+	l.isCut, l.listener, l.address = false, listener, listener.Addr().String()
+	l.mu.Unlock()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
 			}
+			go l.forward(c)
 		}
-		time.Sleep(restartDelay)
-	}
+	}()
 }
 
-func (s *state) numCrashes() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.crashes)
+func (l *link) forward(in net.Conn) {
+	out, err := net.Dial("tcp", l.target)
+	if err != nil {
+		in.Close()
+		return
+	}
+	l.mu.Lock()
+	isCut := l.isCut
+	if !isCut {
+		l.conns[in], l.conns[out] = true, true
+	}
+	l.mu.Unlock()
+	if isCut {
+		in.Close()
+		out.Close()
+		return
+	}
+	go func() { _, _ = io.Copy(out, in); out.Close(); in.Close() }()
+	_, _ = io.Copy(in, out)
+	out.Close()
+	in.Close()
+	l.mu.Lock()
+	delete(l.conns, in)
+	delete(l.conns, out)
+	l.mu.Unlock()
 }
 
-// try sends the request to the VM with the given number and reports whether it failed
-// otherwise than by a refusal.
-func (s *state) try(vm int) (failed bool) {
-	s.mu.Lock()
-	s.numTries++
-	id := fmt.Sprint("crash-", s.numTries)
-	s.mu.Unlock()
-	r := harness.Do(context.Background(), &standin.Call{ID: id, Path: "roll", Timeout: 2 * time.Second}, s.vms[vm].Caller)
-	s.w.Logf("%s at %s: status %d, error %v, after %s", id, s.vms[vm].ID, r.Status, r.Err, r.Took.Round(time.Millisecond))
-	return r.Status != 503
+// cut refuses new connections and resets the present ones.
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isCut = true
+	l.listener.Close()
+	for c := range l.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		c.Close()
+	}
 }
 
-// comeAgain tries once, and after a failure repeats at once at the other VMs.
-func (s *state) comeAgain(n int) {
-	if !s.try(n % len(s.vms)) {
-		return
+// configuration has the route for reads and, from version 2 on, that for orders.
+func configuration(version int) map[string]any {
+	c := standin.Configuration(version, "catalogue", 2*time.Second, 16)
+	routes, _ := c["routes"].(map[string]any)
+	rows := []any{[]any{"reads", host, readsPrefix, "idempotent", 2.0, 0.5, 2, "catalogue", 2, false, []string{}, nil}}
+	if version > 1 {
+		rows = append(rows, []any{"pickups", host, ordersPrefix, "non_idempotent", 2.0, 0.5, 1, "pickup", 2, false, []string{}, nil})
 	}
-	var group sync.WaitGroup
-	for k := range repeats {
-		group.Go(func() { s.try((n + 1 + k) % len(s.vms)) })
+	routes["rows"] = rows
+	services, _ := c["services"].(map[string]any)
+	services["rows"] = []any{
+		[]any{"catalogue", "/health", 390, "h1", false, 3.0, 16.0},
+		[]any{"pickup", "/health", 390, "h1", false, 3.0, 16.0},
 	}
-	group.Wait()
+	return c
+}
+
+type counts struct{ sent, served int }
+
+type state struct {
+	w *harness.World
+
+	mu    sync.Mutex
+	total map[string]*counts
 }
 
-// sendOrders sends orders of another caller to a VM.
-func (s *state) sendOrders(vm int) {
+func (s *state) call(v *harness.VM, caller int, prefix string, stop <-chan struct{}) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for n := 0; ; n++ {
-		r := harness.Do(context.Background(), &standin.Call{ID: fmt.Sprintf("order-%d-%d", vm, n), Order: true, Body: "an order", Timeout: 3 * time.Second}, s.vms[vm].Caller)
+		select {
+		case <-stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		method, body := http.MethodGet, ""
+		if prefix == ordersPrefix {
+			method, body = http.MethodPost, "a pallet"
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		id := fmt.Sprintf("%s-%s-%d-%d", strings.Trim(prefix, "/"), v.ID, caller, n)
+		req, err := http.NewRequestWithContext(ctx, method, "http://"+v.Caller+prefix+id, strings.NewReader(body))
+		harness.Must(err)
+		req.GetBody = nil
+		req.Host = host
+		req.Header.Set("X-Currantferry-Request-Id", id)
+		req.Header.Set("X-Currantferry-Deadline-Ms", "2000")
+		status := 0
+		if res, err := client.Do(req); err == nil {
+			_, _ = io.Copy(io.Discard, res.Body)
+			res.Body.Close()
+			status = res.StatusCode
+		}
+		cancel()
+		s.w.Logf("%s: status %d", id, status)
 		s.mu.Lock()
-		s.orders++
-		if r.Status == 502 || r.Status == 504 {
-			s.lostOrders++
-			s.w.Logf("order-%d-%d: status %d", vm, n, r.Status)
+		s.total[prefix].sent++
+		if status == http.StatusOK {
+			s.total[prefix].served++
 		}
 		s.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-// lateRetries returns the tries that reached instances later than stableWindow after the
-// third crash, and the number of instances that they crashed.
-func (s *state) lateRetries() (tries map[string]bool, crashes int) {
+// take returns the counts since the last call.
+func (s *state) take() (reads, orders counts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	tries = make(map[string]bool)
-	for _, c := range s.crashes {
-		if c.at.Sub(s.crashes[2].at) > stableWindow {
-			tries[c.try] = true
-			crashes++
-		}
-	}
-	return tries, crashes
+	reads, orders = *s.total[readsPrefix], *s.total[ordersPrefix]
+	s.total = map[string]*counts{readsPrefix: {}, ordersPrefix: {}}
+	return reads, orders
 }
 
 func main() {
-	s := &state{w: harness.New(os.Args[1])}
-	zones := []string{"north-1", "north-2", "south-1", "south-2"}
-	for k := range numInstances {
-		go s.runInstance(fmt.Sprint("i-", k), zones[k%len(zones)])
+	s := &state{w: harness.New(os.Args[1]), total: map[string]*counts{readsPrefix: {}, ordersPrefix: {}}}
+	behave := func(string) standin.Behaviour { return standin.Behaviour{Work: 20 * time.Millisecond} }
+	var links []*link
+	zones := []string{"north-1", "south-1"}
+	for k := range numCatalogue {
+		i, err := standin.StartInstance(s.w.NewIP()+":0", fmt.Sprint("i-catalogue-", k), 9, 27, behave)
+		harness.Must(err)
+		s.w.Store.Register(i, "catalogue", zones[k%2], "ready")
 	}
-	s.w.Store.Configure(standin.Configuration(1, "shop", 2*time.Second, 16))
+	for k := range numPickup {
+		i, err := standin.StartInstance(s.w.NewIP()+":0", fmt.Sprint("i-pickup-", k), 4, 12, behave)
+		harness.Must(err)
+		links = append(links, newLink(s.w, i.Address()))
+		s.w.Store.RegisterAt(i, links[k].address, "pickup", zones[k%2], "ready")
+	}
+	s.w.Store.Configure(configuration(1))
+	var vms []*harness.VM
 	for k, zone := range zones {
-		s.vms = append(s.vms, s.w.NewVM(fmt.Sprint("vm-", k), zone, harness.Settings{}))
-		s.vms[k].Start()
+		v := s.w.NewVM(fmt.Sprint("vm-", k), zone, harness.Settings{})
+		v.Start()
+		vms = append(vms, v)
 	}
-	s.w.AwaitReady(s.vms...)
-	time.Sleep(2 * stableWindow)
-	for k := range s.vms {
-		for range 3 {
-			go s.sendOrders(k)
+	s.w.AwaitReady(vms...)
+	time.Sleep(2 * time.Second)
+	s.w.Store.Configure(configuration(2))
+	s.w.Sayf("the route %s is added", ordersPrefix)
+	time.Sleep(5 * time.Second)
+
+	stop := make(chan struct{})
+	for _, v := range vms {
+		for c := range 3 {
+			go s.call(v, c, readsPrefix, stop)
+			go s.call(v, c, ordersPrefix, stop)
 		}
 	}
-	for n := 0; s.numCrashes() < 3; n++ {
-		s.comeAgain(n)
-	}
-	third := s.crashes[2].at
+	time.Sleep(5 * time.Second)
+	reads, orders := s.take()
+	s.w.Sayf("before the cut: %d of %d reads and %d of %d orders are served", reads.served, reads.sent, orders.served, orders.sent)
 	if harness.Trouble() {
-		time.Sleep(time.Until(third.Add(killDelay)))
-		for _, v := range s.vms {
-			v.Signal(syscall.SIGKILL)
-			<-v.Exited
+		for _, l := range links {
+			l.cut()
 		}
-		s.w.Sayf("all VMs are killed %s after the third crash", time.Since(third).Round(time.Millisecond))
-		time.Sleep(vmDownTime)
-		for _, v := range s.vms {
-			v.Start()
+		s.w.Sayf("the instances of the orders are cut off")
+		time.Sleep(cutTime)
+		for _, l := range links {
+			l.open()
 		}
-		s.w.AwaitReady(s.vms...)
-		s.w.Sayf("all VMs are ready %s after the third crash", time.Since(third).Round(time.Millisecond))
-	}
-	time.Sleep(time.Until(third.Add(comesAgain)))
-	s.mu.Lock()
-	lostBefore, before := s.lostOrders, len(s.crashes)
-	s.mu.Unlock()
-	s.w.Sayf("the request comes again; it has crashed %d instances until now", before)
-	for n, end := 0, time.Now().Add(tryTime); time.Now().Before(end); n++ {
-		s.comeAgain(n)
-		time.Sleep(5 * time.Millisecond)
+		s.w.Sayf("the cut has ended after %s", cutTime)
 	}
-	tries, crashes := s.lateRetries()
-	s.mu.Lock()
-	s.w.Sayf("later than %s after the third crash, %d retries reached instances (%d allowed) and crashed %d; %d orders of other callers were lost then", stableWindow, len(tries), maxLateRetries, crashes, s.lostOrders-lostBefore)
-	s.mu.Unlock()
-	s.w.End(len(tries) > maxLateRetries)
+	time.Sleep(steadyAfter)
+	s.take()
+	time.Sleep(countTime)
+	reads, orders = s.take()
+	close(stop)
+	s.w.Sayf("from %s to %s after it: %d of %d reads and %d of %d orders are served", steadyAfter, steadyAfter+countTime, reads.served, reads.sent, orders.served, orders.sent)
+	share := func(c counts) float64 { return float64(c.served) / float64(max(c.sent, 1)) }
+	s.w.End(orders.sent >= minRequests && reads.sent >= minRequests && share(orders) < minShare*share(reads))
 }
