Log why and for how long an instance is ejected

Nothing tells an instance that no request may try from one whose trial never ended: ejections are neither logged nor counted, and the refusal has no cause.

Change: events 2364 and 2365 and counter instance_ejections tell when an instance is ejected, for what reason and for how long, and when it gets requests again; a refusal with no-upstream counts the instances by what kept them from being chosen.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -48,6 +48,8 @@
 	stepCounters map[crashguard.StepKind]tally.Counter
 	// noticeCounters counts the instances' notices about new requests by kind.
 	noticeCounters map[string]tally.Counter
+	// ejectionCounters counts the changes of ejections by step.
+	ejectionCounters map[string]tally.Counter
 	// quotaCounters counts the tokens of limited instances by step.
 	quotaCounters map[string]tally.Counter
 	// failedCoordinators holds the coordinator that does not answer, by region.
@@ -65,7 +67,7 @@
 	s := &selector{
 		log: log, picker: placement.New(cfg), ledger: crashguard.NewLedger(crashguard.LedgerConfig{}),
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
-		closeIdle: func(string) {}, quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
+		closeIdle: func(string) {}, ejectionCounters: make(map[string]tally.Counter), quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
 		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: monitor.New(cfg.Region, log, scope),
 		admission: transit.NewAdmission(0),
 	}
@@ -75,6 +77,9 @@
 	for _, notice := range []string{noticeLeaving, noticeLeavingReceived, noticeWait, noticeUnusable, noticeLimit, noticeLimitReceived, noticeLimitEnded, noticeLimitUnusable} {
 		s.noticeCounters[notice] = scope.Tagged(map[string]string{"word": notice}).Counter("instance_words")
 	}
+	for _, step := range []string{stepEjected, stepReadmitted} {
+		s.ejectionCounters[step] = scope.Tagged(map[string]string{"step": step}).Counter("instance_ejections")
+	}
 	for _, step := range []string{quotaWanted, quotaLeased, quotaReceived, quotaReturned} {
 		s.quotaCounters[step] = scope.Tagged(map[string]string{"step": step}).Counter("quota_tokens")
 	}
@@ -224,6 +229,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Tick(now)
+	s.logEjections()
 	s.logLimitUsage(now)
 	for service, share := range s.picker.SpillShares() {
 		if math.Abs(share-s.loggedSpill[service]) < minLoggedSpillChange && (share != 0 || s.loggedSpill[service] == 0) {
--- a/metric/catalogue.go
+++ b/metric/catalogue.go
@@ -21,6 +21,7 @@
 		{"unknown_headers", "counter", "", "headers in the answers of instances that belong to the protocol and that this release does not know, see event 1605"},
 		{"crash_steps", "counter", "`step` (`suspected`, `unconfirmed`, `died`, `heard`, `cleared`)", "on a platform: steps of the crash ledger for requests that crashed instances, see event 2344"},
 		{"instance_words", "counter", "`word` (`leaving`, `heard-leaving`, `wait`, `unusable`, `limit`, `heard-limit`, `limit-ended`, `limit-unusable`)", "on a platform: notices of instances about new requests, see events 2348 to 2354"},
+		{"instance_ejections", "counter", "`step` (`ejected`, `readmitted`)", "on a platform: times that this VM stopped sending requests to an instance that failed, failed trials included, and resumed, see events 2364 and 2365"},
 		{"isolated", "gauge", "", "1 while this VM reaches no instance, see events 2361 and 2362"},
 		{"quota_tokens", "counter", "`step` (`wanted`, `leased`, `received`, `returned`)", "on a platform: tokens for requests to instances that named a limit; `leased` counts those that this VM gave out as a coordinator"},
 		{"peer_calls", "counter", "`call`", "calls to other VMs, and with the suffix `-served` calls received from them; `connect` counts connections"},
--- a/placement/digest.go
+++ b/placement/digest.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/currantferry/currantferry/verdict"
 )
 
 // InstanceKey is a hash of an instance's ID. Digests are sent often, so they carry keys
@@ -213,8 +215,10 @@
 	for _, s := range p.services {
 		for _, i := range s.instances {
 			if !i.isReplaced && slices.Contains(keys, i.processKey()) {
+				before, beforeAt := i.ejection, i.ejectedAt
 				i.isReplacedShared = true
 				i.markReplaced(now)
+				p.recordEjection(now, i, before, beforeAt, verdict.ReasonMisdirected)
 				replaced = append(replaced, i.ID)
 			}
 		}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -421,7 +421,9 @@
 	case hasCold:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonSaturated, defaultRetryAfter)
 	default:
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+		e.Err = newNoneAvailableError(now, group, r)
+		return nil, e
 	}
 }
 
@@ -434,7 +436,9 @@
 	if t.Spilled {
 		usual += p.cfg.RegionRTT
 	}
+	before, beforeAt := t.inst.ejection, t.inst.ejectedAt
 	t.inst.recordOutcome(now, &o, t.Wait+usual, usual)
+	p.recordEjection(now, t.inst, before, beforeAt, o.Reason)
 	if o.Verdict != verdict.Ran {
 		return
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -164,6 +164,8 @@
 	// notices are the leaving and wait notices of processes.
 	notices *availability.Tracker
 	quota   quota
+	// ejectionChanges are the changes since the last call of EjectionChanges.
+	ejectionChanges []EjectionChange
 }
 
 // service is the state of one service.
@@ -385,8 +387,10 @@
 			if i.isReplaced {
 				continue
 			}
+			before, beforeAt := i.ejection, i.ejectedAt
 			i.consecutiveFailures, i.ejection, i.lastEjection, i.isTrialPending = 0, 0, 0, false
 			i.failures, i.failuresAt = 0, now
+			p.recordEjection(now, i, before, beforeAt, verdict.ReasonIsolated)
 		}
 	}
 }
