Try ejected instances with a connection

From 10 to 25 s after the cut no order was served (0 of 888), at VMs that served all reads; each got 503 at once.

Cause: an instance to which connections fail is ejected, and an ejection ends with an answered request only. When its time is over, only an idempotent request may be the trial (topRanked, lastResort), since one that may not run twice would be put at risk. An instance that gets no idempotent requests is never tried.

Ruled out: the VM takes itself for cut off (no event 2361), the crash ledger (no reason crash-guard), old connections (no connect-failed or connection-lost after the cut).

Change: when the time of an ejection is over, the VM opens a connection, at most 8 at once. Where connections had failed, one that opens shows that this is over, and the ejection ends. Where requests had been left without an answer, it lets a single request of any kind be the trial. One that fails extends the ejection, to 2 s at most, as a connection costs no caller anything. Connections that fail while the VM may be cut off itself show nothing.

TestFlappingInstancesGetFewRequests passes.

--- a/entry/ejections.go
+++ b/entry/ejections.go
@@ -1,7 +1,13 @@
 package entry
 
 import (
+	"time"
+
+	"github.com/pkg/errors"
+
 	"github.com/currantferry/currantferry/event"
+	"github.com/currantferry/currantferry/placement"
+	"github.com/currantferry/currantferry/upstream"
 )
 
 // Steps of an ejection, the values of label "step" of counter instance_ejections.
@@ -23,3 +29,42 @@
 		event.InstanceEjected.Log(s.log, "id", c.ID, "service", c.Service, "reason", string(c.Reason), "until_trial_ms", c.Duration.Milliseconds(), "lasted_ms", c.Lasted.Milliseconds())
 	}
 }
+
+// tryEjected opens a connection to each ejected instance whose trial is due.
+func (n *Node) tryEjected(now time.Time) {
+	if n.reach.IsIsolated() {
+		// The ejections end together when this VM reaches instances again.
+		return
+	}
+	for _, c := range n.selector.trialConnections(now) {
+		n.group.Go(func() {
+			began := time.Now()
+			err := n.proxy.Client().Open(n.ctx, c.Address)
+			n.selector.endTrialConnection(&c, n.connectionResult(began, err))
+		})
+	}
+}
+
+// connectionResult returns what opening a connection showed about the instance.
+func (n *Node) connectionResult(began time.Time, err error) placement.ConnectionResult {
+	if err == nil {
+		return placement.ConnectionOpened
+	}
+	_, isDoubtful := n.reach.WasIsolated(began)
+	if isDoubtful || n.ctx.Err() != nil || errors.Is(err, upstream.ErrConnectionLimit) {
+		return placement.ConnectionUnknown
+	}
+	return placement.ConnectionFailed
+}
+
+func (s *selector) trialConnections(now time.Time) []placement.TrialConnection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.TrialConnections(now)
+}
+
+func (s *selector) endTrialConnection(c *placement.TrialConnection, result placement.ConnectionResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.EndTrialConnection(time.Now(), c, result)
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -112,6 +112,7 @@
 		n.reach.Confirm(n.ctx, &n.group, doubted)
 	}
 	n.selector.tick(now)
+	n.tryEjected(now)
 	n.tickQuota(now)
 }
 
--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -28,8 +28,10 @@
 // Links are the links of a process to all addresses that it dials by them. They can be
 // cut. The zero value passes everything. It is safe for concurrent use.
 type Links struct {
-	mu    sync.Mutex
-	kind  CutKind
+	mu   sync.Mutex
+	kind CutKind
+	// only holds the addresses to which the links are cut. Nil means all.
+	only  map[string]bool
 	conns map[*linkConn]bool
 	// healed is closed when the present cut ends.
 	healed chan struct{}
@@ -40,29 +42,54 @@
 
 // Cut cuts the links, or heals them with NoCut. Bytes that were dropped are lost, so their
 // connections are reset at the end of a silent cut.
-func (l *Links) Cut(kind CutKind) {
+func (l *Links) Cut(kind CutKind) { l.cut(kind, nil) }
+
+// CutTo cuts the links to some addresses only, and heals those to all others.
+func (l *Links) CutTo(kind CutKind, addresses ...string) {
+	only := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		only[a] = true
+	}
+	l.cut(kind, only)
+}
+
+func (l *Links) cut(kind CutKind, only map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := l.kind
-	l.kind = kind
+	wasCut := make(map[*linkConn]bool)
+	for c := range l.conns {
+		wasCut[c] = before == SilentCut && l.isCut(c.address)
+	}
+	l.kind, l.only = kind, only
 	if l.healed != nil {
 		close(l.healed)
 	}
 	l.healed = make(chan struct{})
 	if kind == ResetCut || before == SilentCut {
 		for c := range l.conns {
+			if !wasCut[c] && !l.isCut(c.address) {
+				continue
+			}
 			resetOnClose(c.TCPConn)
 			c.TCPConn.Close()
 		}
 	}
 }
 
-func (l *Links) state() (CutKind, <-chan struct{}) {
+// isCut reports whether a cut concerns an address. The lock is held.
+func (l *Links) isCut(address string) bool { return l.only == nil || l.only[address] }
+
+// state returns how the link to an address fails.
+func (l *Links) state(address string) (CutKind, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.healed == nil {
 		l.healed = make(chan struct{})
 	}
+	if !l.isCut(address) {
+		return NoCut, l.healed
+	}
 	return l.kind, l.healed
 }
 
@@ -81,7 +108,7 @@
 // dial opens a connection. It returns nil if the links were cut meanwhile.
 func (l *Links) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	for {
-		kind, healed := l.state()
+		kind, healed := l.state(address)
 		if kind == RefuseCut {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 		}
@@ -102,10 +129,10 @@
 	if !ok {
 		return raw, nil
 	}
-	c := &linkConn{TCPConn: tcp, links: l, closed: make(chan struct{})}
+	c := &linkConn{TCPConn: tcp, links: l, address: address, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.kind != NoCut {
+	if l.kind != NoCut && l.isCut(address) {
 		tcp.Close()
 		return nil, nil
 	}
@@ -120,13 +147,14 @@
 type linkConn struct {
 	*net.TCPConn
 	links     *Links
+	address   string
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if kind, healed := c.links.state(); kind == SilentCut {
+	if kind, healed := c.links.state(c.address); kind == SilentCut {
 		// The bytes are lost; the end of the cut resets the connection.
 		select {
 		case <-healed:
@@ -139,7 +167,7 @@
 }
 
 func (c *linkConn) Write(p []byte) (int, error) {
-	if kind, _ := c.links.state(); kind == SilentCut {
+	if kind, _ := c.links.state(c.address); kind == SilentCut {
 		return len(p), nil
 	}
 	return c.TCPConn.Write(p)
--- a/placement/ejection.go
+++ b/placement/ejection.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -8,6 +9,85 @@
 	"github.com/currantferry/currantferry/verdict"
 )
 
+const (
+	// maxUnreachableEjection bounds the time between two trial connections to an instance that
+	// can't be reached. It is shorter than maxEjection because a trial connection costs no
+	// caller anything.
+	maxUnreachableEjection = 2 * time.Second
+	// maxTrialConnections bounds the trial connections in flight.
+	maxTrialConnections = 8
+)
+
+// TrialConnection names an ejected instance to which a connection is opened, to find out
+// whether it can be reached again. Each is ended by EndTrialConnection.
+type TrialConnection struct {
+	Address string
+	inst    *instance
+	// ejectedAt identifies the ejection.
+	ejectedAt time.Time
+}
+
+// TrialConnections returns the connections that are due: one to each ejected instance whose
+// ejection time is over. A request that may not run twice is no trial of an instance that may
+// not answer, so without these connections an instance that gets no other requests would
+// stay ejected.
+func (p *Picker) TrialConnections(now time.Time) []TrialConnection {
+	var due []TrialConnection
+	for _, s := range p.services {
+		for _, i := range s.instances {
+			if _, trialDue := i.isEjected(now); !trialDue || i.isConnecting || i.isConnected || i.isReplaced || !i.isOpen(now) {
+				continue
+			}
+			due = append(due, TrialConnection{i.Address, i, i.ejectedAt})
+		}
+	}
+	// The instances that have waited for longest come first.
+	slices.SortFunc(due, func(a, b TrialConnection) int {
+		return cmp.Or(a.ejectedAt.Compare(b.ejectedAt), compareIDs(a.inst.ID, b.inst.ID))
+	})
+	due = due[:min(len(due), maxTrialConnections-p.numTrialConnections)]
+	for k := range due {
+		due[k].inst.isConnecting = true
+	}
+	p.numTrialConnections += len(due)
+	return due
+}
+
+// ConnectionResult is the result of a trial connection.
+type ConnectionResult uint8
+
+const (
+	// ConnectionUnknown connections show nothing about the instance.
+	ConnectionUnknown ConnectionResult = iota
+	ConnectionOpened
+	ConnectionFailed
+)
+
+// EndTrialConnection records the result of a trial connection. An instance that was ejected
+// because it could not be reached gets requests again once it is; one that left requests
+// without an answer first gets a single request, of any kind.
+func (p *Picker) EndTrialConnection(now time.Time, c *TrialConnection, result ConnectionResult) {
+	p.numTrialConnections--
+	i := c.inst
+	i.isConnecting = false
+	if i.ejection == 0 || !i.ejectedAt.Equal(c.ejectedAt) {
+		return
+	}
+	before, beforeAt := i.ejection, i.ejectedAt
+	switch result {
+	case ConnectionOpened:
+		if !i.isUnreachable {
+			i.isConnected = true
+			return
+		}
+		i.readmit(now)
+		p.recordEjection(now, i, before, beforeAt, "")
+	case ConnectionFailed:
+		i.eject(now, true)
+		p.recordEjection(now, i, before, beforeAt, verdict.ReasonConnectFailed)
+	}
+}
+
 // EjectionChange is a change of an instance's ejection, for logs.
 type EjectionChange struct {
 	ID, Service string
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -86,6 +86,10 @@
 	// isTrialPending says that a trial request is in flight, which shows whether an
 	// ejected instance has recovered.
 	isTrialPending bool
+	// isUnreachable says that the last failure of an ejected instance was a connection that
+	// could not be opened. isConnecting says that a trial connection is in flight, and
+	// isConnected that one was opened, after which any request may be the trial.
+	isUnreachable, isConnecting, isConnected bool
 
 	// state holds the leaving and wait notices of the process. Nil means none.
 	state *availability.State
@@ -224,10 +228,9 @@
 		return
 	}
 	if i.consecutiveFailures >= ejectThreshold {
-		i.eject(now)
+		i.eject(now, o.Reason == verdict.ReasonConnectFailed)
 	} else if !failed && i.ejection > 0 {
-		i.lastEjection, i.recoveredAt = i.ejection, now
-		i.ejection, i.isTrialPending = 0, false
+		i.readmit(now)
 	}
 	i.lastRatio = 0
 	if o.Verdict == verdict.Ran && expected > 0 {
@@ -258,12 +261,24 @@
 	i.failures, i.failuresAt = rate+failureWeight*(seen-rate), now
 }
 
-func (i *instance) eject(now time.Time) {
+// eject begins an ejection, or extends it after a failed trial.
+func (i *instance) eject(now time.Time, isUnreachable bool) {
 	if i.ejection == 0 && now.Sub(i.recoveredAt) < flapWindow {
 		i.ejection = 2 * i.lastEjection
 	}
-	i.ejection = min(max(2*i.ejection, minEjection), maxEjection)
+	longest := maxEjection
+	if isUnreachable {
+		longest = maxUnreachableEjection
+	}
+	i.ejection = min(max(2*i.ejection, minEjection), longest)
 	i.ejectedAt, i.isTrialPending, i.consecutiveFailures = now, false, 0
+	i.isUnreachable, i.isConnected = isUnreachable, false
+}
+
+// readmit ends an ejection.
+func (i *instance) readmit(now time.Time) {
+	i.lastEjection, i.recoveredAt = i.ejection, now
+	i.ejection, i.isTrialPending, i.isConnected = 0, false, false
 }
 
 // markReplaced ejects an instance at whose address another instance answered. Its
@@ -271,7 +286,7 @@
 // suffice.
 func (i *instance) markReplaced(now time.Time) {
 	i.isReplaced, i.ejection = true, maxEjection
-	i.eject(now)
+	i.eject(now, false)
 }
 
 // processKey is the short form of processHash for digests. A later process with the
--- a/placement/notice_test.go
+++ b/placement/notice_test.go
@@ -58,7 +58,7 @@
 	cold.ColdUntil, cold.ColdRate = at(60), 100
 	p.Update(at(1), []Instance{cold}, nil)
 	p.ApplyNotice(at(1), ticketOf(p, "a-1"), leavingNotice)
-	p.services["shop"].instances["a-0"].eject(at(1))
+	p.services["shop"].instances["a-0"].eject(at(1), false)
 	for n := range 300 {
 		r := &Request{Service: "shop", Key: fmt.Sprint(n), Idempotent: true, Target: time.Second, Deadline: at(20), Exclude: []string{"a-2"}}
 		if ticket, e := p.Pick(at(9), r); e != nil || ticket.Instance.Region != "b" {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -312,7 +312,7 @@
 			continue
 		}
 		ejected, trialDue := i.isEjected(now)
-		if ejected && (!trialDue || !r.Idempotent) {
+		if ejected && (!trialDue || !(r.Idempotent || i.isConnected)) {
 			continue
 		}
 		score := rendezvous.Mix(key ^ i.hash)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -166,6 +166,8 @@
 	quota   quota
 	// ejectionChanges are the changes since the last call of EjectionChanges.
 	ejectionChanges []EjectionChange
+	// numTrialConnections is the number of trial connections in flight.
+	numTrialConnections int
 }
 
 // service is the state of one service.
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -222,6 +222,7 @@
 		for _, region := range s.regions {
 			for _, p := range s.vms[region] {
 				p.Tick(s.now)
+				s.connectTrials(p)
 			}
 		}
 	})
@@ -269,6 +270,19 @@
 	}
 }
 
+// connectTrials opens the trial connections that are due at a VM.
+func (s *sim) connectTrials(p *Picker) {
+	for _, c := range p.TrialConnections(s.now) {
+		s.at(s.now.Add(2*s.delay(p.cfg.Region, c.inst.Region)), func() {
+			result := ConnectionOpened
+			if s.instances[c.inst.ID].down {
+				result = ConnectionFailed
+			}
+			p.EndTrialConnection(s.now, &c, result)
+		})
+	}
+}
+
 func (s *sim) every(interval time.Duration, do func()) {
 	var step func()
 	step = func() {
