End a trial with its request

What callers saw: an ejected instance whose trial request ended without a clear result got no request again, at that VM, until its record changed or the VM started anew.

Cause: isTrialPending was reset by a new ejection or by a success only. A trial that is cancelled returned early; one that lost its connection counted as the first of two failures, since an ejection resets the count; one that was answered with an error did neither. In all three cases the trial stayed pending for ever.

Change: a ticket knows of which ejection it is the trial, and its end ends the trial. A trial without an answer extends the ejection at once. An answered error ends it, as such errors never eject an instance. A request that could not be built, which ended ejections before, shows nothing.

Measured: TestTrialsGoOnHoweverTheyEnd; before, 7 of 9 outcomes fail with "no order is sent to the ejected instance within 9s" (all but a failed connection and a request that could not be built); after, all pass.

--- /dev/null
+++ b/placement/ejection_test.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// trialOutcomes are the ways in which a trial request can end without an answer that shows
+// that the instance works.
+var trialOutcomes = map[string]Outcome{
+	"connect failed":  {Verdict: verdict.NotRun, Reason: verdict.ReasonConnectFailed},
+	"connection lost": {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnectionLost},
+	"truncated":       {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonTruncated},
+	"mismatch":        {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonAnswerMismatch},
+	"deadline":        {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline},
+	"caller gone":     {Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCallerGone, Cancelled: true},
+	"withdrawn":       {Verdict: verdict.NotRun, Reason: verdict.ReasonWithdrawn, Cancelled: true},
+	"bad request":     {Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest},
+	"error answered":  {Verdict: verdict.Ran, Failed: true},
+}
+
+// awaitOrder opens the trial connections that are due and picks an instance for an order every
+// 100 ms, until there is one.
+func awaitOrder(t *testing.T, p *Picker, from time.Time) (Ticket, time.Time) {
+	t.Helper()
+	end := from.Add(maxEjection + time.Second)
+	for now := from; now.Before(end); now = now.Add(tickInterval) {
+		for _, c := range p.TrialConnections(now) {
+			p.EndTrialConnection(now, &c, ConnectionOpened)
+		}
+		if ticket, e := p.Pick(now, &Request{Service: "shop", Target: time.Second, Deadline: now.Add(time.Second)}); e == nil {
+			return ticket, now
+		}
+	}
+	t.Fatalf("no order is sent to the ejected instance within %s", end.Sub(from))
+	return Ticket{}, time.Time{}
+}
+
+// An ejected instance must be tried again however its trial request ended. The end of a trial
+// by a single lost connection, by an answered error or by a caller that left used to go
+// unnoticed, and the instance never got another request.
+func TestTrialsGoOnHoweverTheyEnd(t *testing.T) {
+	for name, outcome := range trialOutcomes {
+		t.Run(name, func(t *testing.T) {
+			p := newShopPicker("vm-1", 1, "a")
+			now := at(0)
+			p.services["shop"].instances["a-0"].eject(now, false)
+			for range 6 {
+				var ticket Ticket
+				ticket, now = awaitOrder(t, p, now)
+				now = now.Add(50 * time.Millisecond)
+				p.Done(now, &ticket, outcome)
+			}
+		})
+	}
+}
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -194,8 +194,8 @@
 
 // recordOutcome updates the instance's estimates with the outcome of an attempt. The
 // attempt was expected to take the time expected, of which work is the usual time
-// without queueing.
-func (i *instance) recordOutcome(now time.Time, o *Outcome, expected, work time.Duration) {
+// without queueing. A trial that was left without an answer extends the ejection.
+func (i *instance) recordOutcome(now time.Time, o *Outcome, expected, work time.Duration, isTrial bool) {
 	i.outstanding--
 	i.sinceReport--
 	if o.Load != nil {
@@ -206,16 +206,16 @@
 	if o.Cancelled {
 		return
 	}
-	failed := o.Failed
+	failed, unanswered := o.Failed, false
 	switch o.Reason {
 	case verdict.ReasonConnectFailed:
-		failed = true
+		failed, unanswered = true, true
 		i.consecutiveFailures = max(i.consecutiveFailures+1, ejectThreshold)
 	case verdict.ReasonMisdirected:
 		failed = true
 		i.markReplaced(now)
 	case verdict.ReasonConnectionLost, verdict.ReasonTruncated, verdict.ReasonAnswerMismatch, verdict.ReasonDeadline:
-		failed = true
+		failed, unanswered = true, true
 		i.consecutiveFailures++
 	case verdict.ReasonUpstreamRefused:
 		i.shedUntil = now.Add(shedTTL)
@@ -227,9 +227,12 @@
 	if o.Reason == verdict.ReasonMisdirected {
 		return
 	}
-	if i.consecutiveFailures >= ejectThreshold {
+	isAnswer := o.Verdict == verdict.Ran || o.Reason == verdict.ReasonUpstreamRefused
+	switch {
+	case i.consecutiveFailures >= ejectThreshold || (unanswered && isTrial):
 		i.eject(now, o.Reason == verdict.ReasonConnectFailed)
-	} else if !failed && i.ejection > 0 {
+	case i.ejection > 0 && isAnswer && (!failed || isTrial):
+		// Errors that an instance answers never eject it, so they end a trial as well.
 		i.readmit(now)
 	}
 	i.lastRatio = 0
@@ -275,6 +278,16 @@
 	i.isUnreachable, i.isConnected = isUnreachable, false
 }
 
+// endTrial ends the trial of a ticket and reports whether its request is the trial of the
+// present ejection.
+func (i *instance) endTrial(t *Ticket) bool {
+	if i.ejection == 0 || t.trialOf.IsZero() || !t.trialOf.Equal(i.ejectedAt) {
+		return false
+	}
+	i.isTrialPending = false
+	return true
+}
+
 // readmit ends an ejection.
 func (i *instance) readmit(now time.Time) {
 	i.lastEjection, i.recoveredAt = i.ejection, now
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,6 +123,8 @@
 	isLeaving bool
 	// hasToken says that a token of the instance's limit was used.
 	hasToken bool
+	// trialOf is when the ejection began of which the request is the trial, or zero.
+	trialOf time.Time
 	// sentAt is when the request is written.
 	sentAt time.Time
 }
