Eject an instance once for failures of one moment

What callers saw: after a cut that lasted a moment, an instance that had many requests under way got no other for 8 s instead of 0.5 s.

Cause: an ejection resets the count of consecutive failures, and the requests that were sent before it go on failing. Each connection that failed, and each second request that was lost, ejected the instance again and doubled the time.

Change: failures of requests that were chosen before the present ejection, or before the end of the last one, don't eject. They count in the failure rate.

Measured: TestFailuresOfOneMomentEjectOnce, 12 requests that fail together; 2 s (connect failed) and 8 s (connection lost) before, 0.5 s after.

--- a/placement/ejection_test.go
+++ b/placement/ejection_test.go
@@ -56,3 +56,27 @@
 		})
 	}
 }
+
+// Requests that were under way together and fail together must eject an instance once. Each
+// pair of them used to double the time until its trial.
+func TestFailuresOfOneMomentEjectOnce(t *testing.T) {
+	for name, reason := range map[string]verdict.Reason{"connect failed": verdict.ReasonConnectFailed, "connection lost": verdict.ReasonConnectionLost} {
+		t.Run(name, func(t *testing.T) {
+			p := newShopPicker("vm-1", 1, "a")
+			var tickets []Ticket
+			for range 12 {
+				ticket, e := p.Pick(at(0), &Request{Service: "shop", Idempotent: true, Target: time.Minute, Deadline: at(60)})
+				if e != nil {
+					t.Fatal(e)
+				}
+				tickets = append(tickets, ticket)
+			}
+			for k := range tickets {
+				p.Done(at(1+float64(k)/1000), &tickets[k], Outcome{Verdict: verdict.MayHaveRun, Reason: reason})
+			}
+			if i := p.services["shop"].instances["a-0"]; i.ejection != minEjection {
+				t.Errorf("ejected for %s", i.ejection)
+			}
+		})
+	}
+}
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -194,8 +194,9 @@
 
 // recordOutcome updates the instance's estimates with the outcome of an attempt. The
 // attempt was expected to take the time expected, of which work is the usual time
-// without queueing. A trial that was left without an answer extends the ejection.
-func (i *instance) recordOutcome(now time.Time, o *Outcome, expected, work time.Duration, isTrial bool) {
+// without queueing. It began at the time given. A trial that was left without an answer
+// extends the ejection.
+func (i *instance) recordOutcome(now time.Time, o *Outcome, expected, work time.Duration, began time.Time, isTrial bool) {
 	i.outstanding--
 	i.sinceReport--
 	if o.Load != nil {
@@ -227,6 +228,10 @@
 	if o.Reason == verdict.ReasonMisdirected {
 		return
 	}
+	if unanswered && !isTrial && began.Before(i.knownSince()) {
+		// It failed together with those that ejected the instance, and says nothing new.
+		i.consecutiveFailures = 0
+	}
 	isAnswer := o.Verdict == verdict.Ran || o.Reason == verdict.ReasonUpstreamRefused
 	switch {
 	case i.consecutiveFailures >= ejectThreshold || (unanswered && isTrial):
@@ -288,6 +293,15 @@
 	return true
 }
 
+// knownSince returns when the present ejection began, or the last one ended. Failures of
+// attempts that began earlier don't eject the instance again.
+func (i *instance) knownSince() time.Time {
+	if i.ejection > 0 {
+		return i.ejectedAt
+	}
+	return i.recoveredAt
+}
+
 // readmit ends an ejection.
 func (i *instance) readmit(now time.Time) {
 	i.lastEjection, i.recoveredAt = i.ejection, now
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -158,7 +158,7 @@
 	}
 	t := Ticket{
 		Instance: i.Instance, Rank: c.rank, Spilled: i.Region != p.cfg.Region, Wait: c.wait, Work: c.work, LoadAge: age,
-		inst: i, service: s, route: r.Route, isLeaving: i.state.IsLeaving(), hasToken: hasToken,
+		inst: i, service: s, route: r.Route, pickedAt: now, isLeaving: i.state.IsLeaving(), hasToken: hasToken,
 	}
 	if c.isTrial {
 		i.isTrialPending, t.trialOf = true, i.ejectedAt
@@ -437,7 +437,7 @@
 		usual += p.cfg.RegionRTT
 	}
 	before, beforeAt := t.inst.ejection, t.inst.ejectedAt
-	t.inst.recordOutcome(now, &o, t.Wait+usual, usual, t.inst.endTrial(t))
+	t.inst.recordOutcome(now, &o, t.Wait+usual, usual, t.pickedAt, t.inst.endTrial(t))
 	p.recordEjection(now, t.inst, before, beforeAt, o.Reason)
 	if o.Verdict != verdict.Ran {
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -125,8 +125,8 @@
 	hasToken bool
 	// trialOf is when the ejection began of which the request is the trial, or zero.
 	trialOf time.Time
-	// sentAt is when the request is written.
-	sentAt time.Time
+	// pickedAt is when the instance was chosen, sentAt when the request is written.
+	pickedAt, sentAt time.Time
 }
 
 // Load is the load that an instance reports about itself.
