Try replaced instances with orders, and forget that they were

What callers saw: an instance at whose address another one had answered once gets no order again while its record stands, at the VM that saw it and, by its digest, at all VMs of the region.

Besides, the mark outlived a trial that the instance answered itself, so that it was left out where instances are short.

Change: any request may be the trial at such an address. The request names its instance, and another one answers 421 without running it, so an order is not put at risk. An answer of the instance itself removes the mark.

--- a/placement/ejection_test.go
+++ b/placement/ejection_test.go
@@ -80,3 +80,19 @@
 		})
 	}
 }
+
+// An instance at whose address another one answered must get work again if it answers there
+// itself, also if it gets only orders: an order that reaches another instance is not run.
+func TestReplacedInstanceReturnsWithOrders(t *testing.T) {
+	p := newShopPicker("vm-1", 1, "a")
+	ticket, _ := awaitOrder(t, p, at(0))
+	p.Done(at(1), &ticket, Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonMisdirected})
+	ticket, tried := awaitOrder(t, p, at(1))
+	p.Done(tried, &ticket, Outcome{Verdict: verdict.Ran, Latency: time.Millisecond})
+	if _, e := p.Pick(tried, &Request{Service: "shop", Target: time.Second, Deadline: tried.Add(time.Second)}); e != nil {
+		t.Errorf("refused after the instance has answered: %v", e.Err)
+	}
+	if len(p.services["shop"].eligible(&Request{}, "a")) != 1 {
+		t.Error("the instance still counts as replaced after it has answered")
+	}
+}
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -275,7 +275,7 @@
 		i.ejection = 2 * i.lastEjection
 	}
 	longest := maxEjection
-	if isUnreachable {
+	if isUnreachable && !i.isReplaced {
 		longest = maxUnreachableEjection
 	}
 	i.ejection = min(max(2*i.ejection, minEjection), longest)
@@ -283,6 +283,10 @@
 	i.isUnreachable, i.isConnected = isUnreachable, false
 }
 
+// allowsTrial reports whether a request may be the trial that is due. One that may not run
+// twice must have a connection, or go to an address at which another instance refuses it.
+func (i *instance) allowsTrial(r *Request) bool { return r.Idempotent || i.isConnected || i.isReplaced }
+
 // endTrial ends the trial of a ticket and reports whether its request is the trial of the
 // present ejection.
 func (i *instance) endTrial(t *Ticket) bool {
@@ -306,6 +310,7 @@
 func (i *instance) readmit(now time.Time) {
 	i.lastEjection, i.recoveredAt = i.ejection, now
 	i.ejection, i.isTrialPending, i.isConnected = 0, false, false
+	i.isReplaced, i.isReplacedShared = false, false
 }
 
 // markReplaced ejects an instance at whose address another instance answered. Its
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -312,7 +312,7 @@
 			continue
 		}
 		ejected, trialDue := i.isEjected(now)
-		if ejected && (!trialDue || !(r.Idempotent || i.isConnected)) {
+		if ejected && (!trialDue || !i.allowsTrial(r)) {
 			continue
 		}
 		score := rendezvous.Mix(key ^ i.hash)
