Let any request probe a suspected instance in the own daemon

What callers saw: in the product's own daemon, an instance that failed once gets no work again at a VM whose requests for the service are all of the long class.

Only short requests probe a suspected instance (pickProbe), and one that failed gets nothing else as long as others work.

Measured: TestFailedInstanceReturnsForAnyWork; before, long requests, idempotent or not, give the instance nothing in the 20 s after it has worked for 30 s; short ones of both kinds passed before.

--- a/balance/failed_test.go
+++ b/balance/failed_test.go
@@ -104,3 +104,38 @@
 		t.Error("no instance is tried when all of them fail")
 	}
 }
+
+// TestFailedInstanceReturnsForAnyWork guards against an instance that failed once and gets no
+// work again because no request of its service may be the probe.
+func TestFailedInstanceReturnsForAnyWork(t *testing.T) {
+	for _, r := range []Request{
+		{Class: Short, Idempotent: true},
+		{Class: Short},
+		{Class: Long, Idempotent: true},
+		{Class: Long},
+	} {
+		b := newTestBalancer(1, 0, 3, 3)
+		picked := 0
+		for at := time.Duration(0); at < time.Minute; at += 100 * time.Millisecond {
+			now := start.Add(at)
+			b.Tick(now)
+			k, err := b.Pick(now, r)
+			if err != nil || k.IsWaiting() {
+				t.Fatal(k, err)
+			}
+			isFailing := b.byID[k.Instance] == 0 && at < 10*time.Second
+			switch {
+			case isFailing:
+				b.Done(now, k, ConnectFailed)
+			default:
+				b.Done(now.Add(mean), k, Answered)
+			}
+			if b.byID[k.Instance] == 0 && at > 40*time.Second {
+				picked++
+			}
+		}
+		if picked == 0 {
+			t.Errorf("class %d, idempotent %v: the instance that works again got none of the requests", r.Class, r.Idempotent)
+		}
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -44,10 +44,18 @@
 // arrive.
 const noUpstreamRetryAfter = 2 * time.Second
 
-// pickProbe returns the instance that the request should probe, or none. Idempotent
-// requests are preferred, as they can be hedged when the instance is still slow.
+// pickProbe returns the instance that the request should probe, or none. Short idempotent
+// requests are preferred, as they can be hedged when the instance is still slow, and long
+// ones come last, as they take long to show anything. Others probe if none of these comes.
 func (b *Balancer) pickProbe(t int64, c Class, idempotent bool) int32 {
-	if c != Short || t < b.nextProbe || (!idempotent && t < b.nextProbe+maxProbeInterval) {
+	var delay int64
+	if !idempotent {
+		delay = maxProbeInterval
+	}
+	if c == Long {
+		delay = 2 * maxProbeInterval
+	}
+	if b.nextProbe == never || t < b.nextProbe+delay {
 		return none
 	}
 	return b.dueProbe(t)
