Keep requests with one ID on separate connections

Cause: an answer is matched by the request's ID alone. The copy of the refusal of the first send has the ID of the second one.

Change: a connection remembers the IDs that it carried and doesn't carry one twice; it is closed after 256 requests, which bounds them to 2 KB. Answers are still matched by ID, which is now unique on the connection.

Before, TestRequestsWithOneIDShareNoConnection accepts copies of successes and failures.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -63,7 +63,7 @@
 	}
 	o := &a.x.h.options
 	x := upstream.Exchange{
-		Address: a.selection.Instance().Address, Request: req, Repeatable: a.x.query.Idempotent,
+		Address: a.selection.Instance().Address, Request: req, ID: a.x.meta.ID, Repeatable: a.x.query.Idempotent,
 		MatchAnswer: func(res *http.Response) upstream.Match { return o.Protocol.MatchAnswer(&a.x.meta, res) },
 	}
 	receiver, isReceiver := a.selection.(noticeReceiver)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 )
@@ -27,6 +28,9 @@
 	input limitedReader
 	// used says that the connection has already carried a request.
 	used bool
+	// ids holds hashes of the IDs of the requests that the connection carried. It is guarded by
+	// the client's lock while idle.
+	ids []uint64
 	// lastUsed and maxIdleTime are guarded by the client's lock while idle.
 	lastUsed    time.Time
 	maxIdleTime time.Duration
@@ -296,10 +300,13 @@
 	}
 	b.ended = true
 	n := b.e.n
+	if id := b.e.x.ID; id != "" {
+		n.ids = append(n.ids, xxhash.Sum64String(id))
+	}
 	if limit, ok := keepAlive(b.res.Header); ok {
 		n.maxIdleTime = min(limit/2, n.client.options.MaxIdleTime)
 	}
-	b.e.end(complete && !b.res.Close && isFramed(b.res) && n.reader.Buffered() == 0 && n.maxIdleTime > 0)
+	b.e.end(complete && !b.res.Close && isFramed(b.res) && n.reader.Buffered() == 0 && n.maxIdleTime > 0 && len(n.ids) < maxRequests)
 }
 
 // keepAlive returns how long the instance keeps an idle connection, if it states it.
--- a/upstream/hostile_test.go
+++ b/upstream/hostile_test.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	res, err := c.Do(ctx, &Exchange{Address: address, Request: req, MatchAnswer: matchID(id)})
+	res, err := c.Do(ctx, &Exchange{Address: address, Request: req, ID: id, MatchAnswer: matchID(id)})
 	if err != nil {
 		return 0, "", err
 	}
@@ -218,3 +218,35 @@
 	_, err = io.Copy(io.Discard, res.Body)
 	return res.StatusCode, res.Header.Get("X-Request-Id"), err
 }
+
+// A duplicate of the answer to an earlier request must not be accepted by a request with the
+// same ID, which can't be told from the first one.
+func TestRequestsWithOneIDShareNoConnection(t *testing.T) {
+	for name, first := range map[string]string{
+		"success": ok("r"), "failure": "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n",
+	} {
+		s := startScript(t, func(c net.Conn, connection, n int) bool {
+			const second = "HTTP/1.1 299 Second\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n"
+			text := first
+			switch {
+			case connection == 2:
+				text = second
+			case n == 2:
+				text = ok("other")
+			case n == 3:
+				text += second
+			}
+			_, err := io.WriteString(c, text)
+			return err == nil
+		})
+		c := New(Options{})
+		for n, id := range []string{"r", "other", "r"} {
+			if status, _, err := statusOf(t, c, s.address, id); err != nil || (n == 2) != (status == 299) {
+				t.Errorf("%s, request %d: status %d, %v", name, n, status, err)
+			}
+		}
+		if got := s.connections.Load(); got != 2 {
+			t.Errorf("%s: %d connections for three requests, two of them with one ID", name, got)
+		}
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,9 +9,11 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -46,6 +48,9 @@
 	// seconds while an instance processes a long request.
 	maxInterimAnswers = 64
 	bufferBytes       = 8 << 10
+	// maxRequests is the number of requests after which a connection is closed. It bounds the
+	// IDs that are kept for each, 2 KB.
+	maxRequests = 256
 )
 
 // Options configures a Client. Zero values select the defaults above.
@@ -130,6 +135,10 @@
 	Address string
 	// Request is written as it is; GetBody is not used.
 	Request *http.Request
+	// ID is the ID by which MatchAnswer matches an answer, or empty. Callers may send several
+	// requests with the same ID. These share no connection, since a faulty instance may repeat
+	// the answer to one of them when the next is due.
+	ID string
 	// Repeatable says that the request may run twice. It allows a connection that has
 	// been idle for longer.
 	Repeatable bool
@@ -272,14 +281,20 @@
 	if p == nil || len(p.idle) == 0 {
 		return nil
 	}
-	n := p.idle[len(p.idle)-1]
-	idle := c.options.Now().Sub(n.lastUsed)
-	if idle > n.maxIdleTime || (!x.Repeatable && idle > c.options.MaxIdleUnrepeatable) {
-		// The other connections have been idle for longer.
-		return nil
+	for k := len(p.idle) - 1; k >= 0; k-- {
+		n := p.idle[k]
+		idle := c.options.Now().Sub(n.lastUsed)
+		if idle > n.maxIdleTime || (!x.Repeatable && idle > c.options.MaxIdleUnrepeatable) {
+			// The other connections have been idle for longer.
+			return nil
+		}
+		if x.ID != "" && slices.Contains(n.ids, xxhash.Sum64String(x.ID)) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, k, k+1)
+		return n
 	}
-	p.idle = p.idle[:len(p.idle)-1]
-	return n
+	return nil
 }
 
 func (c *Client) reserve(address string) bool {
