Close connections to own instances after refusals without an ID

Cause: an answer without an ID matches any request, and its connection is reused.

Change: MatchLast. Such a refusal counts, as before, but its connection carries no other request, so a copy of it reaches none. The platform's protocol takes answers without an ID on new connections only, as before.

TestLastAnswerEndsItsConnection needs the new kind of match. A second copy of a success without an ID is still not recognised (docs/PROOFS.md).

--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -138,13 +138,17 @@
 	h.Add("X-Forwarded-For", m.Caller)
 }
 
-// MatchAnswer implements Protocol. Native instances may omit the request ID.
-func (nativeProtocol) MatchAnswer(m *Meta, res *http.Response) upstream.Match {
+// MatchAnswer implements Protocol. Native instances may omit the request ID. A copy of a
+// refusal without it would refuse the next request, which may run.
+func (p nativeProtocol) MatchAnswer(m *Meta, res *http.Response) upstream.Match {
 	got := res.Header.Get(HeaderRequestID)
-	if m.ID == "" || got == "" || m.ID == got {
-		return upstream.MatchRequest
+	if m.ID != "" && got != "" && m.ID != got {
+		return upstream.MatchOther
 	}
-	return upstream.MatchOther
+	if reason, _ := p.NotRunReason(res); reason != "" && (m.ID == "" || got == "") {
+		return upstream.MatchLast
+	}
+	return upstream.MatchRequest
 }
 
 func (nativeProtocol) NotRunReason(res *http.Response) (verdict.Reason, time.Duration) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -209,6 +209,9 @@
 			continue
 		}
 		switch e.matchAnswer(res) {
+		case MatchLast:
+			e.notReusable = true
+			return res, nil
 		case MatchRequest:
 			return res, nil
 		case MatchUnknown:
--- a/upstream/hostile_test.go
+++ b/upstream/hostile_test.go
@@ -202,6 +202,40 @@
 	}
 }
 
+// A connection must not be reused after an answer of which a copy would match any request.
+func TestLastAnswerEndsItsConnection(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	s := startScript(t, func(c net.Conn, connection, n int) bool {
+		text := ok("")
+		if connection == 1 && n > 1 {
+			text = refusal + text
+		}
+		_, err := io.WriteString(c, text)
+		return err == nil
+	})
+	c := New(Options{})
+	for n, want := range []int{200, 503, 200} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.address+"/", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := c.Do(t.Context(), &Exchange{Address: s.address, Request: req, MatchAnswer: func(res *http.Response) Match {
+			if res.StatusCode == http.StatusOK {
+				return MatchRequest
+			}
+			return MatchLast
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		if res.StatusCode != want {
+			t.Errorf("request %d: status %d", n, res.StatusCode)
+		}
+	}
+}
+
 func statusOf(t *testing.T, c *Client, address, id string) (status int, answeredID string, err error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -128,6 +128,9 @@
 	MatchUnknown
 	// MatchRequest answers match the request.
 	MatchRequest
+	// MatchLast answers match the request too, but a copy of them would match any request, so
+	// the connection is not reused.
+	MatchLast
 )
 
 // Exchange is one request to one instance.
