Bound the history of records by their size

Cause: a VM keeps the last 4,096 changes for those that follow it, whatever their size. Each change of the configuration holds the whole of it.

Change: the history has 8 MB at most as well. A follower that is further behind than that is told so, as one behind 4,096 changes is, and reads the whole state.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -312,6 +312,47 @@
 	}
 }
 
+// testHistoryBytes applies a day's changes of a record whose size depends on the change.
+func testHistoryBytes(t *testing.T, sizeOf func(n int) int) {
+	c := newReplica()
+	if err := c.load(0, &Answer{Position: history.Position{Revision: 1}}, history.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	// A tenth of the memory of the smallest VMs, 184 MB.
+	const maxBytes = 184 << 20 / 10
+	for n := range 2100 {
+		revision := uint64(n + 2)
+		r := Record{Key: "config", Value: make([]byte, sizeOf(n)), Revision: revision}
+		if _, err := c.apply(0, &Answer{Position: history.Position{Revision: revision}, Records: []Record{r}}); err != nil {
+			t.Fatal(err)
+		}
+		kept := 0
+		for _, r := range c.changes {
+			kept += len(r.Value)
+		}
+		if kept > maxBytes {
+			t.Fatalf("%d MB of history after %d changes", kept>>20, n+1)
+		}
+		// A follower that is further behind is told so, and gets no gap.
+		a, _, err := c.changesAfter(0, history.Position{Revision: 1})
+		if err == nil && len(a.Records) != n+1 {
+			t.Fatalf("%d of %d changes without an error", len(a.Records), n+1)
+		}
+	}
+}
+
+// A day's changes of a large configuration must not exhaust the memory of a small VM, which
+// keeps them for VMs that follow it.
+func TestHistoryOfLargeRecordsIsBounded(t *testing.T) {
+	for name, sizeOf := range map[string]func(n int) int{
+		"1,400 routes":       func(int) int { return 210 << 10 },
+		"as large as may be": func(int) int { return 1 << 20 },
+		"mixed":              func(n int) int { return 1 << (n % 21) },
+	} {
+		t.Run(name, func(t *testing.T) { testHistoryBytes(t, sizeOf) })
+	}
+}
+
 // An answer that was in the socket buffer while this VM was paused or suspended must
 // not count as current. Otherwise the records from before the pause would be confirmed
 // again, and relayed as fresh.
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -8,8 +8,14 @@
 	"github.com/currantferry/currantferry/history"
 )
 
-// maxHistory bounds the number of changes that a replica keeps for its followers.
-const maxHistory = 4096
+// maxHistory and maxHistoryBytes bound the changes that a replica keeps for its followers, by
+// number and by the size of their keys and values. A large configuration is most of a
+// megabyte, and each version of it counts. Followers that are further behind read the
+// whole state.
+const (
+	maxHistory      = 4096
+	maxHistoryBytes = 8 << 20
+)
 
 // replica is a copy of the records with the latest changes. It decides which answers
 // continue it. It is safe for concurrent use.
@@ -19,6 +25,7 @@
 	// changes holds the latest changes of the present epoch, ordered by revision. Those up
 	// to compactedRevision are no longer kept.
 	changes           []Record
+	historyBytes      int
 	compactedRevision uint64
 	at                history.Position
 	// confirmedAt is the uptime at which the store last confirmed at.
@@ -56,7 +63,7 @@
 		}
 	}
 	c.records = records
-	c.changes, c.compactedRevision, c.at, c.loaded = nil, a.Revision, a.Position, true
+	c.changes, c.historyBytes, c.compactedRevision, c.at, c.loaded = nil, 0, a.Revision, a.Position, true
 	c.confirm(uptime, a.Age)
 	c.wake()
 	return nil
@@ -88,11 +95,7 @@
 			c.records[r.Key] = r
 		}
 	}
-	c.changes = append(c.changes, changes...)
-	if excess := len(c.changes) - maxHistory; excess > 0 {
-		c.compactedRevision = c.changes[excess-1].Revision
-		c.changes = append([]Record(nil), c.changes[excess:]...)
-	}
+	c.appendChanges(changes)
 	c.confirm(uptime, a.Age)
 	if a.Revision > c.at.Revision {
 		c.at.Revision = a.Revision
@@ -101,6 +104,30 @@
 	return changes, nil
 }
 
+// appendChanges adds changes to the history and drops the oldest beyond its bounds. The
+// caller holds the lock.
+func (c *replica) appendChanges(changes []Record) {
+	for i := range changes {
+		c.historyBytes += changes[i].size()
+	}
+	c.changes = append(c.changes, changes...)
+	excess := max(0, len(c.changes)-maxHistory)
+	for i := range excess {
+		c.historyBytes -= c.changes[i].size()
+	}
+	for excess < len(c.changes) && c.historyBytes > maxHistoryBytes {
+		c.historyBytes -= c.changes[excess].size()
+		excess++
+	}
+	if excess > 0 {
+		c.compactedRevision = c.changes[excess-1].Revision
+		c.changes = append([]Record(nil), c.changes[excess:]...)
+	}
+}
+
+// size returns the bytes of a record's key and value.
+func (r *Record) size() int { return len(r.Key) + len(r.Value) }
+
 // confirm records a confirmation by the store. One that arrives through a relay can be
 // older than the latest known one and is then ignored. The caller holds the lock.
 func (c *replica) confirm(uptime time.Duration, age time.Duration) {
