Route requests by the path that is forwarded

Beside it: a prefix of the configuration with an encoded character was found by no request, /reads%2Fx was served by the route /reads/, and paths such as /a|b or raw UTF-8 reached the instance encoded.

Cause: the route was looked up by the decoded path, in which the order AT/17 begins with the prefix /orders/AT/ of an idempotent route, and net/http encoded the path anew for the instance. Both are decisions on other bytes than those that the caller sent. The same held for the routes of the product's own daemon.

Change: path and query are taken once from the request target as it was sent. Route, prefix, fingerprint, class of work and what is forwarded, also to another VM, come from these bytes. A path that net/http can't write unchanged ("//" at its beginning and characters that RFC 3986 doesn't allow) is rejected with 400.

--- a/entry/router.go
+++ b/entry/router.go
@@ -58,7 +58,7 @@
 	if r.table == nil {
 		return proxy.Routed{}, verdict.New(verdict.NotRun, verdict.ReasonNotReady, defaultRetryAfter)
 	}
-	route := r.table.Find(req.Host, req.URL.Path)
+	route := r.table.Find(req.Host, proxy.RequestPath(req))
 	if route == nil {
 		return proxy.Routed{Attrs: []any{"version", r.table.Version}}, verdict.New(verdict.NotRun, verdict.ReasonUnknownService, 0)
 	}
--- a/inventory/view.go
+++ b/inventory/view.go
@@ -88,7 +88,8 @@
 	return t
 }
 
-// Find returns the route with the longest prefix of a path, or nil.
+// Find returns the route with the longest prefix of a path, or nil. The path is compared as
+// it was sent, with its encoding.
 func (t *Table) Find(host, path string) *Route {
 	host = strings.ToLower(host)
 	list, ok := t.byHost[host]
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -118,11 +118,15 @@
 func (a *attempt) request() (*http.Request, error) {
 	r := a.x.r
 	a.reader = a.x.body.newReader()
-	req, err := http.NewRequestWithContext(a.ctx, r.Method, "http://"+a.selection.Instance().Address+r.URL.RequestURI(), a.reader)
+	address, err := a.x.target.forwardURL(a.selection.Instance().Address)
 	if err != nil {
 		return nil, err
 	}
-	req.Host = r.Host
+	req, err := http.NewRequestWithContext(a.ctx, r.Method, "", a.reader)
+	if err != nil {
+		return nil, err
+	}
+	req.URL, req.Host = address, r.Host
 	req.Header = r.Header.Clone()
 	removeHopByHop(req.Header)
 	removeTransitHeaders(req.Header)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -24,6 +24,7 @@
 	cancel context.CancelFunc
 
 	received    time.Time
+	target      target
 	meta        Meta
 	query       Query
 	maxAttempts int
@@ -52,10 +53,14 @@
 	if x.meta, err = o.Protocol.ParseRequest(x.r); err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 	}
+	x.target = parseTarget(x.r)
 	routed, err := o.Router.Route(x.r)
 	if err != nil {
 		return err
 	}
+	if _, err := x.target.forwardURL(""); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+	}
 	x.key, x.caller = x.meta.Key, x.meta.Caller
 	x.setQuery(&routed)
 	maxBody := o.MaxBody
@@ -104,7 +109,7 @@
 		Route:      routed.Route,
 		Idempotent: isIdempotent(routed.Route, x.r.Method),
 		Method:     x.r.Method,
-		Path:       x.r.URL.Path,
+		Path:       x.target.path,
 		Bytes:      x.r.ContentLength,
 		Deadline:   x.received.Add(timeout),
 		Regions:    routed.Regions,
@@ -140,9 +145,10 @@
 // same prefix it prefers the one that names the method.
 func matchRoute(s *register.Service, r *http.Request) register.Route {
 	var best register.Route
+	path := RequestPath(r)
 	rank := -1
 	for _, route := range s.Routes {
-		if !strings.HasPrefix(r.URL.Path, route.Prefix) || (route.Method != "" && route.Method != r.Method) {
+		if !strings.HasPrefix(path, route.Prefix) || (route.Method != "" && route.Method != r.Method) {
 			continue
 		}
 		score := 2 * len(route.Prefix)
@@ -183,7 +189,7 @@
 		writeField([]byte(t))
 	}
 	writeField([]byte(x.r.Method))
-	writeField([]byte(x.r.URL.RequestURI()))
+	writeField([]byte(x.target.String()))
 	writeField([]byte(strconv.FormatInt(x.body.length, 10)))
 	writeField(x.body.prefix[:min(len(x.body.prefix), fingerprintBytes)])
 	var out [32]byte
