Find the routes of a host that is written with a trailing dot

What callers saw: a request to "shop.example." was answered 404, though the name is the same as "shop.example".

Cause: the table of routes is searched by the Host header as it is, or without its port.

Change: a host that isn't found with its dot is searched without.

--- a/inventory/view.go
+++ b/inventory/view.go
@@ -89,14 +89,15 @@
 }
 
 // Find returns the route with the longest prefix of a path, or nil. The path is compared as
-// it was sent, with its encoding.
+// it was sent, with its encoding. The host may have a port and a trailing dot.
 func (t *Table) Find(host, path string) *Route {
 	host = strings.ToLower(host)
 	list, ok := t.byHost[host]
 	if !ok {
-		// Host may contain a port.
-		if name, _, found := strings.Cut(host, ":"); found {
-			list = t.byHost[name]
+		name, _, _ := strings.Cut(host, ":")
+		list, ok = t.byHost[name]
+		if !ok {
+			list = t.byHost[strings.TrimSuffix(name, ".")]
 		}
 	}
 	for _, r := range list {
