--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -21,10 +21,17 @@
 	ResetCut
 	// RefuseCut refuses new connections, while open ones live on.
 	RefuseCut
-	// NumCutKinds is the number of kinds.
+	// NumCutKinds is the number of the kinds above, of which the soak draws.
 	NumCutKinds
+	// DropCut resets all connections and refuses new ones.
+	DropCut
+	// HoldCut drops the bytes of all connections, and opens new ones.
+	HoldCut
 )
 
+// dropsBytes reports whether bytes of open connections are lost.
+func (k CutKind) dropsBytes() bool { return k == SilentCut || k == HoldCut }
+
 // Links are the links of a process to all addresses that it dials by them. They can be
 // cut. The zero value passes everything. It is safe for concurrent use.
 type Links struct {
@@ -59,14 +66,14 @@
 	before := l.kind
 	wasCut := make(map[*linkConn]bool)
 	for c := range l.conns {
-		wasCut[c] = before == SilentCut && l.isCut(c.address)
+		wasCut[c] = before.dropsBytes() && l.isCut(c.address)
 	}
 	l.kind, l.only = kind, only
 	if l.healed != nil {
 		close(l.healed)
 	}
 	l.healed = make(chan struct{})
-	if kind == ResetCut || before == SilentCut {
+	if kind == ResetCut || kind == DropCut || before.dropsBytes() {
 		for c := range l.conns {
 			if !wasCut[c] && !l.isCut(c.address) {
 				continue
@@ -109,10 +116,10 @@
 func (l *Links) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	for {
 		kind, healed := l.state(address)
-		if kind == RefuseCut {
+		if kind == RefuseCut || kind == DropCut {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 		}
-		if kind == NoCut {
+		if kind == NoCut || kind == HoldCut {
 			break
 		}
 		select {
@@ -132,7 +139,7 @@
 	c := &linkConn{TCPConn: tcp, links: l, address: address, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.kind != NoCut && l.isCut(address) {
+	if l.kind != NoCut && l.kind != HoldCut && l.isCut(address) {
 		tcp.Close()
 		return nil, nil
 	}
@@ -154,7 +161,7 @@
 
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if kind, healed := c.links.state(c.address); kind == SilentCut {
+	if kind, healed := c.links.state(c.address); kind.dropsBytes() {
 		// The bytes are lost; the end of the cut resets the connection.
 		select {
 		case <-healed:
@@ -167,7 +174,7 @@
 }
 
 func (c *linkConn) Write(p []byte) (int, error) {
-	if kind, _ := c.links.state(c.address); kind == SilentCut {
+	if kind, _ := c.links.state(c.address); kind.dropsBytes() {
 		return len(p), nil
 	}
 	return c.TCPConn.Write(p)
