Forget failed connections once an instance is reached

What callers saw, in the model: of 12 instances, one that was cut off for 5.5 s serves its first order 9 s after the cut at 12 VMs, although each VM has readmitted it within 2 s; its objects are served elsewhere meanwhile.

Cause: connections that failed count in the failure rate as well, which makes the instance dearer than any other until it has decayed (half-life 3 s).

Change: the failure rate is forgotten when an instance that could not be reached is reached again.

--- a/placement/instance.go
+++ b/placement/instance.go
@@ -309,6 +309,10 @@
 // readmit ends an ejection.
 func (i *instance) readmit(now time.Time) {
 	i.lastEjection, i.recoveredAt = i.ejection, now
+	if i.isUnreachable {
+		// Connections that failed say nothing about how it answers.
+		i.failures, i.failuresAt = 0, now
+	}
 	i.ejection, i.isTrialPending, i.isConnected = 0, false, false
 	i.isReplaced, i.isReplacedShared = false, false
 }
--- a/placement/return_bench_test.go
+++ b/placement/return_bench_test.go
@@ -207,6 +207,18 @@
 	}
 }
 
+// An instance that can be reached again must get its share of orders soon, not only once the
+// connections that failed have been forgotten.
+func TestReachedInstanceServesSoon(t *testing.T) {
+	for _, form := range []string{"refused", "reset", "silent"} {
+		m := newCutModel(seedOf(t), connectionTrials, cutForms[form], 1)
+		m.run(12)
+		if m.firstServed == 0 || m.firstServed > 3*time.Second {
+			t.Errorf("%s: the instance served its first order %s after the cut", form, m.firstServed)
+		}
+	}
+}
+
 // BenchmarkOrdersAfterCut reports the share of orders served from 3 s after a cut, when a cut
 // instance first serves one, the orders lost and the trial connections per VM.
 func BenchmarkOrdersAfterCut(b *testing.B) {
