Tell an unknown region from none that a request allows

Cause: two faults. This is the graver one: for "no region that the request allows has an instance", regionFor returned the empty string, which is also the region of an instance whose data centre the settings don't name. Such an instance then got the requests.

Change: regionFor and spillRegion say whether there is a region. The unknown region is none of those that a request names; requests without homes may use it.

--- a/placement/fault_test.go
+++ b/placement/fault_test.go
@@ -157,3 +157,21 @@
 		t.Errorf("%.2f of the requests found their object held", hits)
 	}
 }
+
+// A request that is bound to regions must not reach an instance whose region is unknown, also
+// if no other instance is left and the VM's own region is not among them.
+func TestUnknownRegionGetsNothingBoundToRegions(t *testing.T) {
+	p := New(Config{VM: "vm-1", Region: "south"})
+	p.SetInstances(at(0), []Instance{{ID: "i-0", Service: "shop", Address: "i-0:1", Slots: 4}})
+	for n := range 100 {
+		for _, regions := range [][]string{{"north"}, {"south"}, {"north", "south"}, {""}} {
+			r := &Request{Service: "shop", Key: fmt.Sprint(n), Idempotent: n%2 == 0, Target: time.Second, Deadline: at(2), Regions: regions}
+			if ticket, e := p.Pick(at(1), r); e == nil {
+				t.Fatalf("a request bound to %q is sent to %s in region %q", regions, ticket.Instance.ID, ticket.Instance.Region)
+			}
+		}
+	}
+	if _, e := p.Pick(at(1), &Request{Service: "shop", Target: time.Second, Deadline: at(2)}); e != nil {
+		t.Errorf("a request that is bound to no region is refused: %v", e.Err)
+	}
+}
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -146,8 +146,11 @@
 		return NoToken
 	}
 	r.object, r.hasObject = p.objectHash(r), true
-	home := p.regionFor(s, r, r.object)
-	lacks, hasOpen := s.recordDemand(now, r, home)
+	var lacks, hasOpen bool
+	home, known := p.regionFor(s, r, r.object)
+	if known {
+		lacks, hasOpen = s.recordDemand(now, r, home)
+	}
 	if !lacks && hasOpen {
 		return NoToken
 	}
@@ -159,7 +162,7 @@
 	}
 	needed := lacks
 	for region := range s.regions {
-		if region != home && (len(r.Regions) == 0 || slices.Contains(r.Regions, region)) {
+		if (region != home || !known) && r.allows(region) {
 			lacks, open := s.recordDemand(now, r, region)
 			needed, hasOpen = needed || lacks, hasOpen || open
 		}
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -191,7 +191,8 @@
 	p := s.vms["noord"][0]
 	sv := p.services["proofs"]
 	spillRegion := func(n int) string {
-		return p.spillRegion(sv, &Request{Service: "proofs"}, rendezvous.Mix(uint64(n)), "noord")
+		region, _ := p.spillRegion(sv, &Request{Service: "proofs"}, rendezvous.Mix(uint64(n)), "noord")
+		return region
 	}
 	before := make(map[int]string)
 	for n := range 300 {
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -81,7 +81,7 @@
 func (s *service) eligible(r *Request, preferred string) []*instance {
 	var out []*instance
 	for region, group := range s.regions {
-		if len(r.Regions) > 0 && !slices.Contains(r.Regions, region) {
+		if !r.allows(region) {
 			continue
 		}
 		for _, i := range group {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -78,8 +78,12 @@
 		s.recordObject(now, key)
 	}
 	r.reserved = s.isReservedForUrgent(now, r.Priority)
-	home := p.regionFor(s, r, key)
-	best, refused := p.pickIn(now, s, r, key, home)
+	home, known := p.regionFor(s, r, key)
+	var best *candidate
+	refused := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+	if known {
+		best, refused = p.pickIn(now, s, r, key, home)
+	}
 	allowed := s.allowedWait(r)
 	if best == nil || !p.canAnswerInTime(now, r, best, allowed) {
 		if other := p.pickOtherRegion(now, s, r, key, home, best); other != nil && p.canAnswerInTime(now, r, other, allowed) {
@@ -178,34 +182,41 @@
 	return r.Deadline.IsZero() || !now.Add(c.wait+c.work/2).After(r.Deadline)
 }
 
-// regionFor returns the region in which this VM's requests for an object run.
-func (p *Picker) regionFor(s *service, r *Request, key uint64) string {
+// allows reports whether a request may run in a region. An unknown region is none of those
+// that a request names.
+func (r *Request) allows(region string) bool {
+	return len(r.Regions) == 0 || (region != unknownRegion && slices.Contains(r.Regions, region))
+}
+
+// regionFor returns the region in which this VM's requests for an object run, or false if
+// no region that the request allows has an instance.
+func (p *Picker) regionFor(s *service, r *Request, key uint64) (region string, ok bool) {
 	own := p.cfg.Region
-	mayStay := len(r.Regions) == 0 || slices.Contains(r.Regions, own)
+	mayStay := r.allows(own)
 	if mayStay && len(s.regions[own]) > 0 && rendezvous.Unit(rendezvous.Mix(key^hashOf(own))) >= s.spill {
-		return own
+		return own, true
 	}
-	if best := p.spillRegion(s, r, key, own); best != "" || !mayStay {
-		return best
+	if best, ok := p.spillRegion(s, r, key, own); ok || !mayStay {
+		return best, ok
 	}
-	return own
+	return own, true
 }
 
 // spillRegion returns the region, other than the excluded one, to which an object is
-// spilled, or an empty string. It depends only on the object while the regions' weights
-// do not change, so that overflowing requests find their object held there.
-func (p *Picker) spillRegion(s *service, r *Request, key uint64, excluded string) string {
-	best, topScore := "", -1.0
+// spilled, or false if there is none. It depends only on the object while the regions'
+// weights do not change, so that overflowing requests find their object held there.
+func (p *Picker) spillRegion(s *service, r *Request, key uint64, excluded string) (best string, ok bool) {
+	topScore := -1.0
 	for region, group := range s.regions {
-		if region == excluded || (len(r.Regions) > 0 && !slices.Contains(r.Regions, region)) {
+		if region == excluded || !r.allows(region) {
 			continue
 		}
 		score := rendezvous.Score(rendezvous.Mix(key^hashOf(region)*5), s.spillWeight(region, group))
 		if score > topScore || (score == topScore && region < best) {
-			best, topScore = region, score
+			best, topScore, ok = region, score, true
 		}
 	}
-	return best
+	return best, ok
 }
 
 // spillWeight returns the weight of a region for spilled work: its slots, reduced in
@@ -234,8 +245,8 @@
 	if current != nil && p.overflowTokens < 1 {
 		return nil
 	}
-	region := p.spillRegion(s, r, key, home)
-	if region == "" {
+	region, ok := p.spillRegion(s, r, key, home)
+	if !ok {
 		return nil
 	}
 	best, _ := p.pickIn(now, s, r, key, region)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,7 +57,11 @@
 	}
 }
 
-// Instance is one upstream process of a service.
+// unknownRegion is the region of an instance whose data centre the settings don't name. Such
+// an instance gets no request that is bound to regions.
+const unknownRegion = ""
+
+// Instance is one upstream process of a service. An empty Region is unknown.
 type Instance struct {
 	ID, Service, Region, Address string
 	// StartMillis is the start time of the process. It distinguishes processes with the
