Apply or name every setting that a reload changes

The page of the settings promised that bounds are read again.

Cause: SetSettings applied five bounds and dropped stop_grace, stable_window, lookup_ttl_most, retry_slack and the data centres in silence.

Change: the table of settings says of each key whether a reload applies it, and the page shows it. The settings in force are one value that a reload replaces in one step: all bounds, the least lease and the data centres. Any other changed key is named with the value in force (event 2367); applied ones with both values (2366). An instance in a data centre that the settings don't name is reported (2369).

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -67,7 +67,10 @@
 
 // leaseTTL is how long the other VMs keep the record of a VM that crashed. The platform
 // allows the stable window plus 3 s; these 3 s remain for the removal to reach all VMs.
-func (n *Node) leaseTTL() time.Duration { return max(n.settings.StableWindow, n.settings.MinLeaseTTL) }
+func (n *Node) leaseTTL() time.Duration {
+	s := n.settings.Load()
+	return max(s.StableWindow, s.MinLeaseTTL)
+}
 
 // retryBackoff returns the delay after a number of consecutive failed calls.
 func retryBackoff(failures int) time.Duration {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,7 +114,8 @@
 
 // Node is a running entry VM. It is safe for concurrent use.
 type Node struct {
-	settings *Settings
+	// settings are those in force. A reload replaces them.
+	settings atomic.Pointer[Settings]
 	platform Platform
 	log      *slog.Logger
 	metrics  *metric.Set
@@ -131,6 +132,8 @@
 
 	mu  sync.Mutex
 	inv *inventory.Inventory
+	// unknownDataCentres are those of instances that the settings don't name.
+	unknownDataCentres map[string]bool
 	// view is the current set of VMs, read by lookups, relays and digests.
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
@@ -166,14 +169,15 @@
 	}
 	s := o.Settings
 	n := &Node{
-		settings: s, platform: o.Platform, log: o.Log.With("vm", s.ID), metrics: metric.New(),
-		inv: inventory.New(), router: newRouter(), announceSignal: make(chan struct{}, 1),
+		platform: o.Platform, log: o.Log.With("vm", s.ID), metrics: metric.New(),
+		inv: inventory.New(), unknownDataCentres: make(map[string]bool), router: newRouter(), announceSignal: make(chan struct{}, 1),
 		budget: budget.NewRetry(budget.Config{Ratio: retryShare * s.RetryRatio, Burst: retryBurst}),
 		self: inventory.VM{
 			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller.String(), Relay: s.Peer.String(),
 			Boot: uint64(time.Now().UnixNano()), Capacity: capacity(s), TransitKey: rand.Text(),
 		},
 	}
+	n.settings.Store(s)
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, Random: mathrand.Float64,
@@ -238,7 +242,7 @@
 
 // listen opens the sockets of all roles.
 func (n *Node) listen() error {
-	s := n.settings
+	s := n.settings.Load()
 	ready, lookup, peers := newMux(), newMux(), newMux()
 	n.platform.ServeReady(ready, n.isReady)
 	n.platform.ServeLookup(lookup, n.lookup)
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"os"
 	"time"
 
@@ -55,14 +56,52 @@
 	n.SetSettings(s)
 }
 
-// SetSettings applies the bounds of new settings. Changes of addresses, the location or
-// the store take effect after a restart.
+// SetSettings applies new settings as far as a running VM can. Those that it can't apply keep
+// their values until a restart, and are named in the log.
 func (n *Node) SetSettings(s *Settings) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.settings.Load()
+	next, changed, deferred := mergeSettings(old, s)
+	n.settings.Store(next)
+	for _, k := range changed {
+		event.SettingChanged.Log(n.log, "section", k.Section, "key", k.Name, "before", k.show(old), "value", k.show(next))
+	}
+	for _, k := range deferred {
+		event.SettingNeedsRestart.Log(n.log, "section", k.Section, "key", k.Name, "in_force", k.show(old), "file", k.show(s))
+	}
 	n.budgetMu.Lock()
-	n.budget.SetRatio(retryShare * s.RetryRatio)
+	n.budget.SetRatio(retryShare * next.RetryRatio)
 	n.budgetMu.Unlock()
-	n.selector.setBounds(s)
-	old := n.settings
-	restart := s.Caller != old.Caller || s.Ready != old.Ready || s.Lookup != old.Lookup || s.Peer != old.Peer || s.Store != old.Store || s.Region != old.Region
-	event.SettingsRead.Log(n.log, "cold_over", s.ColdOver, "cold_slack", s.ColdSlack, "shift_most", s.MaxShift, "retry_ratio", s.RetryRatio, "needs_restart", restart)
+	n.selector.setBounds(next)
+	n.setVMs(now)
+	if !maps.Equal(next.Regions, old.Regions) {
+		event.DataCentresChanged.Log(n.log, "before", len(old.Regions), "now", len(next.Regions))
+		clear(n.unknownDataCentres)
+		n.selector.setInstances(now, n.placementInstances())
+	}
+	event.SettingsRead.Log(n.log, "changed", len(changed), "needs_restart", len(deferred))
+}
+
+// mergeSettings returns the settings in force after a reload, the keys whose values change,
+// and those whose changes need a restart.
+func mergeSettings(old, file *Settings) (next *Settings, changed, deferred []SettingKey) {
+	merged := *old
+	for _, k := range settingKeys {
+		switch {
+		case k.isSame(old, file):
+		case k.Reloads:
+			k.copy(&merged, file)
+			changed = append(changed, k)
+		default:
+			deferred = append(deferred, k)
+		}
+	}
+	merged.Regions = maps.Clone(file.Regions)
+	if old.DataCentre != "" {
+		// This VM stays where it is until it is restarted.
+		merged.Regions[old.DataCentre] = old.Region
+	}
+	return &merged, changed, deferred
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -42,7 +42,32 @@
 // SettingKey describes one setting.
 type SettingKey struct {
 	Section, Name, Unit, Default, Range, Meaning string
-	set                                          func(s *Settings, value string) error
+	// Reloads says that a running VM applies a changed value. Others take effect after a
+	// restart.
+	Reloads bool
+	set     func(s *Settings, value string) error
+	accessor
+}
+
+// accessor compares, copies and shows the field of a setting.
+type accessor struct {
+	isSame func(a, b *Settings) bool
+	copy   func(to, from *Settings)
+	show   func(s *Settings) string
+}
+
+func access[T comparable](field func(*Settings) *T) accessor {
+	return accessor{
+		isSame: func(a, b *Settings) bool { return *field(a) == *field(b) },
+		copy:   func(to, from *Settings) { *field(to) = *field(from) },
+		show:   func(s *Settings) string { return fmt.Sprint(*field(s)) },
+	}
+}
+
+// reloads marks a setting that a running VM applies.
+func reloads(k SettingKey) SettingKey {
+	k.Reloads = true
+	return k
 }
 
 // SettingKeys returns the table of settings in the order of the docs.
@@ -64,38 +89,38 @@
 	addressKey("listen", "lookup", "address for lookups of entry VMs", func(s *Settings) *netip.AddrPort { return &s.Lookup }),
 	addressKey("listen", "peer", "address for other VMs, which follow this VM's records, and for metrics", func(s *Settings) *netip.AddrPort { return &s.Peer }),
 	addressKey("store", "address", "address of the platform's store", func(s *Settings) *netip.AddrPort { return &s.Store }),
-	duration("store", "lease_minimum", "1", "minimum time to live of a lease that the store grants", func(s *Settings) *time.Duration { return &s.MinLeaseTTL }),
-	number("bounds", "cold_over", "", "1", 100, "factor on the rate that a cold instance tolerates, over all VMs", func(s *Settings) *float64 { return &s.ColdOver }),
-	number("bounds", "cold_slack", "requests/s", "0", 1e6, "added to that bound", func(s *Settings) *float64 { return &s.ColdSlack }),
-	number("bounds", "shift_most", "", "0.15", 1, "maximum share of a region's requests that may move to another region within 2 s", func(s *Settings) *float64 { return &s.MaxShift }),
-	number("bounds", "retry_ratio", "", "0.1", 1, "retries per request of a service, over all VMs", func(s *Settings) *float64 { return &s.RetryRatio }),
-	number("bounds", "retry_slack", "attempts", "0", 1e6, "added to that bound in each window of 10 s, over all VMs", func(s *Settings) *float64 { return &s.RetrySlack }),
-	duration("bounds", "stop_grace", "6", "time from SIGTERM until the process must have exited", func(s *Settings) *time.Duration { return &s.StopGrace }),
-	duration("bounds", "drain_time", "2.5", "time for which a leaving instance still serves", func(s *Settings) *time.Duration { return &s.DrainTime }),
-	duration("bounds", "stable_window", "4", "time after a disturbance from which bounds hold again; the record of a crashed VM is kept for about as long", func(s *Settings) *time.Duration { return &s.StableWindow }),
-	duration("bounds", "lookup_ttl_most", "5", "maximum time for which callers cache an answer", func(s *Settings) *time.Duration { return &s.MaxLookupTTL }),
+	reloads(duration("store", "lease_minimum", "1", "minimum time to live of a lease that the store grants", func(s *Settings) *time.Duration { return &s.MinLeaseTTL })),
+	reloads(number("bounds", "cold_over", "", "1", 100, "factor on the rate that a cold instance tolerates, over all VMs", func(s *Settings) *float64 { return &s.ColdOver })),
+	reloads(number("bounds", "cold_slack", "requests/s", "0", 1e6, "added to that bound", func(s *Settings) *float64 { return &s.ColdSlack })),
+	reloads(number("bounds", "shift_most", "", "0.15", 1, "maximum share of a region's requests that may move to another region within 2 s", func(s *Settings) *float64 { return &s.MaxShift })),
+	reloads(number("bounds", "retry_ratio", "", "0.1", 1, "retries per request of a service, over all VMs", func(s *Settings) *float64 { return &s.RetryRatio })),
+	reloads(number("bounds", "retry_slack", "attempts", "0", 1e6, "added to that bound in each window of 10 s, over all VMs", func(s *Settings) *float64 { return &s.RetrySlack })),
+	reloads(duration("bounds", "stop_grace", "6", "time from SIGTERM until the process must have exited", func(s *Settings) *time.Duration { return &s.StopGrace })),
+	reloads(duration("bounds", "drain_time", "2.5", "time for which a leaving instance still serves", func(s *Settings) *time.Duration { return &s.DrainTime })),
+	reloads(duration("bounds", "stable_window", "4", "time after a disturbance from which bounds hold again; the record of a crashed VM is kept for about as long", func(s *Settings) *time.Duration { return &s.StableWindow })),
+	reloads(duration("bounds", "lookup_ttl_most", "5", "maximum time for which callers cache an answer", func(s *Settings) *time.Duration { return &s.MaxLookupTTL })),
 }
 
 func text(section, name, meaning string, field func(*Settings) *string) SettingKey {
-	return SettingKey{section, name, "", "", "not empty", meaning, func(s *Settings, value string) error {
+	return SettingKey{section, name, "", "", "not empty", meaning, false, func(s *Settings, value string) error {
 		if value == "" {
 			return errors.New("missing or empty")
 		}
 		*field(s) = value
 		return nil
-	}}
+	}, access(field)}
 }
 
 func addressKey(section, name, meaning string, field func(*Settings) *netip.AddrPort) SettingKey {
-	return SettingKey{section, name, "IP:PORT", "", "an IP address with a port", meaning, func(s *Settings, value string) error {
+	return SettingKey{section, name, "IP:PORT", "", "an IP address with a port", meaning, false, func(s *Settings, value string) error {
 		a, err := netip.ParseAddrPort(value)
 		*field(s) = a
 		return err
-	}}
+	}, access(field)}
 }
 
 func number(section, name, unit, defaultValue string, maxValue float64, meaning string, field func(*Settings) *float64) SettingKey {
-	return SettingKey{section, name, unit, defaultValue, fmt.Sprintf("0 to %g", maxValue), meaning, func(s *Settings, value string) error {
+	return SettingKey{section, name, unit, defaultValue, fmt.Sprintf("0 to %g", maxValue), meaning, false, func(s *Settings, value string) error {
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil {
 			return errors.New("not a number")
@@ -105,14 +130,14 @@
 		}
 		*field(s) = v
 		return nil
-	}}
+	}, access(field)}
 }
 
 // maxSettingSeconds bounds the durations in the settings.
 const maxSettingSeconds = 3600
 
 func duration(section, name, defaultValue, meaning string, field func(*Settings) *time.Duration) SettingKey {
-	return SettingKey{section, name, "s", defaultValue, fmt.Sprintf("more than 0, at most %d", maxSettingSeconds), meaning, func(s *Settings, value string) error {
+	return SettingKey{section, name, "s", defaultValue, fmt.Sprintf("more than 0, at most %d", maxSettingSeconds), meaning, false, func(s *Settings, value string) error {
 		v, err := strconv.ParseFloat(value, 64)
 		if err != nil || math.IsNaN(v) {
 			return errors.New("not a number")
@@ -122,7 +147,7 @@
 		}
 		*field(s) = time.Duration(v * float64(time.Second))
 		return nil
-	}}
+	}, access(field)}
 }
 
 // LoadSettings reads and validates a file. All errors are returned together, as
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"maps"
 	"os"
 	"strings"
 	"testing"
@@ -80,6 +81,46 @@
 	}
 }
 
+// changedValue returns a valid value of a key other than that of goodSettings.
+func changedValue(k *SettingKey) string {
+	switch {
+	case k.Range == "not empty":
+		return "other"
+	case k.Unit == "IP:PORT":
+		return "10.0.0.77:77"
+	default:
+		return "0.75"
+	}
+}
+
+// Every changed key of the file must be applied by a reload, or be named as one that needs a
+// restart: it must not be dropped in silence.
+func TestReloadAppliesOrNamesEveryKey(t *testing.T) {
+	for k := range settingKeys {
+		key := &settingKeys[k]
+		old, err := ParseSettings("x", []byte(goodSettings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		file := *old
+		if err := key.set(&file, changedValue(key)); err != nil {
+			t.Fatalf("%s: %v", key.Name, err)
+		}
+		if key.isSame(old, &file) {
+			t.Fatalf("%s: the value is not changed", key.Name)
+		}
+		next, changed, deferred := mergeSettings(old, &file)
+		isNamed := len(deferred) == 1 && deferred[0].Name == key.Name && key.isSame(next, old)
+		isApplied := len(changed) == 1 && changed[0].Name == key.Name && key.isSame(next, &file)
+		if key.Reloads != isApplied || key.Reloads == isNamed {
+			t.Errorf("[%s] %s: applied %v, named %v", key.Section, key.Name, isApplied, isNamed)
+		}
+		if !maps.Equal(next.Regions, old.Regions) {
+			t.Errorf("[%s] %s changes the data centres to %v", key.Section, key.Name, next.Regions)
+		}
+	}
+}
+
 var update = flag.Bool("update", false, "write docs/SETTINGS-ENTRY.md from the code")
 
 const settingsPage = "../docs/SETTINGS-ENTRY.md"
@@ -88,16 +129,16 @@
 func TestSettingsMatchDocs(t *testing.T) {
 	var b strings.Builder
 	b.WriteString("# Settings of an entry VM on a platform\n\nWritten by `go test ./entry -update`. `currantferryd entry -check -config FILE` validates a file and\n" +
-		"names every fault. Unknown keys are ignored, since the platform may add fields. Bounds are read again on SIGHUP\nand when the file changes; changes of addresses, the location or the store take effect after a\nrestart.\n")
+		"names every fault. Unknown keys are ignored, since the platform may add fields. The file is read again on SIGHUP\nand when it changes. Keys with \"yes\" under reload are then applied, all in one step; a change of another key is named\nin the log (event 2367) and takes effect after a restart.\n")
 	section := ""
 	for _, k := range SettingKeys() {
 		if k.Section != section {
 			section = k.Section
-			b.WriteString("\n## [" + section + "]\n\n| key | unit | default | accepted | meaning |\n|---|---|---|---|---|\n")
+			b.WriteString("\n## [" + section + "]\n\n| key | unit | default | accepted | reload | meaning |\n|---|---|---|---|---|---|\n")
 		}
-		b.WriteString("| " + strings.Join([]string{k.Name, k.Unit, k.Default, k.Range, k.Meaning}, " | ") + " |\n")
+		b.WriteString("| " + strings.Join([]string{k.Name, k.Unit, k.Default, k.Range, map[bool]string{true: "yes"}[k.Reloads], k.Meaning}, " | ") + " |\n")
 	}
-	b.WriteString("\n## [data_centres]\n\nOne key for each data centre, with its region as value. The VM's own must be among them.\n")
+	b.WriteString("\n## [data_centres]\n\nOne key for each data centre, with its region as value. The VM's own must be among them. Changes are applied by a reload.\n")
 	if *update {
 		if err := os.WriteFile(settingsPage, []byte(b.String()), 0o644); err != nil {
 			t.Fatal(err)
--- a/entry/state.go
+++ b/entry/state.go
@@ -222,7 +222,7 @@
 		total += weightOf(&v.vms[i])
 	}
 	n.budgetMu.Lock()
-	n.budget.SetBurst(retrySlackShare * n.settings.RetrySlack * own / max(own, total))
+	n.budget.SetBurst(retrySlackShare * n.settings.Load().RetrySlack * own / max(own, total))
 	n.budgetMu.Unlock()
 	vms := make([]placement.VM, 0, len(v.ranked))
 	for i := range v.ranked {
@@ -230,7 +230,7 @@
 	}
 	// The region of an instance in an unknown data centre is empty.
 	electorates := map[string]placement.Electorate{"": electorateOf(v.vms, "", n.self.ID)}
-	for _, region := range n.settings.Regions {
+	for _, region := range n.settings.Load().Regions {
 		if _, known := electorates[region]; !known {
 			electorates[region] = electorateOf(v.vms, region, n.self.ID)
 		}
@@ -273,10 +273,18 @@
 	return out
 }
 
+// maxUnknownDataCentres bounds the data centres that are logged, since instances name them.
+const maxUnknownDataCentres = 64
+
 // toPlacement converts an instance for the placement. The lock is held.
 func (n *Node) toPlacement(i *inventory.Instance) placement.Instance {
+	region, known := n.settings.Load().Regions[i.DataCentre]
+	if !known && !n.unknownDataCentres[i.DataCentre] && len(n.unknownDataCentres) < maxUnknownDataCentres {
+		n.unknownDataCentres[i.DataCentre] = true
+		event.UnknownDataCentre.Log(n.log, "data_centre", i.DataCentre, "id", i.ID)
+	}
 	p := placement.Instance{
-		ID: i.ID, Service: i.Service, Region: n.settings.Regions[i.DataCentre],
+		ID: i.ID, Service: i.Service, Region: region,
 		Address: i.Address, StartMillis: i.StartMillis, Slots: i.Slots, ColdUntil: i.ColdUntil,
 	}
 	if routes := n.inv.Routes(); routes != nil {
@@ -289,8 +297,9 @@
 // A stopping VM keeps serving until the callers that cached its address have asked
 // again.
 func (n *Node) lookup(location CallerLocation) ([]string, time.Duration) {
-	linger := time.Duration(lingerShare * float64(n.settings.StopGrace))
-	ttl := max(min(maxLookupTTL, n.settings.MaxLookupTTL, linger-maxWithdrawDelay), minLookupTTL)
+	s := n.settings.Load()
+	linger := time.Duration(lingerShare * float64(s.StopGrace))
+	ttl := max(min(maxLookupTTL, s.MaxLookupTTL, linger-maxWithdrawDelay), minLookupTTL)
 	var self *inventory.VM
 	if n.isReady() {
 		self = &n.self
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -72,7 +72,8 @@
 func TestLeaseOutlastsALostRenewal(t *testing.T) {
 	t.Parallel()
 	for _, window := range []time.Duration{3 * time.Second, 4 * time.Second, 5 * time.Second} {
-		n := &Node{settings: &Settings{StableWindow: window, MinLeaseTTL: time.Second}}
+		n := new(Node)
+		n.settings.Store(&Settings{StableWindow: window, MinLeaseTTL: time.Second})
 		ttl := n.leaseTTL()
 		pause := time.Duration(renewFraction * float64(ttl))
 		// The first renewal times out, and the retry takes as long.
@@ -253,7 +254,8 @@
 func TestAnswersEndBeforeAStoppingVMDoes(t *testing.T) {
 	t.Parallel()
 	for _, grace := range []time.Duration{3 * time.Second, 6 * time.Second, 30 * time.Second} {
-		n := &Node{settings: &Settings{StopGrace: grace, MaxLookupTTL: 5 * time.Second}}
+		n := new(Node)
+		n.settings.Store(&Settings{StopGrace: grace, MaxLookupTTL: 5 * time.Second})
 		n.view.Store(newView(nil, time.Unix(0, 0), vmsOf("a", 3), "a"))
 		addresses, ttl := n.lookup(CallerLocation{"a", "dc"})
 		if len(addresses) != 3 || ttl <= 0 || ttl > 5*time.Second {
