Record a crashing request at its third crash

Cause: until a VM had written the record of the refused request, 1.5 to 2.5 s after the last crash, the crashes stood in the VMs' memory only. The delay saved the write where a run in progress still succeeds.

Ruled out: writing at the second crash (one more write for each request that crashes two instances, mostly by chance), and a slow start after a kill of all VMs (it would hold innocent requests).

Change: the VM that observed the last crash writes the record as soon as the third is counted, woken by the crash. VMs that observed earlier ones still wait, so there is one write; a success removes the record, as before.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -376,22 +376,30 @@
 	}
 }
 
-// Unrecorded returns the refused requests without a record whose last crash is older
-// than minAge, since a run that was in progress may still succeed until then. It
-// returns only requests of which this VM observed a crash, so that not all VMs record
-// them.
+// Unrecorded returns the refused requests without a record that this VM has to record. It
+// records at once those of which it observed the last crash: if all VMs are killed, nobody
+// else remembers the crashes. Those of which it observed an earlier one it records once the
+// last is older than minAge, in case the other VM has gone. A run that was in progress may
+// still succeed, which removes the record.
 func (l *Ledger) Unrecorded(now time.Time, minAge time.Duration) []Fingerprint {
 	var out []Fingerprint
 	for f, list := range l.crashes {
-		recent := func(c crash) bool { return now.Sub(c.at) < minAge }
-		local := func(c crash) bool { return c.local }
-		if len(list) >= l.cfg.MaxCrashes && !l.recorded[f] && !slices.ContainsFunc(list, recent) && slices.ContainsFunc(list, local) {
+		if len(list) < l.cfg.MaxCrashes || l.recorded[f] || !slices.ContainsFunc(list, func(c crash) bool { return c.local }) {
+			continue
+		}
+		last := slices.MaxFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
+		if last.local || now.Sub(last.at) >= minAge {
 			out = append(out, f)
 		}
 	}
 	return out
 }
 
+// HasRefused reports whether a step made a request refused.
+func (l *Ledger) HasRefused(s *Step) bool {
+	return (s.Kind == StepCrashed || s.Kind == StepReceived) && s.Crashes >= l.cfg.MaxCrashes
+}
+
 // Refuses reports whether a request must not be sent, and for how long.
 func (l *Ledger) Refuses(now time.Time, f Fingerprint) (wait time.Duration, refused bool) {
 	if l.recorded[f] {
--- a/entry/refused.go
+++ b/entry/refused.go
@@ -20,14 +20,14 @@
 	// refusalTTL is the lifetime of a record: the longest lease that the platform grants,
 	// and as long as crashes are counted.
 	refusalTTL = crashguard.DefaultReportTTL
-	// refusalRecordDelay is the time from the last crash until a request is recorded. It is
-	// a few times the usual processing time of a request, which may still succeed on
-	// another instance.
+	// refusalRecordDelay is the time from the last crash until a request is recorded by a VM
+	// that has not observed that crash itself. The one that has records it at once.
 	refusalRecordDelay = 1500 * time.Millisecond
 	// refusalRecordJitter keeps the VMs that saw crashes of the same request from all
 	// writing its record.
 	refusalRecordJitter = time.Second
-	// refusalRecordInterval is the delay between checks for records to write.
+	// refusalRecordInterval is the delay between checks for records to write, beside those
+	// after a crash.
 	refusalRecordInterval = 500 * time.Millisecond
 )
 
@@ -41,6 +41,8 @@
 		select {
 		case <-n.ctx.Done():
 			return
+		case <-n.selector.refused:
+			timer.Reset(0)
 		case now := <-timer.C:
 			delay := refusalRecordDelay + rand.N(refusalRecordJitter)
 			due, cleared := n.selector.pendingRefusals(now, delay, written)
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -38,6 +38,8 @@
 	mu     sync.Mutex
 	picker *placement.Picker
 	ledger *crashguard.Ledger
+	// refused is signalled when crashes make a request refused.
+	refused chan struct{}
 	// evidence is evidence for crashes that does not count yet.
 	evidence []heldEvidence
 	// startTimes holds the start time of each instance that accepts new requests, by ID.
@@ -69,7 +71,7 @@
 		startTimes: make(map[string]int64), loggedSpill: make(map[string]float64), stepCounters: make(map[crashguard.StepKind]tally.Counter), noticeCounters: make(map[string]tally.Counter),
 		closeIdle: func(string) {}, ejectionCounters: make(map[string]tally.Counter), quotaCounters: make(map[string]tally.Counter), failedCoordinators: make(map[string]string),
 		requestQuota: func(time.Time, time.Duration) {}, quotaReplied: make(chan struct{}), reach: monitor.New(cfg.Region, log, scope),
-		admission: transit.NewAdmission(0),
+		admission: transit.NewAdmission(0), refused: make(chan struct{}, 1),
 	}
 	for _, kind := range crashguard.StepKinds() {
 		s.stepCounters[kind] = scope.Tagged(map[string]string{"step": string(kind)}).Counter("crash_steps")
@@ -89,6 +91,13 @@
 // logSteps logs and counts the new steps of the ledger. The lock is held.
 func (s *selector) logSteps(from string) {
 	for _, step := range s.ledger.Steps() {
+		if s.ledger.HasRefused(&step) {
+			select {
+			case s.refused <- struct{}{}:
+			default:
+				// A check is due already.
+			}
+		}
 		s.stepCounters[step.Kind].Inc(1)
 		ev := event.CrashSuspicionChanged
 		if step.Kind == crashguard.StepCrashed {
