Hold no removals back for a VM's own failures

It holds removals back for 2.2 s after its last failed call, though the store is sound, and sends requests to an instance that is gone later than the 4 s allowed (4,003 to 4,479 ms).

Cause: records that lapse in an outage of the store come back, so removals wait for 2.2 s after one. A VM took each failed call of its own for an outage.

Change: relays tell how long they have been in contact with the store without a gap. A VM whose relay has been for longer than 2.2 s knows that there was no outage, and applies removals at once, also those that it has deferred. A relay that fails itself, or leaves a gap, starts anew. Older relays don't tell, and nothing changes with them.

Measured: TestOwnFailuresDeferNoRemovals (inventory) and TestOwnFailuresAreNoOutage (feed), for an interface that was not there before.

--- a/entry/state.go
+++ b/entry/state.go
@@ -63,10 +63,10 @@
 }
 
 // ReportContact implements feed.Sink.
-func (n *Node) ReportContact(now time.Time, _ time.Duration, failed bool) {
+func (n *Node) ReportContact(now time.Time, steady time.Duration, failed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.inv.RecordContact(now, failed)
+	n.inv.RecordContact(now, steady, failed)
 	if failed {
 		// The refresh failed, so requests must not wait for it.
 		n.pause.markRefreshed()
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -33,6 +33,9 @@
 	// Age is the time since the store confirmed Revision. It is zero in answers of the
 	// store itself.
 	Age time.Duration
+	// Steady is how long a relay had been in contact with the store, without a gap, when the
+	// store confirmed Revision. It is zero if that is not known, and in answers of the store.
+	Steady time.Duration
 }
 
 // ErrCompacted is returned by a source that does not have the changes after the
@@ -71,6 +74,7 @@
 	Apply(now time.Time, epoch uint64, records []Record)
 	// ReportContact reports contact with the store, directly or through a relay, or that
 	// the store failed to answer this VM. It is called before the records of the same
-	// answer are delivered. Age is the time since the store's latest confirmation.
-	ReportContact(now time.Time, age time.Duration, failed bool)
+	// answer are delivered. Steady is how long this VM or its relay has been in contact with
+	// the store without a gap: in that time the store had no outage.
+	ReportContact(now time.Time, steady time.Duration, failed bool)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -103,6 +103,7 @@
 	mu     sync.Mutex
 	keys   map[string]bool
 	failed bool
+	steady time.Duration
 }
 
 func (s *sink) Reset(_ time.Time, _ history.Position, records []Record) {
@@ -122,10 +123,16 @@
 	}
 }
 
-func (s *sink) ReportContact(_ time.Time, _ time.Duration, failed bool) {
+func (s *sink) ReportContact(_ time.Time, steady time.Duration, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = failed
+	s.failed, s.steady = failed, steady
+}
+
+func (s *sink) contact() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.steady
 }
 
 func (s *sink) has(key string) bool {
@@ -281,6 +288,27 @@
 	eventually(t, "change through another VM", func() bool { return first.sink.has("a") })
 }
 
+// A VM whose own calls to the store fail must learn from a relay that the store had no outage,
+// and must not take the relay's word for it if the relay has lost the store too.
+func TestOwnFailuresAreNoOutage(t *testing.T) {
+	failing, healthy := newMemorySource(), newMemorySource()
+	healthy.replica = failing.replica
+	relay := start(t, healthy, func() ([]string, bool) { return nil, true })
+	vm := start(t, failing, func() ([]string, bool) { return []string{relay.address()}, true })
+	eventually(t, "contact for a second", func() bool { return vm.sink.contact() > time.Second && relay.sink.contact() > time.Second })
+	failing.setDown(true)
+	eventually(t, "failure of the own calls", vm.sink.hasFailed)
+	eventually(t, "steady contact through the relay", func() bool { return !vm.sink.hasFailed() && vm.sink.contact() > time.Second })
+	healthy.setDown(true)
+	eventually(t, "loss of all contact", func() bool { return vm.sink.hasFailed() && relay.sink.hasFailed() })
+	time.Sleep(time.Second)
+	healthy.setDown(false)
+	eventually(t, "return of the contact", func() bool { return !vm.sink.hasFailed() })
+	if contact := vm.sink.contact(); contact > time.Second {
+		t.Errorf("a steady contact of %s is reported after an outage that ended just now", contact)
+	}
+}
+
 // A loss of the store, and its return, must be reported to the sink.
 func TestOutageIsReported(t *testing.T) {
 	store := newMemorySource()
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -167,8 +167,10 @@
 func New(o Options) *Follower {
 	o.setDefaults()
 	dialer := net.Dialer{Timeout: o.AnswerGrace}
+	records := newReplica()
+	records.maxGap = o.MaxAge
 	return &Follower{
-		options: o, replica: newReplica(), avoidUntil: make(map[string]time.Time),
+		options: o, replica: records, avoidUntil: make(map[string]time.Time),
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
 	}
 }
@@ -355,8 +357,10 @@
 
 // reportContact reports contact with the store to the sink, or that the store failed.
 func (f *Follower) reportContact(now time.Time, failed bool) {
-	_, age := f.replica.position(f.options.Uptime())
-	f.options.Sink.ReportContact(now, age, failed)
+	if failed {
+		f.replica.loseContact()
+	}
+	f.options.Sink.ReportContact(now, f.replica.contact(f.options.Uptime()), failed)
 }
 
 // readState reads the whole state of a source. It rejects a state that is older than
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -44,6 +44,9 @@
 	headerEarlier = "Feed-Earlier"
 	// headerAge holds the age of the store's confirmation in microseconds.
 	headerAge = "Feed-Age-Us"
+	// headerSteady holds the steady contact with the store in microseconds. Older releases
+	// leave it out.
+	headerSteady = "Feed-Steady-Us"
 )
 
 // maxCachedBodies bounds the bodies that are cached for one revision. Followers lag by
@@ -228,6 +231,9 @@
 		h.Set(headerEpoch, strconv.FormatUint(a.Epoch, 10))
 	}
 	h.Set(headerAge, strconv.FormatInt(a.Age.Microseconds(), 10))
+	if a.Steady > 0 {
+		h.Set(headerSteady, strconv.FormatInt(a.Steady.Microseconds(), 10))
+	}
 	// Most answers have no records, and this header would be most of their size.
 	h["Date"] = nil
 	if len(a.Records) == 0 && after != wholeState {
@@ -315,6 +321,13 @@
 		return a, errors.Errorf("%s: %q", headerAge, res.Header.Get(headerAge))
 	}
 	a.Age = time.Duration(age) * time.Microsecond
+	if text := res.Header.Get(headerSteady); text != "" {
+		steady, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || steady < 0 || steady > math.MaxInt64/int64(time.Microsecond) {
+			return a, errors.Errorf("%s: %q", headerSteady, text)
+		}
+		a.Steady = time.Duration(steady) * time.Microsecond
+	}
 	if res.StatusCode == http.StatusNoContent {
 		return a, nil
 	}
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -30,8 +30,13 @@
 	at                history.Position
 	// confirmedAt is the uptime at which the store last confirmed at.
 	confirmedAt time.Duration
-	loaded      bool
-	changed     chan struct{}
+	// steadySince is the uptime from which on the store was in contact with this VM or its
+	// relay without a gap. Zero means that the contact was lost.
+	steadySince time.Duration
+	// maxGap is the longest time between two confirmations without a gap.
+	maxGap  time.Duration
+	loaded  bool
+	changed chan struct{}
 	// removed holds the records that were removed lately, and earlier what was known at the
 	// end of the epoch before and differs from the state after the restore.
 	removed map[string]removedRecord
@@ -39,7 +44,7 @@
 }
 
 func newReplica() *replica {
-	return &replica{records: make(map[string]Record), changed: make(chan struct{}), removed: make(map[string]removedRecord)}
+	return &replica{maxGap: DefaultMaxAge, records: make(map[string]Record), changed: make(chan struct{}), removed: make(map[string]removedRecord)}
 }
 
 // load replaces the state by that of an answer. It returns ErrOutdated if the answer is
@@ -64,7 +69,7 @@
 	}
 	c.records = records
 	c.changes, c.historyBytes, c.compactedRevision, c.at, c.loaded = nil, 0, a.Revision, a.Position, true
-	c.confirm(uptime, a.Age)
+	c.confirm(uptime, a)
 	c.wake()
 	return nil
 }
@@ -96,7 +101,7 @@
 		}
 	}
 	c.appendChanges(changes)
-	c.confirm(uptime, a.Age)
+	c.confirm(uptime, a)
 	if a.Revision > c.at.Revision {
 		c.at.Revision = a.Revision
 		c.wake()
@@ -130,12 +135,33 @@
 
 // confirm records a confirmation by the store. One that arrives through a relay can be
 // older than the latest known one and is then ignored. The caller holds the lock.
-func (c *replica) confirm(uptime time.Duration, age time.Duration) {
-	if confirmedAt := uptime - age; confirmedAt > c.confirmedAt || c.confirmedAt == 0 {
+func (c *replica) confirm(uptime time.Duration, a *Answer) {
+	confirmedAt := uptime - a.Age
+	if c.steadySince == 0 || confirmedAt-c.confirmedAt > c.maxGap {
+		c.steadySince = confirmedAt
+	}
+	c.steadySince = min(c.steadySince, max(1, confirmedAt-a.Steady))
+	if confirmedAt > c.confirmedAt || c.confirmedAt == 0 {
 		c.confirmedAt = confirmedAt
 	}
 }
 
+// loseContact records that the store failed to answer this VM.
+func (c *replica) loseContact() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.steadySince = 0
+}
+
+// steady returns how long the store has been in contact without a gap when it last confirmed
+// the position. The caller holds the lock.
+func (c *replica) steady() time.Duration {
+	if c.steadySince == 0 {
+		return 0
+	}
+	return max(0, c.confirmedAt-c.steadySince)
+}
+
 // wake wakes the requests that wait for a change. The caller holds the lock.
 func (c *replica) wake() {
 	close(c.changed)
@@ -150,7 +176,7 @@
 	if !c.loaded {
 		return Answer{}, c.changed, false
 	}
-	a := Answer{Position: c.at, Age: uptime - c.confirmedAt}
+	a := Answer{Position: c.at, Age: uptime - c.confirmedAt, Steady: c.steady()}
 	for _, r := range c.records {
 		a.Records = append(a.Records, r)
 	}
@@ -170,13 +196,23 @@
 	case !c.loaded || after.Epoch < c.at.Epoch || after.Revision < c.compactedRevision:
 		return Answer{}, nil, ErrCompacted
 	}
-	a := Answer{Position: c.at, Age: uptime - c.confirmedAt}
+	a := Answer{Position: c.at, Age: uptime - c.confirmedAt, Steady: c.steady()}
 	a.Revision = max(a.Revision, after.Revision)
 	first := sort.Search(len(c.changes), func(i int) bool { return c.changes[i].Revision > after.Revision })
 	a.Records = append(a.Records, c.changes[first:]...)
 	return a, c.changed, nil
 }
 
+// contact returns how long the store has been in contact without a gap, up to now.
+func (c *replica) contact(uptime time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.steadySince == 0 {
+		return 0
+	}
+	return uptime - c.steadySince
+}
+
 // position returns the position and the time since the store confirmed it.
 func (c *replica) position(uptime time.Duration) (history.Position, time.Duration) {
 	c.mu.Lock()
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -164,8 +164,10 @@
 	change Change
 	// presentAt is the position at which the record was last written.
 	presentAt history.Position
-	// deferredUntil is when a deferred removal takes effect, or zero.
+	// deferredUntil is when a deferred removal takes effect, or zero. isOutage says that it
+	// was deferred because the store was unreachable or restored.
 	deferredUntil time.Time
+	isOutage      bool
 	removedAt     time.Time
 	// doubted is a record of a restored store that was set aside, or nil. It takes effect
 	// at doubtedUntil unless the record is written or removed before.
@@ -200,8 +202,10 @@
 }
 
 // RecordContact records whether the store, or the connection to it, failed since the last
-// call. It must be called before the changes of an answer are applied.
-func (v *Inventory) RecordContact(now time.Time, failed bool) {
+// call. It must be called before the changes of an answer are applied. steady is how long
+// this VM or the one that it follows has been in contact with the store without a gap: if
+// only this VM's calls failed, the store had no outage.
+func (v *Inventory) RecordContact(now time.Time, steady time.Duration, failed bool) {
 	if failed {
 		v.isStoreUnreachable = true
 		return
@@ -209,6 +213,9 @@
 	if v.isStoreUnreachable {
 		v.isStoreUnreachable, v.reachableSince = false, now
 	}
+	if since := now.Add(-steady); since.Before(v.reachableSince) {
+		v.reachableSince = since
+	}
 }
 
 // shouldDeferRemovals reports whether removals may be a consequence of a store outage.
@@ -330,7 +337,7 @@
 			if e.deferredUntil.IsZero() {
 				effects = append(effects, Effect{Change: c, Deferred: true})
 			}
-			e.deferredUntil = deferredUntil
+			e.deferredUntil, e.isOutage = deferredUntil, c.Kind != KindEvacuation && v.shouldDeferRemovals(now)
 			v.pending[key] = e
 			return effects
 		}
@@ -362,7 +369,12 @@
 // ago.
 func (v *Inventory) Tick(now time.Time) []Effect {
 	var effects []Effect
+	outageEnd := v.recoveredAt().Add(removalDeferralTime)
 	for key, e := range v.pending {
+		if e.isOutage && !e.deferredUntil.IsZero() && !v.isStoreUnreachable && outageEnd.Before(e.deferredUntil) {
+			// The VM that this one follows has seen no outage.
+			e.deferredUntil = outageEnd
+		}
 		switch {
 		case e.doubted != nil && !now.Before(e.doubtedUntil):
 			effects = v.believe(now, e, effects)
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -69,8 +69,8 @@
 func TestRemovalsAfterAnOutageAreDeferred(t *testing.T) {
 	v := New()
 	v.Apply(at(0), []Change{registration("a", 1), registration("b", 2), registration("c", 3)})
-	v.RecordContact(at(1), true)
-	v.RecordContact(at(5), false)
+	v.RecordContact(at(1), 0, true)
+	v.RecordContact(at(5), 0, false)
 	effects := v.Apply(at(5), []Change{removal("a", 4), removal("b", 5)})
 	if got := instanceIDs(v); got != "a b c " || len(effects) != 2 || !effects[0].Deferred {
 		t.Fatalf("%q %+v", got, effects)
@@ -90,6 +90,29 @@
 	}
 }
 
+// Removals must take effect at once at a VM whose own calls failed while the VM that it follows
+// was in contact with the store, also if they were deferred before this was known. A VM that
+// lost the store together with the others must go on deferring.
+func TestOwnFailuresDeferNoRemovals(t *testing.T) {
+	for _, c := range []struct {
+		steady     float64
+		isDeferred bool
+	}{{0, true}, {1, true}, {3, false}, {60, false}} {
+		steady := time.Duration(c.steady * float64(time.Second))
+		v := New()
+		v.Apply(at(0), []Change{registration("a", 1), registration("b", 2), registration("c", 3)})
+		v.RecordContact(at(90), 0, true)
+		v.RecordContact(at(91), 0, false)
+		v.Apply(at(91), []Change{removal("a", 4)})
+		v.RecordContact(at(91.1), steady, false)
+		v.Apply(at(91.1), []Change{removal("b", 5)})
+		v.Tick(at(91.2))
+		if got, want := instanceIDs(v), map[bool]string{true: "a b c ", false: "c "}[c.isDeferred]; got != want {
+			t.Errorf("steady for %g s: %q, want %q", c.steady, got, want)
+		}
+	}
+}
+
 // If most records of a kind are removed at once, the removals must be deferred even if
 // this VM noticed no outage of the store.
 func TestMassRemovalIsDeferred(t *testing.T) {
@@ -178,8 +201,8 @@
 		return Change{Kind: KindEvacuation, ID: "a", Position: history.Position{Revision: revision}, Removed: ended}
 	}
 	v.Apply(at(0), []Change{registration("x", 1), registration("y", 2), evacuation(3, false)})
-	v.RecordContact(at(1), true)
-	v.RecordContact(at(5), false)
+	v.RecordContact(at(1), 0, true)
+	v.RecordContact(at(5), 0, false)
 	v.Apply(at(5), []Change{removal("x", 4), evacuation(5, true)})
 	if got := instanceIDs(v); got != "y " {
 		t.Errorf("%q after the evacuation, while the record of x is missing", got)
@@ -189,8 +212,8 @@
 		t.Errorf("%q after the record of x is back", got)
 	}
 	// Some time after an evacuation a missing record changes nothing for a while.
-	v.RecordContact(at(20), true)
-	v.RecordContact(at(25), false)
+	v.RecordContact(at(20), 0, true)
+	v.RecordContact(at(25), 0, false)
 	v.Apply(at(25), []Change{removal("x", 7), removal("y", 8)})
 	if got := instanceIDs(v); got != "x y " {
 		t.Errorf("%q some time after the evacuation", got)
