Tell refused callers when ejected instances are tried

Cause: a request that finds all instances ejected was told to come back in 0.5 s, whatever the time until the next trial, up to 8 s: its caller came back in vain, and clients here retry once.

Change: Retry-After is the time until the first instance that the request hasn't tried has been tried, from 0.1 to 2 s.

Measured: TestRefusalNamesTheNextTrial; before, all five cases got 0.5 s.

--- a/placement/ejection.go
+++ b/placement/ejection.go
@@ -14,6 +14,9 @@
 	// can't be reached. It is shorter than maxEjection because a trial connection costs no
 	// caller anything.
 	maxUnreachableEjection = 2 * time.Second
+	// trialTime is about the time from when a trial is due until its result is known: a tick
+	// and a round trip to another region.
+	trialTime = 250 * time.Millisecond
 	// maxTrialConnections bounds the trial connections in flight.
 	maxTrialConnections = 8
 )
@@ -122,6 +125,23 @@
 	p.ejectionChanges = append(p.ejectionChanges, c)
 }
 
+// untilTrial returns when the caller of a request may come back that found all instances of a
+// group ejected: once the first of them that it has not tried has been tried.
+func untilTrial(now time.Time, group []*instance, r *Request) time.Duration {
+	after := maxRetryAfter
+	known := false
+	for _, i := range group {
+		if i.ejection > 0 && !i.isReplaced && !slices.Contains(r.Exclude, i.ID) {
+			known = true
+			after = min(after, i.ejectedAt.Add(i.ejection).Sub(now)+trialTime)
+		}
+	}
+	if !known {
+		return defaultRetryAfter
+	}
+	return max(after, minRetryAfter)
+}
+
 // noneAvailableError counts, behind a refusal, the instances of a service in a region by what
 // kept them from being chosen.
 type noneAvailableError struct {
--- a/placement/ejection_test.go
+++ b/placement/ejection_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -96,3 +97,37 @@
 		t.Error("the instance still counts as replaced after it has answered")
 	}
 }
+
+// A caller that is refused because all instances are ejected must be told to come back when the
+// first of them has been tried: not before, and not long after.
+func TestRefusalNamesTheNextTrial(t *testing.T) {
+	p := newShopPicker("vm-1", 3, "a")
+	for n, after := range []float64{0, 0, 0, 1} {
+		i := p.services["shop"].instances[fmt.Sprint("a-", n%3)]
+		i.eject(at(after), true)
+	}
+	order := func(seconds float64, exclude ...string) time.Duration {
+		t.Helper()
+		_, e := p.Pick(at(seconds), &Request{Service: "shop", Target: time.Second, Deadline: at(seconds + 5), Exclude: exclude})
+		if e == nil || e.Verdict != verdict.NotRun {
+			t.Fatalf("at %g s: %v", seconds, e)
+		}
+		return e.RetryAfter
+	}
+	// a-0 is ejected until 2 s, the others until 0.5 s.
+	for _, c := range []struct {
+		at      float64
+		exclude []string
+		want    time.Duration
+	}{
+		{0.1, nil, 400*time.Millisecond + trialTime},
+		{0.1, []string{"a-1", "a-2"}, 1900*time.Millisecond + trialTime},
+		{0.5, nil, trialTime},
+		{0.7, nil, minRetryAfter},
+		{0.1, []string{"a-0", "a-1", "a-2"}, defaultRetryAfter},
+	} {
+		if got := order(c.at, c.exclude...); (got - min(c.want, maxRetryAfter)).Abs() > time.Millisecond {
+			t.Errorf("at %g s without %v: come back in %s, want %s", c.at, c.exclude, got, c.want)
+		}
+	}
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -432,7 +432,7 @@
 	case hasCold:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonSaturated, defaultRetryAfter)
 	default:
-		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+		e := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, untilTrial(now, group, r))
 		e.Err = newNoneAvailableError(now, group, r)
 		return nil, e
 	}
