Don't take the own connection limit for an instance's failure

Cause: every error before the first byte counts as a connection that failed.

Change: reason connection-limit. The request is tried elsewhere, and the instance's state stays as it is.

Measured: TestOwnConnectionLimitIsNoFailure; before, the reason is connect-failed.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -365,7 +365,7 @@
 // Done implements proxy.Selection.
 func (c *selection) Done(o proxy.Outcome) {
 	out := placement.Outcome{
-		Verdict: o.Verdict, Reason: o.Reason, Latency: o.Latency, Cancelled: o.Cancelled || o.Reason == verdict.ReasonWithdrawn, Failed: o.Status >= 500 && o.Verdict != verdict.NotRun,
+		Verdict: o.Verdict, Reason: o.Reason, Latency: o.Latency, Cancelled: o.Cancelled || o.Reason == verdict.ReasonWithdrawn || o.Reason == verdict.ReasonConnectionLimit, Failed: o.Status >= 500 && o.Verdict != verdict.NotRun,
 	}
 	if o.Load != nil {
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
--- a/node/pool.go
+++ b/node/pool.go
@@ -267,7 +267,7 @@
 // balancerOutcome converts the outcome of an attempt to that of the balancer.
 func balancerOutcome(o proxy.Outcome) balance.Outcome {
 	switch {
-	case o.Cancelled, o.Reason == verdict.ReasonWithdrawn:
+	case o.Cancelled, o.Reason == verdict.ReasonWithdrawn, o.Reason == verdict.ReasonConnectionLimit:
 		return balance.Cancelled
 	case o.Verdict == verdict.Ran:
 		return balance.Answered
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -171,6 +171,8 @@
 		return a.x.addRetryAfter(verdict.Wrap(err, v, verdict.ReasonAnswerMismatch))
 	case errors.Is(err, upstream.ErrWithdrawn):
 		return verdict.Wrap(err, v, verdict.ReasonWithdrawn)
+	case errors.Is(err, upstream.ErrConnectionLimit):
+		return verdict.Wrap(err, v, verdict.ReasonConnectionLimit)
 	case v == verdict.NotRun:
 		return verdict.Wrap(err, v, verdict.ReasonConnectFailed)
 	default:
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -18,6 +18,7 @@
 	"github.com/currantferry/currantferry/metric"
 	"github.com/currantferry/currantferry/register"
 	"github.com/currantferry/currantferry/standin"
+	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -310,6 +311,34 @@
 	}
 }
 
+// A VM that uses all connections that it may open to an instance must not take that for a
+// failure of the instance.
+func TestOwnConnectionLimitIsNoFailure(t *testing.T) {
+	release := make(chan struct{})
+	address, _ := rawUpstream(t, func(int) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true })
+	f := newFixture(t, address)
+	f.handler.client = upstream.New(upstream.Options{MaxConnections: 1, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		<-release
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}})
+	first := make(chan error, 1)
+	go func() {
+		_, _, err := f.do(t, "POST", "/order", "x")
+		first <- err
+	}()
+	for end := time.Now().Add(5 * time.Second); f.handler.client.Opened() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	res, _, err := f.do(t, "POST", "/order", "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantVerdict(t, res, verdict.NotRun, verdict.ReasonConnectionLimit)
+	close(release)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+}
+
 // A truncated answer must not look like a complete one to the caller.
 func TestTruncatedAnswerNeverLooksComplete(t *testing.T) {
 	answers := map[string]string{
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -100,7 +100,7 @@
 	if !x.body.isRepeatable() {
 		return &verdict.Error{Verdict: err.Verdict, Reason: verdict.ReasonBodyNotRepeatable, RetryAfter: x.h.options.DefaultRetryAfter, Err: err}
 	}
-	if err.Reason == verdict.ReasonConnectFailed || err.Reason == verdict.ReasonWithdrawn || (err.Verdict == verdict.NotRun && isVMReason(err.Reason)) {
+	if err.Reason == verdict.ReasonConnectFailed || err.Reason == verdict.ReasonWithdrawn || err.Reason == verdict.ReasonConnectionLimit || (err.Verdict == verdict.NotRun && isVMReason(err.Reason)) {
 		// Nothing was sent to an instance, so a retry adds no load and needs no
 		// retry budget.
 		if x.unsent++; x.unsent <= maxUnsent {
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -42,6 +42,7 @@
 	ReasonAskedToWait       Reason = "asked-to-wait"
 	ReasonAtLimit           Reason = "at-limit"
 	ReasonWithdrawn         Reason = "withdrawn"
+	ReasonConnectionLimit   Reason = "connection-limit"
 	ReasonIsolated          Reason = "isolated"
 )
 
@@ -91,6 +92,7 @@
 	{ReasonSlowUpstream, http.StatusGatewayTimeout, "http_response_timeout", "a hedged read overtook a slow instance"},
 	{ReasonAskedToWait, http.StatusServiceUnavailable, "destination_unavailable", "every instance that may serve the request leaves or asked for a pause"},
 	{ReasonAtLimit, http.StatusServiceUnavailable, "connection_limit_reached", "every instance that may serve the request is at the limit that it named, leaves or asked for a pause"},
+	{ReasonConnectionLimit, http.StatusServiceUnavailable, "connection_limit_reached", "this VM uses all connections that it may open to the instance"},
 	{ReasonWithdrawn, http.StatusServiceUnavailable, "destination_unavailable", "the instance asked for no more requests before this one was sent"},
 	{ReasonIsolated, http.StatusServiceUnavailable, "destination_unavailable", "this VM reaches no instance, or the request was passed on to it without its key"},
 	{ReasonBodyNotRepeatable, http.StatusBadGateway, "connection_terminated", "the body was partly sent and cannot be sent again"},
