--- a/placement/ejection.go
+++ b/placement/ejection.go
@@ -62,7 +62,9 @@
 const (
 	// ConnectionUnknown connections show nothing about the instance.
 	ConnectionUnknown ConnectionResult = iota
+	// ConnectionOpened connections were accepted at the address of the instance.
 	ConnectionOpened
+	// ConnectionFailed connections could not be opened although this VM reaches others.
 	ConnectionFailed
 )
 
--- a/placement/return_test.go
+++ b/placement/return_test.go
@@ -29,7 +29,7 @@
 type condition int
 
 const (
-	isWorking condition = iota
+	works condition = iota
 	// refusesConnections, losesRequests and hangs leave requests without an answer; the last
 	// until their deadline.
 	refusesConnections
@@ -129,20 +129,20 @@
 	m.p.Done(m.now, &r.ticket, o)
 }
 
-// send sends a request to any instance but the excluded ones.
-func (m *returnModel) send(isOrder bool, exclude []string) (string, bool) {
+// send sends a request to any instance but the excluded ones, and reports whether one took it.
+func (m *returnModel) send(isOrder bool, exclude []string) bool {
 	ticket, e := m.p.Pick(m.now, &Request{
 		Service: "shop", Key: fmt.Sprint(m.rng.IntN(5)), Idempotent: !isOrder, Target: time.Second, Deadline: m.now.Add(2 * time.Second), Exclude: exclude,
 	})
 	if e != nil {
-		return "", false
+		return false
 	}
 	took := time.Duration(m.rng.IntN(300)) * time.Millisecond
 	if m.conditions[ticket.Instance.ID] == hangs {
 		took = 2 * time.Second
 	}
 	m.pending = append(m.pending, pendingRequest{ticket, m.now.Add(took), isOrder})
-	return ticket.Instance.ID, true
+	return true
 }
 
 // An instance that works again must get requests again within a stated time at every VM that
@@ -174,14 +174,15 @@
 				m.send(ordersOnly || m.rng.IntN(2) == 0, nil)
 			}
 		}
-		clear(m.conditions)
+		for _, id := range m.ids {
+			m.conditions[id] = works
+		}
 		waiting := slices.Clone(m.ids)
 		for healed := m.now; len(waiting) > 0; {
 			m.step(50 * time.Millisecond)
 			waiting = slices.DeleteFunc(waiting, func(id string) bool {
 				others := slices.DeleteFunc(slices.Clone(m.ids), func(other string) bool { return other == id })
-				_, sent := m.send(true, others)
-				return sent
+				return m.send(true, others)
 			})
 			if m.now.Sub(healed) > maxReturnTime+2*time.Second {
 				i := m.p.services["shop"].instances[waiting[0]]
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -326,7 +326,10 @@
 		_, _, err := f.do(t, "POST", "/order", "x")
 		first <- err
 	}()
-	for end := time.Now().Add(5 * time.Second); f.handler.client.Opened() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); f.handler.client.Opened() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no connection is opened")
+		}
 	}
 	res, _, err := f.do(t, "POST", "/order", "x")
 	if err != nil {
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -117,7 +117,7 @@
 		b := brokenBuilds[name]
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, b.build(t), seed, defaultSize)
+			w := newWorld(t, []string{b.build(t)}, seed, defaultSize)
 			w.run(brokenBuildSeconds*time.Second, b.kinds)
 			violations := w.violations()
 			for _, v := range violations {
@@ -156,7 +156,7 @@
 // build builds the daemon with the defect and returns its path.
 func (b *brokenBuild) build(t *testing.T) string {
 	t.Helper()
-	sources, err := withLinks()
+	sources, err := withLinks("..")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,12 +167,12 @@
 	if sources[b.file], err = replaceOnce(string(source), b.old, b.with); err != nil {
 		t.Fatal(err)
 	}
-	return buildWith(t, sources)
+	return buildWith(t, "..", sources)
 }
 
-// buildWith builds the daemon with other contents of some source files, by their paths in
-// the repository, through an overlay that leaves the files as they are.
-func buildWith(t *testing.T, sources map[string]string) string {
+// buildWith builds the daemon of the source tree at root with other contents of some source
+// files, by their paths there, through an overlay that leaves the files as they are.
+func buildWith(t *testing.T, root string, sources map[string]string) string {
 	t.Helper()
 	dir := t.TempDir()
 	write := func(name, data string) string {
@@ -184,7 +184,7 @@
 	}
 	overlay := make(map[string]string)
 	for path, source := range sources {
-		original, err := filepath.Abs(filepath.Join("..", path))
+		original, err := filepath.Abs(filepath.Join(root, path))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -195,7 +195,8 @@
 		t.Fatal(err)
 	}
 	daemon := filepath.Join(dir, "currantferryd")
-	build := exec.Command("go", "build", "-overlay", write("overlay.json", string(replace)), "-o", daemon, "../cmd/currantferryd")
+	build := exec.Command("go", "build", "-overlay", write("overlay.json", string(replace)), "-o", daemon, "./cmd/currantferryd")
+	build.Dir = root
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
--- a/soak/cut_test.go
+++ b/soak/cut_test.go
@@ -53,10 +53,11 @@
 }
 `
 
-// withLinks returns the source files with which the daemon's links can be cut.
-func withLinks() (map[string]string, error) {
+// withLinks returns the source files with which the links of the daemon of the source tree at
+// root can be cut.
+func withLinks(root string) (map[string]string, error) {
 	const entry, old = "cmd/currantferryd/entry.go", "entry.Options{Settings: s,"
-	source, err := os.ReadFile(filepath.Join("..", entry))
+	source, err := os.ReadFile(filepath.Join(root, entry))
 	if err != nil {
 		return nil, err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,11 +53,17 @@
 // buildDaemon builds the daemon under test and returns its path.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
-	sources, err := withLinks()
+	return buildTree(t, "..")
+}
+
+// buildTree builds the daemon of the source tree at root.
+func buildTree(t *testing.T, root string) string {
+	t.Helper()
+	sources, err := withLinks(root)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return buildWith(t, sources)
+	return buildWith(t, root, sources)
 }
 
 // The guarantees to callers must hold while VMs are killed, paused and stopped, while
@@ -75,7 +81,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, daemon, seed, fleet)
+			w := newWorld(t, []string{daemon}, seed, fleet)
 			w.run(duration, w.drawKinds())
 			w.check()
 		})
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -99,6 +99,8 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	log      *os.File
+	// starts counts the starts of the process.
+	starts int
 	// lastDisturbed is when a fault last affected the process.
 	lastDisturbed time.Time
 	// lastStoreFault is when a fault last affected the updates of the store to the VM.
@@ -152,10 +154,11 @@
 // world is the system under test with its surroundings: the store, the entry VMs, the
 // instances, and the records of faults and requests that the checks need.
 type world struct {
-	t      *testing.T
-	seed   uint64
-	rng    *rand.Rand
-	daemon string
+	t    *testing.T
+	seed uint64
+	rng  *rand.Rand
+	// builds are the daemons that a VM runs in turn, one after each start.
+	builds []string
 	dir    string
 	size   size
 	store  *standin.Store
@@ -190,10 +193,10 @@
 	}
 }
 
-func newWorld(t *testing.T, daemon string, seed uint64, fleet size) *world {
+func newWorld(t *testing.T, builds []string, seed uint64, fleet size) *world {
 	t.Helper()
 	w := emptyWorld(seed)
-	w.t, w.daemon, w.dir, w.size = t, daemon, t.TempDir(), fleet
+	w.t, w.builds, w.dir, w.size = t, builds, t.TempDir(), fleet
 	var err error
 	if w.store, err = standin.StartStore("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -332,7 +335,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	cmd := exec.Command(w.daemon, "entry", "-config", v.settings)
+	w.mu.Lock()
+	daemon := w.builds[v.starts%len(w.builds)]
+	v.starts++
+	w.mu.Unlock()
+	cmd := exec.Command(daemon, "entry", "-config", v.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "CURRANTFERRY_SOAK_LINKS="+v.links)
 	if err := cmd.Start(); err != nil {
