Notice the first restore of a store that counts from zero

The platform's page says only that the number rises by one each time.

Cause: epoch 0 meant "not told" as well, so that a state of epoch 1 after it was taken for the first one.

Change: whether a state was loaded before is kept apart from its epoch. A store that tells no epoch never changes it, as before.

Measured: TestRestoreBringsNoInstanceBack with first epochs 0, 1 and 7; before, it fails with 0 ("drains left stays").

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,6 +142,8 @@
 	announcesEarly atomic.Bool
 	// digestRound counts the digests sent, so that all peers are reached in rotation.
 	digestRound int
+	// isLoaded says that the state of the store was received. mu guards it.
+	isLoaded bool
 	// epoch is the latest epoch of the store that this VM knows, rewriteAt the time, in Unix
 	// nanoseconds, from which records of earlier ones are written again.
 	epoch     atomic.Uint64
--- a/entry/state.go
+++ b/entry/state.go
@@ -79,7 +79,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	effects := n.inv.Reset(now, at, changes)
-	if before := n.epoch.Swap(at.Epoch); before != 0 && before != at.Epoch {
+	wasLoaded := n.isLoaded
+	n.isLoaded = true
+	if before := n.epoch.Swap(at.Epoch); wasLoaded && before != at.Epoch {
 		// The record of this VM is written again with those of the others.
 		effects = slices.DeleteFunc(effects, func(e inventory.Effect) bool {
 			return e.Change.Kind == inventory.KindVM && e.Change.ID == n.self.ID
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -191,8 +191,10 @@
 	// last answered again after an outage.
 	isStoreUnreachable bool
 	reachableSince     time.Time
-	// epoch is that of the last Reset. restoredAt is when a later epoch was first seen.
+	// epoch is that of the last Reset, and isLoaded says that there was one: the first epoch
+	// of a store may be zero. restoredAt is when a later epoch was first seen.
 	epoch      uint64
+	isLoaded   bool
 	restoredAt time.Time
 }
 
--- a/inventory/restore.go
+++ b/inventory/restore.go
@@ -25,8 +25,8 @@
 // beginEpoch returns the records of a state that are to be applied, and the effects of
 // those that are set aside.
 func (v *Inventory) beginEpoch(now time.Time, epoch uint64, changes []Change) ([]Effect, []Change) {
-	isRestored := epoch > v.epoch && v.epoch > 0
-	v.epoch = epoch
+	isRestored := v.isLoaded && epoch > v.epoch
+	v.epoch, v.isLoaded = epoch, true
 	if !isRestored {
 		return nil, changes
 	}
--- a/inventory/restore_test.go
+++ b/inventory/restore_test.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/currantferry/currantferry/history"
@@ -26,11 +27,17 @@
 // An instance that drains or has left must not get requests because the store came back
 // from a copy in which it is ready, until it says so itself.
 func TestRestoreBringsNoInstanceBack(t *testing.T) {
+	for _, first := range []uint64{0, 1, 7} {
+		t.Run(fmt.Sprint("first epoch ", first), func(t *testing.T) { testRestore(t, first, first+1) })
+	}
+}
+
+func testRestore(t *testing.T, before, after uint64) {
 	v := New()
-	v.Reset(at(0), position(1, 4), []Change{report("drains", position(1, 2), 100, 5), report("left", position(1, 3), 100, 5), report("stays", position(1, 4), 100, 5)})
-	v.Apply(at(1), []Change{drain(report("drains", position(1, 5), 100, 9)), {Kind: KindInstance, ID: "left", Position: position(1, 6), Removed: true}})
-	copied := []Change{report("drains", position(2, 2), 100, 5), report("left", position(2, 3), 100, 5), report("stays", position(2, 4), 100, 5)}
-	effects := v.Reset(at(5), position(2, 4), copied)
+	v.Reset(at(0), position(before, 4), []Change{report("drains", position(before, 2), 100, 5), report("left", position(before, 3), 100, 5), report("stays", position(before, 4), 100, 5)})
+	v.Apply(at(1), []Change{drain(report("drains", position(before, 5), 100, 9)), {Kind: KindInstance, ID: "left", Position: position(before, 6), Removed: true}})
+	copied := []Change{report("drains", position(after, 2), 100, 5), report("left", position(after, 3), 100, 5), report("stays", position(after, 4), 100, 5)}
+	effects := v.Reset(at(5), position(after, 4), copied)
 	if got := instanceIDs(v); got != "stays " {
 		t.Fatalf("%q after the restore", got)
 	}
@@ -44,16 +51,16 @@
 		t.Errorf("%d records were reported as set aside", doubted)
 	}
 	// A second read of the same state changes nothing.
-	v.Reset(at(6), position(2, 5), copied)
+	v.Reset(at(6), position(after, 5), copied)
 	if got := instanceIDs(v); got != "stays " {
 		t.Fatalf("%q after the second read", got)
 	}
-	v.Apply(at(7), []Change{drain(report("drains", position(2, 5), 100, 12)), {Kind: KindInstance, ID: "left", Position: position(2, 6), Removed: true}})
+	v.Apply(at(7), []Change{drain(report("drains", position(after, 5), 100, 12)), {Kind: KindInstance, ID: "left", Position: position(after, 6), Removed: true}})
 	v.Tick(at(30))
 	if got := instanceIDs(v); got != "stays " {
 		t.Fatalf("%q after the owners have written again", got)
 	}
-	v.Apply(at(31), []Change{report("left", position(2, 7), 200, 1)})
+	v.Apply(at(31), []Change{report("left", position(after, 7), 200, 1)})
 	if got := instanceIDs(v); got != "left stays " {
 		t.Errorf("%q after a new process of the instance has started", got)
 	}
