Record crashes of one moment at once

Cause: the VM that observed the last crash records the request at once.

Change: a VM records at once what it may have observed last: a crash within 0.5 s of the last that it knows. Up to three VMs then write the same record.

Measured: TestCrashesOfOneMomentAreRecordedAtOnce; before, none of three VMs records crashes 0 and 2 ms apart, after, at least one at 0, 2, 50 and 300 ms.

--- a/crashguard/ledger.go
+++ b/crashguard/ledger.go
@@ -26,6 +26,9 @@
 	// another instance lost connections at the same time.
 	simultaneousLossWindow = 100 * time.Millisecond
 	minSimultaneousLosses  = 3
+	// lastCrashWindow is the time before the last known crash within which a crash may have
+	// been the last one. It covers the way of a report to another VM.
+	lastCrashWindow = 500 * time.Millisecond
 )
 
 // LedgerConfig configures a Ledger. Zero values mean the defaults.
@@ -377,8 +380,8 @@
 }
 
 // Unrecorded returns the refused requests without a record that this VM has to record. It
-// records at once those of which it observed the last crash: if all VMs are killed, nobody
-// else remembers the crashes. Those of which it observed an earlier one it records once the
+// records at once those of which it may have observed the last crash: if all VMs are killed,
+// nobody else remembers the crashes. Those of which it observed an earlier one it records once the
 // last is older than minAge, in case the other VM has gone. A run that was in progress may
 // still succeed, which removes the record.
 func (l *Ledger) Unrecorded(now time.Time, minAge time.Duration) []Fingerprint {
@@ -387,8 +390,9 @@
 		if len(list) < l.cfg.MaxCrashes || l.recorded[f] || !slices.ContainsFunc(list, func(c crash) bool { return c.local }) {
 			continue
 		}
-		last := slices.MaxFunc(list, func(a, b crash) int { return a.at.Compare(b.at) })
-		if last.local || now.Sub(last.at) >= minAge {
+		last := slices.MaxFunc(list, func(a, b crash) int { return a.at.Compare(b.at) }).at
+		isOwn := func(c crash) bool { return c.local && last.Sub(c.at) < lastCrashWindow }
+		if slices.ContainsFunc(list, isOwn) || now.Sub(last) >= minAge {
 			out = append(out, f)
 		}
 	}
--- a/crashguard/ledger_test.go
+++ b/crashguard/ledger_test.go
@@ -295,6 +295,33 @@
 	}
 }
 
+// Crashes that several VMs observe in the same moment must be recorded at once by one of them
+// at least. Reports take some time, so each VM takes the others' crashes for later than its own.
+func TestCrashesOfOneMomentAreRecordedAtOnce(t *testing.T) {
+	const delay = 0.005
+	for _, gap := range []float64{0, 0.002, 0.05, 0.3} {
+		var ledgers [3]*Ledger
+		for n := range ledgers {
+			ledgers[n] = NewLedger(LedgerConfig{})
+			at := second(1 + float64(n)*gap)
+			recordLoss(ledgers[n], at, requestNumber(1), process(fmt.Sprint(n)))
+			ledgers[n].RecordCrash(at, process(fmt.Sprint(n)), EvidenceRefused)
+		}
+		due := 0
+		for n, l := range ledgers {
+			for k := range ledgers {
+				if k != n {
+					l.Merge(second(1+float64(k)*gap+delay), []LedgerReport{{Request: requestNumber(1), Process: process(fmt.Sprint(k))}}, false)
+				}
+			}
+			due += len(l.Unrecorded(second(1.7), time.Second))
+		}
+		if due == 0 {
+			t.Errorf("crashes %g s apart are recorded by none of the VMs that observed them", gap)
+		}
+	}
+}
+
 // A success must clear the request also if another success came shortly before it.
 func TestEachSuccessClears(t *testing.T) {
 	l := NewLedger(LedgerConfig{MaxCrashes: 1})
