Allocate no refusal for requests that find an instance

Cause: since regions may be unknown, Pick made the error of the case without a region for each request, before it knew whether it is needed. Read in the diff; not measured.

Change: it is made in that case only. No decision changes; the tests of placement pass.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -78,11 +78,13 @@
 		s.recordObject(now, key)
 	}
 	r.reserved = s.isReservedForUrgent(now, r.Priority)
-	home, known := p.regionFor(s, r, key)
 	var best *candidate
-	refused := verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
+	var refused *verdict.Error
+	home, known := p.regionFor(s, r, key)
 	if known {
 		best, refused = p.pickIn(now, s, r, key, home)
+	} else {
+		refused = verdict.New(verdict.NotRun, verdict.ReasonNoUpstream, defaultRetryAfter)
 	}
 	allowed := s.allowedWait(r)
 	if best == nil || !p.canAnswerInTime(now, r, best, allowed) {
