Log what probes of instances and of other VMs show

Cause: the log says that a VM reaches no instance (2361), but not whether the probes were refused or late, whether instances answered meanwhile, or whether connections to other VMs opened at the same time. A VM that is cut off from all instances and one whose own link is congested look the same.

Change: a round of several probes also opens connections to two other VMs, and event 2376 tells what both gave, how long ago an instance answered, and the slowest connection since the round before. No decision uses it yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -199,6 +199,7 @@
 		Memory: memoryOf, DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(),
 	})
 	n.reach.Open = n.proxy.Client().Open
+	n.reach.OpenPeer = n.proxy.TransitClient().Open
 	n.follower = feed.New(feed.Options{
 		Store: o.Platform.Source, Sink: n, Lister: o.Platform.Source, RelayPrefix: vmPrefix, Log: n.log,
 		Relays:        func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -346,6 +346,9 @@
 // Client returns the client that holds the connections to instances.
 func (h *Handler) Client() *upstream.Client { return h.client }
 
+// TransitClient returns the client that holds the connections to other VMs.
+func (h *Handler) TransitClient() *upstream.Client { return h.transitClient }
+
 // SetReady sets whether requests are admitted or refused with "not-ready".
 func (h *Handler) SetReady(ready bool) { h.gate.setReady(ready) }
 
--- a/transit/monitor/monitor.go
+++ b/transit/monitor/monitor.go
@@ -8,8 +8,10 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
@@ -25,6 +27,9 @@
 type Monitor struct {
 	// Open opens a connection to an instance and keeps it for a request.
 	Open func(ctx context.Context, address string) error
+	// OpenPeer opens a connection to another VM and keeps it for a request. Nil means that no
+	// VM is probed beside instances.
+	OpenPeer func(ctx context.Context, address string) error
 	// OnConnected is called when an instance accepts a connection, with the time at which
 	// opening it began.
 	OnConnected func(now, began time.Time, address string)
@@ -45,6 +50,10 @@
 	losePath context.CancelFunc
 	// isConfirming says that Confirm waits for a connection.
 	isConfirming bool
+	// answeredAt is when an instance answered last, and slowestConnect the longest time that a
+	// connection to an instance took since the last round of probes.
+	answeredAt     time.Time
+	slowestConnect time.Duration
 }
 
 var _ upstream.Observer = (*Monitor)(nil)
@@ -110,13 +119,19 @@
 
 // Connected implements upstream.Observer.
 func (m *Monitor) Connected(address string, began time.Time) {
-	m.update(func(now time.Time) { m.reach.RecordConnected(now, address) })
+	m.update(func(now time.Time) {
+		m.slowestConnect = max(m.slowestConnect, now.Sub(began))
+		m.reach.RecordConnected(now, address)
+	})
 	m.OnConnected(time.Now(), began, address)
 }
 
 // Answered implements upstream.Observer.
 func (m *Monitor) Answered(address string) {
-	m.update(func(now time.Time) { m.reach.RecordAnswer(now, address) })
+	m.update(func(now time.Time) {
+		m.answeredAt = now
+		m.reach.RecordAnswer(now, address)
+	})
 }
 
 // Failed implements upstream.Observer.
@@ -124,20 +139,97 @@
 	m.update(func(now time.Time) { m.reach.RecordFailure(now, since, address) })
 }
 
-// Tick advances the tracker, and probes the instances that it names.
+// numControls is the number of other VMs that are probed together with several instances.
+const numControls = 2
+
+// Tick advances the tracker, and probes the instances that it names. Several are probed
+// together with other VMs, whose result tells whether this VM's links work at all.
 func (m *Monitor) Tick(ctx context.Context, group *conc.WaitGroup) {
-	var targets []string
-	m.update(func(now time.Time) { targets = m.reach.Tick(now, m.instances) })
-	for _, address := range targets {
+	var targets, controls []string
+	m.update(func(now time.Time) {
+		targets = m.reach.Tick(now, m.instances)
+		if state, _ := m.reach.State(); state == transit.Suspected && len(targets) > 1 && m.OpenPeer != nil {
+			controls = m.peers.Sample(numControls)
+		}
+	})
+	if len(targets) == 0 {
+		return
+	}
+	r := &round{began: time.Now(), numTargets: len(targets), numControls: len(controls)}
+	r.left.Store(int32(len(targets) + len(controls)))
+	probe := func(address string, open func(context.Context, string) error, done func(error)) {
 		group.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
 			defer cancel()
-			err := m.Open(bounded, address)
+			done(open(bounded, address))
+			if r.left.Add(-1) == 0 && len(targets) > 1 {
+				m.logRound(r)
+			}
+		})
+	}
+	for _, address := range controls {
+		probe(address, m.OpenPeer, r.recordControl)
+	}
+	for _, address := range targets {
+		probe(address, m.Open, func(err error) {
+			r.recordTarget(err)
 			m.update(func(now time.Time) { m.reach.RecordProbe(now, address, err == nil) })
 		})
 	}
 }
 
+// round is a round of probes.
+type round struct {
+	began                   time.Time
+	numTargets, numControls int
+	// left is the number of probes that have not ended.
+	left atomic.Int32
+
+	mu sync.Mutex
+	// numOpened and numRefused are the numbers of instances that accepted and that refused or
+	// reset a connection. The others didn't answer in time.
+	numOpened, numRefused int
+	// numControlsOpened is the number of other VMs that accepted one, the slowest after
+	// controlTime.
+	numControlsOpened int
+	controlTime       time.Duration
+}
+
+func (r *round) recordTarget(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.numOpened++
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+		r.numRefused++
+	}
+}
+
+func (r *round) recordControl(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.numControlsOpened++
+		r.controlTime = max(r.controlTime, time.Since(r.began))
+	}
+}
+
+// logRound logs a round of probes in which an instance did not accept a connection.
+func (m *Monitor) logRound(r *round) {
+	m.mu.Lock()
+	state, _ := m.reach.State()
+	sinceAnswer, slowest := time.Since(m.answeredAt), m.slowestConnect
+	m.slowestConnect = 0
+	m.mu.Unlock()
+	if r.numOpened == r.numTargets {
+		return
+	}
+	event.InstancesProbed.Log(m.log, "state", state.String(), "instances", r.numTargets, "opened", r.numOpened, "refused", r.numRefused,
+		"vms", r.numControls, "vms_opened", r.numControlsOpened, "vm_ms", r.controlTime.Milliseconds(),
+		"since_answer_ms", sinceAnswer.Milliseconds(), "slowest_connect_ms", slowest.Milliseconds())
+}
+
 // numConfirming is the number of instances that Confirm tries at once, since some may have
 // crashed together with the doubted ones.
 const numConfirming = 3
--- a/transit/peers.go
+++ b/transit/peers.go
@@ -110,6 +110,27 @@
 	return best.Peer, true
 }
 
+// Sample returns the addresses of up to n VMs that are drawn at random, those of this region
+// first.
+func (p *Peers) Sample(n int) []string {
+	local, remote := make([]string, 0, len(p.peers)), make([]string, 0, len(p.peers))
+	for _, candidate := range p.peers {
+		if candidate.Region == p.region {
+			local = append(local, candidate.Address)
+		} else {
+			remote = append(remote, candidate.Address)
+		}
+	}
+	for _, list := range [][]string{local, remote} {
+		for k := range list {
+			other := k + int(p.random()*float64(len(list)-k))
+			list[k], list[other] = list[other], list[k]
+		}
+	}
+	drawn := slices.Concat(local, remote)
+	return drawn[:min(n, len(drawn))]
+}
+
 func (p *Peers) draw(list []*peer) *peer {
 	total := 0.0
 	for _, candidate := range list {
