Test that a congested VM is not taken for cut off

Callers of VMs with links of 10 Mbit/s saw their requests refused or passed on for seconds while instances answered over open connections.

Cause: connections to instances and to other VMs open late over a full link; probes of instances end after 250 ms, and seven that fail make the VM conclude that it reaches no instance (2361).

Change: the model of transit has a link that opens connections after 0.3 to 1.5 s and delays answers; testkit.Links have a kind of cut that opens connections after 0.3 to 0.52 s, and entry.Options.DialPeer lets tests fill the links to other VMs as well.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,8 +74,8 @@
 	// Log receives events. Nil disables logging.
 	Log *slog.Logger
 	// Dial, if not nil, opens the connections to instances. Tests use it to cut this VM
-	// off.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// off. DialPeer is the same for connections to other VMs for requests.
+	Dial, DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 const (
@@ -196,7 +196,7 @@
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Admission: n.teamCaps, Metrics: n.metrics, Log: n.log,
 		MaxConcurrent: maxConcurrentRequests, MaxConnections: maxConnectionsPerInstance, MaxBufferBytes: maxBufferedBodyBytes, DeadlineGrace: deadlineGrace,
-		Memory: memoryOf, DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(),
+		Memory: memoryOf, DefaultRetryAfter: defaultRetryAfter, AcceptUnframed: true, FinishUnkeyed: true, Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: transitOptions(&o),
 	})
 	n.reach.Open = n.proxy.Client().Open
 	n.reach.OpenPeer = n.proxy.TransitClient().Open
--- a/entry/transit.go
+++ b/entry/transit.go
@@ -24,8 +24,8 @@
 )
 
 // transitOptions are the options of the connections to other VMs.
-func transitOptions() upstream.Options {
-	return upstream.Options{MaxConnections: maxTransitConnections, MaxIdleConnections: maxIdleTransitConnections}
+func transitOptions(o *Options) upstream.Options {
+	return upstream.Options{MaxConnections: maxTransitConnections, MaxIdleConnections: maxIdleTransitConnections, Dial: o.DialPeer}
 }
 
 // transitHandler serves the requests that other VMs pass on, and leaves all others to
--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
@@ -27,8 +28,21 @@
 	DropCut
 	// HoldCut drops the bytes of all connections, and opens new ones.
 	HoldCut
+	// SlowCut opens new connections late, while open ones are served as before: the link is
+	// full.
+	SlowCut
 )
 
+// A connection over links that are full opens after minSlowOpen to maxSlowOpen. Some take longer
+// than the client's dial timeout.
+const (
+	minSlowOpen = 300 * time.Millisecond
+	maxSlowOpen = 520 * time.Millisecond
+)
+
+// opens reports whether new connections are opened.
+func (k CutKind) opens() bool { return k == NoCut || k == HoldCut || k == SlowCut }
+
 // dropsBytes reports whether bytes of open connections are lost.
 func (k CutKind) dropsBytes() bool { return k == SilentCut || k == HoldCut }
 
@@ -119,7 +133,16 @@
 		if kind == RefuseCut || kind == DropCut {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 		}
-		if kind == NoCut || kind == HoldCut {
+		if kind == SlowCut {
+			delay := minSlowOpen + rand.N(maxSlowOpen-minSlowOpen)
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(delay):
+			}
+			break
+		}
+		if kind.opens() {
 			break
 		}
 		select {
@@ -139,7 +162,7 @@
 	c := &linkConn{TCPConn: tcp, links: l, address: address, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.kind != NoCut && l.kind != HoldCut && l.isCut(address) {
+	if !l.kind.opens() && l.isCut(address) {
 		tcp.Close()
 		return nil, nil
 	}
--- a/transit/reach_test.go
+++ b/transit/reach_test.go
@@ -30,6 +30,8 @@
 	dead      map[string]bool
 	// isCut hangs new connections; with refuses they fail at once, and open ones live on.
 	isCut, refuses bool
+	// isCongested opens connections late, and delays answers.
+	isCongested bool
 	// affected holds when requests were sent that the cut affects, the first to each
 	// instance, and touched these instances.
 	affected []time.Duration
@@ -47,6 +49,11 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	rtt         = 110 * time.Millisecond
+	// A connection over a congested link opens after minSlowOpen to maxSlowOpen, as on VMs
+	// whose links of 10 Mbit/s were full. An answer takes up to maxSlowAnswer longer.
+	minSlowOpen   = 300 * time.Millisecond
+	maxSlowOpen   = 1500 * time.Millisecond
+	maxSlowAnswer = 500 * time.Millisecond
 )
 
 func newLinkModel(seed uint64, numInstances int) *linkModel {
@@ -72,13 +79,26 @@
 	case m.isCut || m.dead[address]:
 		m.after(rtt, fail)
 	default:
-		m.after(rtt, func() {
+		takes := m.openTime(rtt)
+		if takes > timeout {
+			m.after(timeout, fail)
+			return
+		}
+		m.after(takes, func() {
 			m.reach.RecordConnected(at(m.now), address)
 			done(true)
 		})
 	}
 }
 
+// openTime returns how long it takes to open a connection that takes usual without congestion.
+func (m *linkModel) openTime(usual time.Duration) time.Duration {
+	if !m.isCongested {
+		return usual
+	}
+	return minSlowOpen + time.Duration(m.rng.Float64()*float64(maxSlowOpen-minSlowOpen))
+}
+
 // request sends a request to an instance, on a new connection or on one that is open.
 func (m *linkModel) request(work time.Duration) {
 	address := m.instances[m.rng.IntN(len(m.instances))]
@@ -95,6 +115,9 @@
 	if m.dead[address] || (m.isCut && !m.refuses) {
 		return
 	}
+	if m.isCongested {
+		work += time.Duration(m.rng.Float64() * float64(maxSlowAnswer))
+	}
 	m.after(work, func() {
 		if !m.isCut || m.refuses {
 			m.reach.RecordAnswer(at(m.now), address)
@@ -174,6 +197,29 @@
 	}
 }
 
+// A VM whose link is congested must never be isolated, whatever the load and the number of
+// instances: connections to instances open too late for probes, and many for requests, but so do
+// those to other VMs, while instances go on answering.
+func TestCongestedLinkIsNoCut(t *testing.T) {
+	const defaultRounds = 200
+	seed, rounds := testkit.Seed(t, 1), testkit.Rounds(t, defaultRounds)
+	for round := range rounds {
+		m := newLinkModel(seed+uint64(round), []int{3, 12, 40, 200}[round%4])
+		rate := []float64{2, 10, 90, 300}[m.rng.IntN(4)]
+		work := []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, 2500 * time.Millisecond}[m.rng.IntN(3)]
+		for _, address := range m.instances[:len(m.instances)/3] {
+			m.dead[address] = true
+		}
+		m.advance(time.Second, rate, work, func() {})
+		m.isCongested = true
+		m.advance(10*time.Second, rate, work, func() {
+			if s, _ := m.reach.State(); s == Isolated {
+				t.Fatalf("round %d, seed %d, %d instances, %g/s, work %s: isolated at %s", round, seed, len(m.instances), rate, work, m.now)
+			}
+		})
+	}
+}
+
 // Requests must return to the instances gradually, and more slowly after a flap.
 func TestRequestsReturnGradually(t *testing.T) {
 	next := 0.0
