Conclude isolation only while other VMs are reached

Cause: probes of instances end after 250 ms and seven that fail made a VM isolated, whatever the state of its own link. On a full link connections to instances, to other VMs and to the store are all late. Timeouts of 500 ms ejected the instances as well.

Fix: a round of several probes also opens connections to three other VMs, those believed alive first. A VM is isolated only if instances fail while another VM accepts a connection within 150 ms, 0.6 of the probes' bound (a round trip between regions takes 110), or if seven instances refuse or reset, which a full link does not. Otherwise the round proves nothing: probes get 500 ms, failures that are no refusals are forgotten, and the link counts as congested if nobody answered in time. Then connections that open too late eject no instance, earlier ejections are forgiven, node reports no instance as down, and nothing is passed on for want of an instance. Evidence of crashes is dropped after each failed round as before. A cut that hits a congested VM is noticed when another VM accepts a connection in time, or at all once no instance has answered for 5 s. A VM that knows no other goes on trying instances.

In the model other VMs are added to the links, a third of them gone, and the tests of before run with them.

--- a/entry/ejections.go
+++ b/entry/ejections.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,7 +52,8 @@
 		return placement.ConnectionOpened
 	}
 	_, isDoubtful := n.reach.WasIsolated(began)
-	if isDoubtful || n.ctx.Err() != nil || errors.Is(err, upstream.ErrConnectionLimit) {
+	isOwnTimeout := !errors.Is(err, syscall.ECONNREFUSED) && n.reach.WasCongested(began)
+	if isDoubtful || isOwnTimeout || n.ctx.Err() != nil || errors.Is(err, upstream.ErrConnectionLimit) {
 		return placement.ConnectionUnknown
 	}
 	return placement.ConnectionFailed
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -216,6 +216,7 @@
 	n.reach.OnConnected = n.selector.onConnected
 	n.reach.OnIsolated = n.selector.forgiveFailures
 	n.reach.OnRoundFailed = n.selector.dropEvidence
+	n.reach.OnCongested = n.selector.forgiveFailures
 	n.selector.closeIdle = n.proxy.Client().CloseIdleTo
 	n.selector.requestQuota = n.requestQuota
 	n.selector.probe = newCrashProbe(n.proxy.Client().Open, n.selector.onConnRefused)
--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -119,7 +119,7 @@
 }
 
 // forgiveFailures drops what this VM concluded from connections to instances none of which
-// it could reach.
+// it could reach, or which opened late because its own link is congested.
 func (s *selector) forgiveFailures(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -285,7 +285,7 @@
 		Target: q.Target, Deadline: q.Deadline, Regions: q.Regions, Exclude: q.Exclude,
 		Timeout: q.Timeout, Priority: q.Priority, Team: q.Team,
 	}
-	if !s.reach.IsIsolated() {
+	if !s.reach.MustPassOn() {
 		s.awaitToken(ctx, &r)
 	}
 	now := time.Now()
@@ -307,7 +307,7 @@
 	if selected := s.selectVM(now, q, false); selected != nil {
 		return selected, nil
 	}
-	if s.reach.IsIsolated() {
+	if s.reach.MustPassOn() {
 		// Nor does any other VM that may serve the request. Probes notice the end.
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter)
 	}
@@ -389,12 +389,13 @@
 	if o.Load != nil {
 		out.Load = &placement.Load{Running: o.Load.Running, Waiting: o.Load.Waiting, Slots: o.Load.Slots, WorkPercent: o.Load.WorkPercent}
 	}
-	// The connections of an isolated VM fail whatever state the instances are in.
+	// The connections of an isolated VM fail, and those of a congested one open late, whatever
+	// state the instances are in.
 	var isOwnFailure, isDoubtful bool
 	if isConnectionFailure(&o) {
 		isOwnFailure, isDoubtful = c.s.reach.WasIsolated(c.chosenAt)
 	}
-	out.Cancelled = out.Cancelled || isOwnFailure
+	out.Cancelled = out.Cancelled || isOwnFailure || c.s.reach.IsOwnTimeout(c.chosenAt, &o)
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	now := time.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -288,7 +288,7 @@
 		Upstream: upstream.Options{Observer: n.reach, Dial: o.Dial}, Transit: n.transitOptions(),
 	})
 	n.reach.Open = n.proxy.Client().Open
-	n.reach.OpenPeer = n.proxy.TransitClient().Open
+	n.reach.OpenPeer = n.openTransit
 	n.selector.log, n.selector.closeIdle = n.log, n.proxy.Client().CloseIdleTo
 }
 
--- a/node/prober.go
+++ b/node/prober.go
@@ -199,7 +199,7 @@
 
 // publishDown gossips the instances whose probes from this VM fail.
 func (p *prober) publishDown() {
-	if p.n.reach.IsIsolated() {
+	if p.n.reach.IsIsolated() || p.n.reach.IsCongested() {
 		// The probes of this VM say nothing about the instances. What it reported before is
 		// withdrawn below.
 		p.mu.Lock()
--- a/node/selector.go
+++ b/node/selector.go
@@ -72,7 +72,7 @@
 	if selected := s.selectVM(q, false); selected != nil {
 		return selected, nil
 	}
-	if s.reach.IsIsolated() {
+	if s.reach.MustPassOn() {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonIsolated, transitRefuseRetryAfter)
 	}
 	chosen, err := s.selectInstance(ctx, q)
@@ -262,9 +262,9 @@
 // Done implements proxy.Selection.
 func (c *selection) Done(o proxy.Outcome) {
 	if o.Verdict != verdict.Ran && o.Status == 0 {
-		// If this VM reached no instance meanwhile, its connections say nothing about them.
+		// If this VM reached no instance meanwhile, or its link was congested, its connections say nothing about them.
 		_, isDoubtful := c.s.reach.WasIsolated(c.chosenAt)
-		o.Cancelled = o.Cancelled || isDoubtful
+		o.Cancelled = o.Cancelled || isDoubtful || c.s.reach.IsOwnTimeout(c.chosenAt, &o)
 	}
 	c.pool.done(c.ticket, balancerOutcome(o))
 	c.s.crash.end(c.trial, o)
--- a/node/transit.go
+++ b/node/transit.go
@@ -96,6 +96,19 @@
 	n.proxy.ServeTransit(w, r)
 }
 
+// openTransit opens a connection to another VM, as instances are probed: without encryption,
+// whose round trips would make VMs of other regions look slower than instances there.
+func (n *Node) openTransit(ctx context.Context, address string) error {
+	if n.tls.peer == nil {
+		return n.proxy.TransitClient().Open(ctx, address)
+	}
+	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err == nil {
+		c.Close()
+	}
+	return err
+}
+
 // publishTransit gossips how requests are passed on to this VM, if it has changed.
 func (n *Node) publishTransit() {
 	s := transitSection{Address: n.transitAddress, Key: n.transitKey, Isolated: n.reach.IsIsolated()}
--- a/transit/monitor/monitor.go
+++ b/transit/monitor/monitor.go
@@ -37,6 +37,9 @@
 	// OnRoundFailed when none of several instances that it probed could be reached.
 	OnIsolated    func(now time.Time)
 	OnRoundFailed func()
+	// OnCongested is called when this VM has found that its link is congested: connections to
+	// instances open late, and so do those to other VMs.
+	OnCongested func(now time.Time)
 
 	log   *slog.Logger
 	gauge tally.Gauge
@@ -63,7 +66,7 @@
 	path, losePath := context.WithCancel(context.Background())
 	return &Monitor{
 		path: path, losePath: losePath, log: log, gauge: scope.Gauge("isolated"), reach: transit.NewReach(transit.Config{Random: rand.Float64}),
-		peers: transit.NewPeers(region, rand.Float64), OnIsolated: func(time.Time) {}, OnRoundFailed: func() {}, OnConnected: func(time.Time, time.Time, string) {},
+		peers: transit.NewPeers(region, rand.Float64), OnIsolated: func(time.Time) {}, OnRoundFailed: func() {}, OnCongested: func(time.Time) {}, OnConnected: func(time.Time, time.Time, string) {},
 	}
 }
 
@@ -72,23 +75,29 @@
 	now := time.Now()
 	m.mu.Lock()
 	before, since := m.reach.State()
-	failedBefore := m.reach.RoundFailedAt()
+	failedBefore, wasCongested := m.reach.RoundFailedAt(), m.reach.IsCongested(now)
 	change(now)
+	isCongested := m.reach.IsCongested(now) && !wasCongested
 	after, _ := m.reach.State()
 	hasRoundFailed := m.reach.RoundFailedAt().After(failedBefore)
 	numInstances := len(m.instances)
 	if after != before {
 		switch after {
 		case transit.Isolated:
-			m.losePath()
+			if m.peers.Len() > 0 {
+				m.losePath()
+			}
 		case transit.Returning:
-			m.path, m.losePath = context.WithCancel(context.Background())
+			m.restorePath()
 		}
 	}
 	m.mu.Unlock()
 	if hasRoundFailed {
 		m.OnRoundFailed()
 	}
+	if isCongested {
+		m.OnCongested(now)
+	}
 	if after == before {
 		return
 	}
@@ -103,6 +112,13 @@
 	}
 }
 
+// restorePath replaces a path that was cancelled. The lock is held.
+func (m *Monitor) restorePath() {
+	if m.path.Err() != nil {
+		m.path, m.losePath = context.WithCancel(context.Background())
+	}
+}
+
 // SetInstances replaces the addresses of the instances.
 func (m *Monitor) SetInstances(addresses []string) {
 	m.mu.Lock()
@@ -139,49 +155,75 @@
 	m.update(func(now time.Time) { m.reach.RecordFailure(now, since, address) })
 }
 
-// numControls is the number of other VMs that are probed together with several instances.
-const numControls = 2
-
 // Tick advances the tracker, and probes the instances that it names. Several are probed
 // together with other VMs, whose result tells whether this VM's links work at all.
 func (m *Monitor) Tick(ctx context.Context, group *conc.WaitGroup) {
-	var targets, controls []string
+	r := new(round)
 	m.update(func(now time.Time) {
-		targets = m.reach.Tick(now, m.instances)
-		if state, _ := m.reach.State(); state == transit.Suspected && len(targets) > 1 && m.OpenPeer != nil {
-			controls = m.peers.Sample(numControls)
+		numPeers := 0
+		if m.OpenPeer != nil {
+			numPeers = m.peers.Len()
 		}
+		drawn := m.reach.Tick(now, m.instances, numPeers)
+		r.began, r.targets, r.controls = now, drawn.Targets, m.peers.Controls(now, drawn.NumControls)
 	})
-	if len(targets) == 0 {
+	if len(r.targets) == 0 {
 		return
 	}
-	r := &round{began: time.Now(), numTargets: len(targets), numControls: len(controls)}
-	r.left.Store(int32(len(targets) + len(controls)))
-	probe := func(address string, open func(context.Context, string) error, done func(error)) {
+	ctx, cancel := context.WithTimeout(ctx, m.reach.SlowProbeTimeout())
+	bound := time.AfterFunc(m.reach.ProbeTimeout(), func() {
+		m.mu.Lock()
+		isExtended := m.reach.ExtendsRound()
+		m.mu.Unlock()
+		if !isExtended {
+			cancel()
+		}
+	})
+	r.left.Store(int32(len(r.targets) + len(r.controls)))
+	probe := func(address string, open func(context.Context, string) error, done func(transit.ProbeResult)) {
 		group.Go(func() {
-			bounded, cancel := context.WithTimeout(ctx, m.reach.ProbeTimeout())
-			defer cancel()
-			done(open(bounded, address))
-			if r.left.Add(-1) == 0 && len(targets) > 1 {
+			done(resultOf(open(ctx, address)))
+			if r.left.Add(-1) == 0 {
+				bound.Stop()
+				cancel()
 				m.logRound(r)
 			}
 		})
 	}
-	for _, address := range controls {
-		probe(address, m.OpenPeer, r.recordControl)
+	for _, peer := range r.controls {
+		probe(peer.Address, m.OpenPeer, func(result transit.ProbeResult) {
+			r.recordControl(result)
+			m.update(func(now time.Time) {
+				m.peers.RecordControl(now, peer.ID, result == transit.ProbeOpened)
+				m.reach.RecordControl(now, r.began, result)
+			})
+		})
 	}
-	for _, address := range targets {
-		probe(address, m.Open, func(err error) {
-			r.recordTarget(err)
-			m.update(func(now time.Time) { m.reach.RecordProbe(now, address, err == nil) })
+	for _, address := range r.targets {
+		probe(address, m.Open, func(result transit.ProbeResult) {
+			r.recordTarget(result)
+			m.update(func(now time.Time) { m.reach.RecordProbe(now, address, result) })
 		})
 	}
 }
 
+// resultOf returns what opening a connection showed.
+func resultOf(err error) transit.ProbeResult {
+	switch {
+	case err == nil:
+		return transit.ProbeOpened
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+		return transit.ProbeRefused
+	default:
+		return transit.ProbeLate
+	}
+}
+
 // round is a round of probes.
 type round struct {
-	began                   time.Time
-	numTargets, numControls int
+	began    time.Time
+	targets  []string
+	controls []transit.Peer
 	// left is the number of probes that have not ended.
 	left atomic.Int32
 
@@ -195,21 +237,21 @@
 	controlTime       time.Duration
 }
 
-func (r *round) recordTarget(err error) {
+func (r *round) recordTarget(result transit.ProbeResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case err == nil:
+	switch result {
+	case transit.ProbeOpened:
 		r.numOpened++
-	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+	case transit.ProbeRefused:
 		r.numRefused++
 	}
 }
 
-func (r *round) recordControl(err error) {
+func (r *round) recordControl(result transit.ProbeResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
+	if result == transit.ProbeOpened {
 		r.numControlsOpened++
 		r.controlTime = max(r.controlTime, time.Since(r.began))
 	}
@@ -219,14 +261,14 @@
 func (m *Monitor) logRound(r *round) {
 	m.mu.Lock()
 	state, _ := m.reach.State()
-	sinceAnswer, slowest := time.Since(m.answeredAt), m.slowestConnect
+	isCongested, sinceAnswer, slowest := m.reach.IsCongested(time.Now()), time.Since(m.answeredAt), m.slowestConnect
 	m.slowestConnect = 0
 	m.mu.Unlock()
-	if r.numOpened == r.numTargets {
+	if len(r.targets) == 1 || r.numOpened == len(r.targets) {
 		return
 	}
-	event.InstancesProbed.Log(m.log, "state", state.String(), "instances", r.numTargets, "opened", r.numOpened, "refused", r.numRefused,
-		"vms", r.numControls, "vms_opened", r.numControlsOpened, "vm_ms", r.controlTime.Milliseconds(),
+	event.InstancesProbed.Log(m.log, "state", state.String(), "congested", isCongested, "instances", len(r.targets), "opened", r.numOpened, "refused", r.numRefused,
+		"vms", len(r.controls), "vms_opened", r.numControlsOpened, "vm_ms", r.controlTime.Milliseconds(),
 		"since_answer_ms", sinceAnswer.Milliseconds(), "slowest_connect_ms", slowest.Milliseconds())
 }
 
@@ -288,6 +330,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.peers.Set(peers)
+	if len(peers) == 0 {
+		// Without another VM, this one goes on trying instances.
+		m.restorePath()
+	}
 }
 
 // RecordPeer records whether another VM reports that it reaches no instance.
@@ -331,6 +377,38 @@
 	return state == transit.Isolated
 }
 
+// MustPassOn reports whether this VM reaches no instance but knows other VMs, so that it serves no
+// request itself. One that knows none goes on trying instances.
+func (m *Monitor) MustPassOn() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state, _ := m.reach.State()
+	return state == transit.Isolated && m.peers.Len() > 0
+}
+
+// IsCongested reports whether connections to other VMs open as late as those to instances.
+func (m *Monitor) IsCongested() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reach.IsCongested(time.Now())
+}
+
+// IsOwnTimeout reports whether an attempt that began then could not open a connection in time
+// because this VM's link is congested. A refused connection was answered by the instance.
+func (m *Monitor) IsOwnTimeout(began time.Time, o *proxy.Outcome) bool {
+	if o.Reason != verdict.ReasonConnectFailed || o.ConnectionRefused {
+		return false
+	}
+	return m.WasCongested(began)
+}
+
+// WasCongested reports whether this VM's link was congested at some time since then.
+func (m *Monitor) WasCongested(since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reach.WasCongested(time.Now(), since)
+}
+
 // WasIsolated reports whether this VM reached no instance at some time since then, and
 // wasDoubtful whether it found none of several.
 func (m *Monitor) WasIsolated(since time.Time) (wasIsolated, wasDoubtful bool) {
--- a/transit/peers.go
+++ b/transit/peers.go
@@ -28,6 +28,9 @@
 	isIsolated bool
 	reportedAt time.Time
 	avoidUntil time.Time
+	// controlFailedAt is when the last connection that was to show whether this VM's link is
+	// congested failed, or zero.
+	controlFailedAt time.Time
 	// outstanding is the number of this VM's requests at the peer.
 	outstanding int
 }
@@ -110,25 +113,49 @@
 	return best.Peer, true
 }
 
-// Sample returns the addresses of up to n VMs that are drawn at random, those of this region
-// first.
-func (p *Peers) Sample(n int) []string {
-	local, remote := make([]string, 0, len(p.peers)), make([]string, 0, len(p.peers))
-	for _, candidate := range p.peers {
-		if candidate.Region == p.region {
-			local = append(local, candidate.Address)
-		} else {
-			remote = append(remote, candidate.Address)
-		}
+// Len returns the number of VMs.
+func (p *Peers) Len() int { return len(p.peers) }
+
+// Controls returns up to n VMs to which connections are opened together with those to instances.
+// One that is gone says nothing, so those that failed lately come last. VMs of this region come
+// first, and of these the ones that reported lately.
+func (p *Peers) Controls(now time.Time, n int) []Peer {
+	drawn := slices.Clone(p.peers)
+	for k := range drawn {
+		other := k + int(p.random()*float64(len(drawn)-k))
+		drawn[k], drawn[other] = drawn[other], drawn[k]
 	}
-	for _, list := range [][]string{local, remote} {
-		for k := range list {
-			other := k + int(p.random()*float64(len(list)-k))
-			list[k], list[other] = list[other], list[k]
+	rank := func(candidate *peer) int {
+		out := 0
+		if now.Sub(candidate.controlFailedAt) < stateTTL || now.Before(candidate.avoidUntil) {
+			out += 4
+		}
+		if candidate.Region != p.region {
+			out += 2
+		}
+		if now.Sub(candidate.reportedAt) >= stateTTL {
+			out++
 		}
+		return out
+	}
+	slices.SortStableFunc(drawn, func(a, b *peer) int { return rank(a) - rank(b) })
+	out := make([]Peer, 0, n)
+	for _, candidate := range drawn[:min(n, len(drawn))] {
+		out = append(out, candidate.Peer)
+	}
+	return out
+}
+
+// RecordControl records whether a VM accepted the connection that Controls named it for.
+func (p *Peers) RecordControl(now time.Time, id string, ok bool) {
+	known := p.byID[id]
+	switch {
+	case known == nil:
+	case ok:
+		known.controlFailedAt = time.Time{}
+	default:
+		known.controlFailedAt = now
 	}
-	drawn := slices.Concat(local, remote)
-	return drawn[:min(n, len(drawn))]
 }
 
 func (p *Peers) draw(list []*peer) *peer {
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -1,12 +1,14 @@
 // Package transit decides whether a VM can reach the upstream instances, and through which
 // other VM it passes requests on while it cannot. All instances failing at once says
-// something about this VM's links, not about the instances.
+// something about this VM's links, not about the instances. Passing requests on helps only
+// if the links to other VMs work better, so these are probed at the same time.
 //
 // The package has no I/O, goroutines, clock or random source. It is not safe for
 // concurrent use.
 package transit
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,7 +21,7 @@
 	Reachable State = iota
 	// Suspected means that no instance has answered since a failure or for a while.
 	Suspected
-	// Isolated means that no instance can be reached.
+	// Isolated means that no instance can be reached, though other VMs can.
 	Isolated
 	// Returning means that instances answer again and requests return to them gradually.
 	Returning
@@ -36,6 +38,14 @@
 	DefaultSilence = 400 * time.Millisecond
 	// DefaultProbeTimeout bounds a probe: two round trips between regions.
 	DefaultProbeTimeout = 250 * time.Millisecond
+	// DefaultSlowProbeTimeout bounds a probe while this VM's link may be congested. It is the
+	// time that a request waits for a new connection (upstream.DefaultDialTimeout): one that
+	// takes longer serves no request.
+	DefaultSlowProbeTimeout = 500 * time.Millisecond
+	// DefaultSlowSilence is how long no instance may answer, while an answer or a connection
+	// is awaited, until connections to other VMs that open late are proof that the link to
+	// them works better. Instances go on answering over congested links.
+	DefaultSlowSilence = 5 * time.Second
 	// DefaultProbeInterval is the time between two probes of an isolated VM.
 	DefaultProbeInterval = 400 * time.Millisecond
 	// DefaultRamp is the time over which requests return to the instances.
@@ -54,13 +64,44 @@
 	numTargets      = 3
 	numTargetsAgain = 6
 	minUnreachable  = 1 + numTargetsAgain
+	// numControls is the number of other VMs that are probed together with instances. Two of
+	// them may be gone.
+	numControls = 3
+	// congestionTTL is how long this VM's link counts as congested after a round of probes
+	// that nobody answered in time.
+	congestionTTL = 2 * time.Second
 	// numReturnContacts is the number of connections that an isolated VM must open.
 	numReturnContacts = 2
 )
 
+// controlShare is the part of DefaultProbeTimeout within which another VM must accept a connection
+// that is opened together with those to instances. Beyond it both are slow. A round trip to
+// another region takes 0.44 of it.
+const controlShare = 0.6
+
+// ProbeResult is how a probe ended.
+type ProbeResult uint8
+
+const (
+	// ProbeLate probes got no answer within their bound.
+	ProbeLate ProbeResult = iota
+	// ProbeOpened probes opened a connection.
+	ProbeOpened
+	// ProbeRefused probes were refused or reset, which congestion does not do.
+	ProbeRefused
+)
+
+// Round is a round of probes that are sent at once.
+type Round struct {
+	// Targets are the instances. RecordProbe must be called for each.
+	Targets []string
+	// NumControls is the number of other VMs. RecordControl must be called for each.
+	NumControls int
+}
+
 // Config configures a Reach. Zero values select the defaults.
 type Config struct {
-	Silence, ProbeTimeout, ProbeInterval, Ramp, MaxRamp time.Duration
+	Silence, ProbeTimeout, SlowProbeTimeout, SlowSilence, ProbeInterval, Ramp, MaxRamp time.Duration
 	// Random returns random numbers in [0, 1). Default 0.5.
 	Random func() float64
 }
@@ -72,6 +113,8 @@
 	}{
 		{&c.Silence, DefaultSilence},
 		{&c.ProbeTimeout, DefaultProbeTimeout},
+		{&c.SlowProbeTimeout, DefaultSlowProbeTimeout},
+		{&c.SlowSilence, DefaultSlowSilence},
 		{&c.ProbeInterval, DefaultProbeInterval},
 		{&c.Ramp, DefaultRamp},
 		{&c.MaxRamp, DefaultMaxRamp},
@@ -98,8 +141,11 @@
 	numAwaiting   int
 	// failedAt holds when instances failed since a connection was opened last.
 	failedAt map[string]time.Time
-	// aliveAt holds the last sign of life of each instance.
-	aliveAt map[string]time.Time
+	// refusedAt holds when instances refused probes since then.
+	refusedAt map[string]time.Time
+	// answeredAt is when an instance answered last. aliveAt holds the last sign of life of each instance.
+	answeredAt time.Time
+	aliveAt    map[string]time.Time
 	// connectedAt is when a connection was opened last.
 	connectedAt time.Time
 	// numConnected is the number of connections that an isolated VM opened since all probes
@@ -111,6 +157,17 @@
 	// roundSize is their number, and roundSucceeded says that one of them succeeded.
 	roundSize      int
 	roundSucceeded bool
+	// numControls is the number of other VMs of the round. isControlOpen says that one of them
+	// accepted a connection, isControlFast that one did in time, and isAnyFast that an
+	// instance or another VM accepted or refused one in time.
+	numControls                             int
+	isControlOpen, isControlFast, isAnyFast bool
+	// congestedAt is when a round ended last in which nobody answered in time, and
+	// isCongested says that none did since.
+	congestedAt time.Time
+	isCongested bool
+	// numPeers is the number of other VMs that are known.
+	numPeers int
 	// roundFailedAt is when none of several instances that were probed at once could be
 	// reached last.
 	roundFailedAt time.Time
@@ -124,15 +181,18 @@
 // NewReach returns a Reach in state Reachable.
 func NewReach(cfg Config) *Reach {
 	cfg.setDefaults()
-	return &Reach{cfg: cfg, failedAt: make(map[string]time.Time), aliveAt: make(map[string]time.Time), ramp: cfg.Ramp}
+	return &Reach{cfg: cfg, failedAt: make(map[string]time.Time), refusedAt: make(map[string]time.Time), aliveAt: make(map[string]time.Time), ramp: cfg.Ramp}
 }
 
 // State returns the present state, and since when it lasts.
 func (r *Reach) State() (State, time.Time) { return r.state, r.stateAt }
 
-// ProbeTimeout returns the bound of a probe.
+// ProbeTimeout returns the bound of a probe, unless ExtendsRound.
 func (r *Reach) ProbeTimeout() time.Duration { return r.cfg.ProbeTimeout }
 
+// SlowProbeTimeout returns the bound of a probe if ExtendsRound.
+func (r *Reach) SlowProbeTimeout() time.Duration { return r.cfg.SlowProbeTimeout }
+
 func (r *Reach) setState(now time.Time, s State) { r.state, r.stateAt = s, now }
 
 // RecordAttempt records that a request is written to an instance, or a connection to it
@@ -145,7 +205,7 @@
 
 // RecordAnswer records bytes from an instance.
 func (r *Reach) RecordAnswer(now time.Time, instance string) {
-	r.aliveAt[instance] = now
+	r.aliveAt[instance], r.answeredAt = now, now
 	r.awaitingSince, r.numAwaiting = time.Time{}, 0
 	if r.state == Suspected && len(r.failedAt) == 0 {
 		r.setState(now, Reachable)
@@ -158,6 +218,7 @@
 	r.awaitingSince, r.numAwaiting = time.Time{}, 0
 	r.connectedAt = now
 	clear(r.failedAt)
+	clear(r.refusedAt)
 	switch r.state {
 	case Suspected:
 		r.setState(now, Reachable)
@@ -176,10 +237,8 @@
 	if since.Before(r.connectedAt) {
 		return
 	}
-	for id, at := range r.failedAt {
-		if now.Sub(at) > failureTTL {
-			delete(r.failedAt, id)
-		}
+	for _, failures := range []map[string]time.Time{r.failedAt, r.refusedAt} {
+		maps.DeleteFunc(failures, func(_ string, at time.Time) bool { return now.Sub(at) > failureTTL })
 	}
 	r.failedAt[instance] = now
 	if (r.state == Reachable || r.state == Returning) && len(r.failedAt) >= min(minFailed, max(r.numInstances, 1)) {
@@ -194,28 +253,103 @@
 
 // RecordProbe records the end of a probe. The connection that a successful one opened is
 // recorded as any other.
-func (r *Reach) RecordProbe(now time.Time, instance string, ok bool) {
+func (r *Reach) RecordProbe(now time.Time, instance string, result ProbeResult) {
 	r.numProbing--
-	if ok {
+	if result != ProbeLate {
+		r.recordFast(now)
+	}
+	if result == ProbeOpened {
 		r.roundSucceeded = true
+	} else {
+		r.RecordFailure(now, r.probedAt, instance)
+	}
+	if result == ProbeRefused && !r.probedAt.Before(r.connectedAt) {
+		r.refusedAt[instance] = now
+	}
+	if r.numProbing == 0 {
+		r.endRound(now)
+	}
+}
+
+// RecordControl records the end of a connection to another VM that was opened together with a
+// round of probes, which began at the time given.
+func (r *Reach) RecordControl(now, began time.Time, result ProbeResult) {
+	if !began.Equal(r.probedAt) {
 		return
 	}
-	r.RecordFailure(now, r.probedAt, instance)
-	if r.numProbing > 0 {
+	if result != ProbeLate {
+		r.recordFast(now)
+	}
+	if result != ProbeOpened {
 		return
 	}
-	if !r.roundSucceeded {
-		r.numConnected = 0
-		if r.roundSize > 1 {
-			r.RecordRoundFailure(now)
+	r.isControlOpen = true
+	if r.isFast(now) {
+		r.isControlFast = true
+		if r.numProbing == 0 && !r.roundSucceeded {
+			// The instances refused connections before the other VM accepted one.
+			r.conclude(now)
 		}
 	}
+}
+
+// isFast reports whether what is answered now in the present round is answered in time.
+func (r *Reach) isFast(now time.Time) bool {
+	return now.Sub(r.probedAt) <= time.Duration(controlShare*float64(r.cfg.ProbeTimeout))
+}
+
+// recordFast ends congestion if an instance or another VM has answered in time.
+func (r *Reach) recordFast(now time.Time) {
+	if r.isFast(now) {
+		r.isAnyFast, r.isCongested = true, false
+	}
+}
+
+// ExtendsRound reports, when ProbeTimeout is over, whether the probes in progress are given up to
+// SlowProbeTimeout: this VM's link may be congested, as connections to other VMs open late as
+// well or an instance has answered meanwhile.
+func (r *Reach) ExtendsRound() bool {
+	return r.numProbing > 0 && !r.roundSucceeded && r.numControls > 0 && (!r.isControlFast || r.answeredAt.After(r.probedAt))
+}
+
+// endRound ends a round of probes.
+func (r *Reach) endRound(now time.Time) {
+	if r.numControls > 0 && !r.isAnyFast && !r.isFast(now) {
+		r.isCongested, r.congestedAt = true, now
+	}
+	if r.roundSucceeded {
+		return
+	}
+	r.numConnected = 0
+	if r.roundSize > 1 {
+		r.RecordRoundFailure(now)
+	}
+	r.conclude(now)
+	if r.state == Suspected && r.numControls > 0 && !r.isControlFast && !r.isFast(now) {
+		// Connections that open late say nothing about instances, except those that refused.
+		clear(r.failedAt)
+		maps.Copy(r.failedAt, r.refusedAt)
+	}
+}
+
+// conclude decides at the end of a round in which no instance accepted a connection whether
+// this VM is isolated.
+func (r *Reach) conclude(now time.Time) {
+	if r.state != Suspected {
+		return
+	}
 	needed := minUnreachable
 	if len(r.aliveAt) < numTargets {
 		// No instances are known to have been alive, so the probes were drawn blindly.
 		needed += numTargetsAgain
 	}
-	if r.state == Suspected && len(r.failedAt) >= min(needed, r.numInstances) {
+	failures := r.refusedAt
+	if r.isControlFast || r.numPeers == 0 {
+		failures = r.failedAt
+	}
+	isSilent := r.isControlOpen && r.roundSize >= min(numTargetsAgain, r.numInstances) &&
+		!r.awaitingSince.IsZero() && now.Sub(r.awaitingSince) >= r.cfg.SlowSilence
+	if len(failures) >= min(needed, r.numInstances) || isSilent {
 		r.isolate(now)
 	}
 }
@@ -230,25 +364,25 @@
 	r.numConnected = 0
 }
 
-// Tick advances the state, and returns the instances to probe now. RecordProbe must be
-// called for each.
-func (r *Reach) Tick(now time.Time, instances []string) (targets []string) {
-	r.numInstances = len(instances)
+// Tick advances the state, and returns what to probe now. numPeers is the number of other
+// VMs that are known.
+func (r *Reach) Tick(now time.Time, instances []string, numPeers int) Round {
+	r.numInstances, r.numPeers = len(instances), numPeers
 	r.forgetGone(instances)
 	switch r.state {
 	case Reachable:
 		if r.awaitingSince.IsZero() || now.Sub(r.awaitingSince) < r.cfg.Silence {
-			return nil
+			return Round{}
 		}
 		r.suspect(now)
 	case Returning:
 		if now.Sub(r.stateAt) >= r.ramp {
 			r.setState(now, Reachable)
 		}
-		return nil
+		return Round{}
 	}
 	if r.numProbing > 0 || len(instances) == 0 || (!r.probedAt.IsZero() && now.Sub(r.probedAt) < r.probeInterval()) {
-		return nil
+		return Round{}
 	}
 	count := numTargets
 	switch {
@@ -259,9 +393,14 @@
 		// Nothing but the silence of a few requests raised the suspicion.
 		count = 1
 	}
-	targets = r.drawTargets(instances, count)
+	targets := r.drawTargets(instances, count)
 	r.numProbing, r.roundSize, r.probedAt, r.roundSucceeded = len(targets), len(targets), now, false
-	return targets
+	r.numControls, r.isControlOpen, r.isControlFast, r.isAnyFast = 0, false, false, false
+	if len(targets) > 1 || len(targets) == len(instances) {
+		// The failure of one of several instances decides nothing.
+		r.numControls = min(numControls, numPeers)
+	}
+	return Round{Targets: targets, NumControls: r.numControls}
 }
 
 // probeInterval returns the time between two rounds of probes.
@@ -321,8 +460,12 @@
 }
 
 // IsDoubtful reports whether instances failed recently and none has accepted a connection
-// since, so that this VM may reach only some of them.
+// since, so that this VM may reach only some of them. While its link is congested, failures
+// are no reason to pass requests on.
 func (r *Reach) IsDoubtful(now time.Time) bool {
+	if r.IsCongested(now) {
+		return false
+	}
 	for _, at := range r.failedAt {
 		if now.Sub(at) <= failureTTL {
 			return true
@@ -331,6 +474,18 @@
 	return r.state == Suspected
 }
 
+// IsCongested reports whether this VM's link is congested, or cut from everything: in the last
+// round of probes nobody answered in time, neither instances nor other VMs.
+func (r *Reach) IsCongested(now time.Time) bool {
+	return r.isCongested && now.Sub(r.congestedAt) < congestionTTL
+}
+
+// WasCongested reports whether this VM's link was congested at some time since then, so that
+// connections opened late whatever state the instances were in.
+func (r *Reach) WasCongested(now, since time.Time) bool {
+	return since.Before(r.congestedAt) || r.IsCongested(now)
+}
+
 // RecordRoundFailure records that none of several instances could be reached.
 func (r *Reach) RecordRoundFailure(now time.Time) { r.roundFailedAt = now }
 
--- a/transit/reach_test.go
+++ b/transit/reach_test.go
@@ -21,8 +21,8 @@
 	return out
 }
 
-// linkModel is a VM with its links to instances in virtual time. A connection that hangs is
-// given up after dialTimeout, a probe after its own bound.
+// linkModel is a VM with its links to instances and to other VMs in virtual time. A connection
+// that hangs is given up after dialTimeout, a probe after its own bound.
 type linkModel struct {
 	reach     *Reach
 	rng       *rand.Rand
@@ -30,8 +30,13 @@
 	dead      map[string]bool
 	// isCut hangs new connections; with refuses they fail at once, and open ones live on.
 	isCut, refuses bool
-	// isCongested opens connections late, and delays answers.
+	// isCongested opens connections late, to VMs as well, and delays answers.
 	isCongested bool
+	// peers are the other VMs, of which some are gone.
+	peers   *Peers
+	goneVMs map[string]bool
+	// isCutFromVMs hangs connections to other VMs.
+	isCutFromVMs bool
 	// affected holds when requests were sent that the cut affects, the first to each
 	// instance, and touched these instances.
 	affected []time.Duration
@@ -58,36 +63,106 @@
 
 func newLinkModel(seed uint64, numInstances int) *linkModel {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	return &linkModel{reach: NewReach(Config{Random: rng.Float64}), rng: rng, instances: addresses(numInstances), dead: make(map[string]bool)}
+	m := &linkModel{reach: NewReach(Config{Random: rng.Float64}), rng: rng, instances: addresses(numInstances), dead: make(map[string]bool)}
+	m.setVMs([]int{1, 2, 11, 83}[seed%4])
+	return m
+}
+
+// setVMs replaces the other VMs. A third of several are gone, and the others are half in this
+// region.
+func (m *linkModel) setVMs(n int) {
+	m.peers, m.goneVMs = NewPeers("styria", m.rng.Float64), make(map[string]bool)
+	list := make([]Peer, n)
+	for k := range list {
+		list[k] = Peer{ID: fmt.Sprint("vm-", k), Region: []string{"styria", "tyrol"}[k%2]}
+	}
+	for _, k := range m.rng.Perm(n)[:n/3] {
+		m.goneVMs[list[k].ID] = true
+	}
+	m.peers.Set(list)
+}
+
+// probe sends a round of probes.
+func (m *linkModel) probe(round Round) {
+	if len(round.Targets) == 0 {
+		return
+	}
+	began, numLeft := m.now, len(round.Targets)
+	// expire holds what is called when the probes' time is over.
+	var expire []func()
+	for _, target := range round.Targets {
+		m.reach.RecordAttempt(at(m.now))
+		isOver := false
+		end := func(result ProbeResult) {
+			if isOver {
+				return
+			}
+			isOver = true
+			numLeft--
+			if result == ProbeOpened {
+				m.reach.RecordConnected(at(m.now), target)
+			}
+			m.reach.RecordProbe(at(m.now), target, result)
+		}
+		expire = append(expire, func() { end(ProbeLate) })
+		switch {
+		case m.isCut && !m.refuses:
+		case m.isCut || m.dead[target]:
+			m.after(m.openTime(rtt), func() { end(ProbeRefused) })
+		default:
+			m.after(m.openTime(rtt), func() { end(ProbeOpened) })
+		}
+	}
+	for _, vm := range m.peers.Controls(at(m.now), round.NumControls) {
+		isOver := false
+		end := func(result ProbeResult) {
+			if isOver {
+				return
+			}
+			isOver = true
+			m.peers.RecordControl(at(m.now), vm.ID, result == ProbeOpened)
+			m.reach.RecordControl(at(m.now), at(began), result)
+		}
+		expire = append(expire, func() { end(ProbeLate) })
+		if !m.goneVMs[vm.ID] && !m.isCutFromVMs {
+			usual := 2 * time.Millisecond
+			if vm.Region != "styria" {
+				usual = rtt
+			}
+			m.after(m.openTime(usual), func() { end(ProbeOpened) })
+		}
+	}
+	giveUp := func() {
+		for _, end := range expire {
+			end()
+		}
+	}
+	m.after(m.reach.ProbeTimeout(), func() {
+		if numLeft > 0 && m.reach.ExtendsRound() {
+			m.after(m.reach.SlowProbeTimeout()-m.reach.ProbeTimeout(), giveUp)
+			return
+		}
+		giveUp()
+	})
 }
 
 func (m *linkModel) after(d time.Duration, run func()) {
 	m.events = append(m.events, linkEvent{m.now + d, run})
 }
 
-// connect opens a connection, and calls done with the result.
-func (m *linkModel) connect(address string, timeout time.Duration, done func(ok bool)) {
+// connect opens a connection for a request.
+func (m *linkModel) connect(address string) {
 	began := m.now
 	m.reach.RecordAttempt(at(m.now))
-	fail := func() {
-		m.reach.RecordFailure(at(m.now), at(began), address)
-		done(false)
-	}
+	fail := func() { m.reach.RecordFailure(at(m.now), at(began), address) }
+	takes := m.openTime(rtt)
 	switch {
-	case m.isCut && !m.refuses:
-		m.after(timeout, fail)
+	case (m.isCut && !m.refuses) || takes > dialTimeout:
+		m.after(dialTimeout, fail)
 	case m.isCut || m.dead[address]:
-		m.after(rtt, fail)
+		m.after(takes, fail)
 	default:
-		takes := m.openTime(rtt)
-		if takes > timeout {
-			m.after(timeout, fail)
-			return
-		}
-		m.after(takes, func() {
-			m.reach.RecordConnected(at(m.now), address)
-			done(true)
-		})
+		m.after(takes, func() { m.reach.RecordConnected(at(m.now), address) })
 	}
 }
 
@@ -108,7 +183,7 @@
 		m.affected = append(m.affected, m.now)
 	}
 	if isNew {
-		m.connect(address, dialTimeout, func(bool) {})
+		m.connect(address)
 		return
 	}
 	m.reach.RecordAttempt(at(m.now))
@@ -140,9 +215,7 @@
 			m.request(work)
 		}
 		if m.now%(100*time.Millisecond) == 0 {
-			for _, target := range m.reach.Tick(at(m.now), m.instances) {
-				m.connect(target, m.reach.ProbeTimeout(), func(ok bool) { m.reach.RecordProbe(at(m.now), target, ok) })
-			}
+			m.probe(m.reach.Tick(at(m.now), m.instances, m.peers.Len()))
 		}
 		observe()
 	}
@@ -220,19 +293,110 @@
 	}
 }
 
+// A VM that is cut off from everything must not be isolated, as it can pass nothing on, until it
+// reaches other VMs again.
+func TestCutFromEverythingIsNoIsolation(t *testing.T) {
+	const notice = 2 * time.Second
+	for seed := range uint64(20) {
+		m := newLinkModel(seed, 40)
+		const rate, work = 90, 100 * time.Millisecond
+		m.advance(time.Second, rate, work, func() {})
+		m.isCut, m.isCutFromVMs, m.touched = true, true, make(map[string]bool)
+		m.advance(10*time.Second, rate, work, func() {
+			if s, _ := m.reach.State(); s == Isolated {
+				t.Fatalf("seed %d: isolated at %s", seed, m.now)
+			}
+		})
+		m.isCutFromVMs = false
+		m.advance(notice, rate, work, func() {})
+		if s, _ := m.reach.State(); s != Isolated {
+			t.Errorf("seed %d: %s, %s after other VMs are reached again", seed, s, notice)
+		}
+	}
+}
+
+// VMs that are probed together with instances must be those that are believed to run, of this
+// region first: one that is gone tells nothing about this VM's link.
+func TestControlsAreBelievedAlive(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	p := NewPeers("styria", rng.Float64)
+	p.Set([]Peer{{ID: "a", Region: "styria"}, {ID: "b", Region: "styria"}, {ID: "c", Region: "tyrol"}, {ID: "d", Region: "tyrol"}})
+	names := func(now time.Duration, n int) string {
+		out := ""
+		for _, v := range p.Controls(at(now), n) {
+			out += v.ID
+		}
+		return out
+	}
+	p.RecordState(at(0), "b", false)
+	p.RecordState(at(0), "d", false)
+	if got := names(0, 9); got != "badc" {
+		t.Errorf("%q, want those that reported first", got)
+	}
+	p.RecordControl(at(0), "b", false)
+	if got := names(0, 4); got != "adcb" {
+		t.Errorf("%q after a failure", got)
+	}
+	p.RecordControl(at(0), "b", true)
+	if got := names(0, 1); got != "b" {
+		t.Errorf("%q after a success", got)
+	}
+	p.Avoid(at(0), "b")
+	if got := names(0, 1); got != "a" {
+		t.Errorf("%q while one is avoided", got)
+	}
+}
+
+// A VM whose link is congested when it is cut off must notice the cut nevertheless, or its callers
+// are not served: within 2 s of the end of the congestion, whatever the kind of the cut, and
+// within 30 s while the congestion lasts, if no instance answers over open connections. Other VMs
+// then accept one of six connections within the bound.
+func TestCutOfCongestedVMIsNoticed(t *testing.T) {
+	const defaultRounds = 100
+	const notice, noticeCongested = 2 * time.Second, 30 * time.Second
+	seed, rounds := testkit.Seed(t, 1), testkit.Rounds(t, defaultRounds)
+	for round := range rounds {
+		for _, lasts := range []bool{false, true} {
+			m := newLinkModel(seed+uint64(round), []int{3, 12, 40, 200}[round%4])
+			m.setVMs(11)
+			rate := []float64{10, 90, 300}[m.rng.IntN(3)]
+			work := []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, 2500 * time.Millisecond}[m.rng.IntN(3)]
+			m.advance(time.Second, rate, work, func() {})
+			m.isCongested = true
+			m.advance(3*time.Second, rate, work, func() {})
+			m.isCut, m.refuses, m.cutAt, m.touched = true, !lasts && m.rng.IntN(2) == 0, m.now, make(map[string]bool)
+			bound := noticeCongested
+			if !lasts {
+				m.advance(2*time.Second, rate, work, func() {})
+				m.isCongested, bound = false, notice
+			}
+			isolatedAfter, began := time.Duration(-1), m.now
+			m.advance(bound, rate, work, func() {
+				if s, _ := m.reach.State(); s == Isolated && isolatedAfter < 0 {
+					isolatedAfter = m.now - began
+				}
+			})
+			if isolatedAfter < 0 {
+				t.Fatalf("round %d, seed %d, %d instances, %g/s, work %s, refuses %t: not isolated within %s", round, seed, len(m.instances), rate, work, m.refuses, bound)
+			}
+			t.Logf("lasts %t, refuses %t: isolated after %s", lasts, m.refuses, isolatedAfter)
+		}
+	}
+}
+
 // Requests must return to the instances gradually, and more slowly after a flap.
 func TestRequestsReturnGradually(t *testing.T) {
 	next := 0.0
 	r := NewReach(Config{Random: func() float64 { return next }})
 	isolate := func(now time.Duration) {
-		r.Tick(at(now), addresses(5))
+		r.Tick(at(now), addresses(5), 0)
 		for _, id := range addresses(2) {
 			r.RecordFailure(at(now), at(now), id)
 		}
 		for range 3 {
 			now += 200 * time.Millisecond
-			for _, target := range r.Tick(at(now), addresses(5)) {
-				r.RecordProbe(at(now), target, false)
+			for _, target := range r.Tick(at(now), addresses(5), 0).Targets {
+				r.RecordProbe(at(now), target, ProbeLate)
 			}
 		}
 	}
@@ -258,7 +422,7 @@
 				t.Errorf("at %g of a ramp of %s a draw of %g is passed on", share, ramp, next)
 			}
 		}
-		r.Tick(at(now+ramp), addresses(5))
+		r.Tick(at(now+ramp), addresses(5), 0)
 		if s, _ := r.State(); s != Reachable {
 			t.Errorf("%s after the ramp", s)
 		}
