Ask for all controls if an instance answers meanwhile

Cause: over a congested link on which a few connections open fast, one to another VM may do so by chance while those to instances don't, and callers are then passed on. Instances that answer over open connections during the round tell that apart from a cut.

Fix: if an instance answered during a round of probes, all other VMs that were probed with it must accept a connection in time for its timeouts to count; one is enough if the instances are silent, as at a cut, so cuts are noticed as before. Refusals count as before.

--- a/entry/ejections_test.go
+++ b/entry/ejections_test.go
@@ -110,3 +110,26 @@
 		t.Errorf("%T once another VM is known", chosen)
 	}
 }
+
+// A VM that is isolated and then knows no other VM any more must try instances, on a path that
+// is not given up.
+func TestIsolatedVMLosesItsPeers(t *testing.T) {
+	t.Parallel()
+	s := newTestSelector(t, 3)
+	s.reach.Open = func(context.Context, string) error { return syscall.ECONNREFUSED }
+	s.reach.OpenPeer = func(context.Context, string) error { return nil }
+	s.reach.SetInstances([]string{"i-0:1", "i-1:1", "i-2:1"})
+	s.reach.SetPeers([]transit.Peer{{ID: "vm-2", Address: "vm-2:1", Region: "styria"}})
+	s.reach.Failed("i-0:1", time.Now())
+	s.reach.Failed("i-1:1", time.Now())
+	var group conc.WaitGroup
+	s.reach.Tick(t.Context(), &group)
+	group.Wait()
+	if !s.reach.MustPassOn() || s.reach.Path().Err() == nil {
+		t.Fatalf("passes on %t, path %v", s.reach.MustPassOn(), s.reach.Path().Err())
+	}
+	s.reach.SetPeers(nil)
+	if c := choose(t, s, orderQuery()); c.Path().Err() != nil {
+		t.Errorf("path %v", c.Path().Err())
+	}
+}
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -157,11 +157,11 @@
 	// roundSize is their number, and roundSucceeded says that one of them succeeded.
 	roundSize      int
 	roundSucceeded bool
-	// numControls is the number of other VMs of the round. isControlOpen says that one of them
-	// accepted a connection, isControlFast that one did in time, and isAnyFast that an
-	// instance or another VM accepted or refused one in time.
-	numControls                             int
-	isControlOpen, isControlFast, isAnyFast bool
+	// numControls is the number of other VMs of the round, and numControlsFast that of those
+	// that accepted a connection in time. isControlOpen says that one of them did at all, and
+	// isAnyFast that an instance or another VM accepted or refused one in time.
+	numControls, numControlsFast int
+	isControlOpen, isAnyFast     bool
 	// congestedAt is when a round ended last in which nobody answered in time, and
 	// isCongested says that none did since.
 	congestedAt time.Time
@@ -285,7 +285,7 @@
 	}
 	r.isControlOpen = true
 	if r.isFast(now) {
-		r.isControlFast = true
+		r.numControlsFast++
 		if r.numProbing == 0 && !r.roundSucceeded {
 			// The instances refused connections before the other VM accepted one.
 			r.conclude(now)
@@ -309,7 +309,18 @@
 // SlowProbeTimeout: this VM's link may be congested, as connections to other VMs open late as
 // well or an instance has answered meanwhile.
 func (r *Reach) ExtendsRound() bool {
-	return r.numProbing > 0 && !r.roundSucceeded && r.numControls > 0 && (!r.isControlFast || r.answeredAt.After(r.probedAt))
+	return r.numProbing > 0 && !r.roundSucceeded && r.numControls > 0 && (r.numControlsFast == 0 || r.answeredAt.After(r.probedAt))
+}
+
+// isOthersReached reports whether the links to other VMs work at the time of the present round
+// of probes. One VM that accepts a connection in time is enough, unless an instance has answered
+// during the round: the link is then more likely full, and a single connection may open fast by
+// chance.
+func (r *Reach) isOthersReached() bool {
+	if r.answeredAt.After(r.probedAt) {
+		return r.numControlsFast == r.numControls
+	}
+	return r.numControlsFast > 0
 }
 
 // endRound ends a round of probes.
@@ -325,7 +336,7 @@
 		r.RecordRoundFailure(now)
 	}
 	r.conclude(now)
-	if r.state == Suspected && r.numControls > 0 && !r.isControlFast && !r.isFast(now) {
+	if r.state == Suspected && r.numControls > 0 && !r.isOthersReached() && !r.isFast(now) {
 		// Connections that open late say nothing about instances, except those that refused.
 		clear(r.failedAt)
 		maps.Copy(r.failedAt, r.refusedAt)
@@ -344,7 +355,7 @@
 		needed += numTargetsAgain
 	}
 	failures := r.refusedAt
-	if r.isControlFast || r.numPeers == 0 {
+	if r.numPeers == 0 || (r.numControls > 0 && r.isOthersReached()) {
 		failures = r.failedAt
 	}
 	isSilent := r.isControlOpen && r.roundSize >= min(numTargetsAgain, r.numInstances) &&
@@ -395,7 +406,7 @@
 	}
 	targets := r.drawTargets(instances, count)
 	r.numProbing, r.roundSize, r.probedAt, r.roundSucceeded = len(targets), len(targets), now, false
-	r.numControls, r.isControlOpen, r.isControlFast, r.isAnyFast = 0, false, false, false
+	r.numControls, r.numControlsFast, r.isControlOpen, r.isAnyFast = 0, 0, false, false
 	if len(targets) > 1 || len(targets) == len(instances) {
 		// The failure of one of several instances decides nothing.
 		r.numControls = min(numControls, numPeers)
--- a/transit/reach_test.go
+++ b/transit/reach_test.go
@@ -315,6 +315,52 @@
 	}
 }
 
+// One other VM that accepts a connection in time proves that the link works if instances are
+// silent. If an instance answers during the round, all must, or a single fast connection over a
+// congested link isolates the VM.
+func TestProofThatOtherVMsAreReached(t *testing.T) {
+	for _, c := range []struct {
+		hasAnswered bool
+		numFast     int
+		want        State
+	}{{false, 0, Suspected}, {false, 1, Isolated}, {true, 1, Suspected}, {true, 3, Isolated}} {
+		r := NewReach(Config{})
+		r.Tick(at(0), addresses(40), 9)
+		for _, id := range addresses(20) {
+			r.RecordAnswer(at(0), id)
+		}
+		for _, id := range addresses(2) {
+			r.RecordFailure(at(0), at(0), id)
+		}
+		now := time.Second
+		for range 3 {
+			round := r.Tick(at(now), addresses(40), 9)
+			for range c.numFast {
+				r.RecordControl(at(now+100*time.Millisecond), at(now), ProbeOpened)
+			}
+			if c.hasAnswered {
+				r.RecordAnswer(at(now+200*time.Millisecond), "i-19")
+			}
+			if got, want := r.ExtendsRound(), len(round.Targets) > 0 && (c.hasAnswered || c.numFast == 0); got != want {
+				t.Errorf("%+v: extended %t", c, got)
+			}
+			for _, target := range round.Targets {
+				r.RecordProbe(at(now+r.SlowProbeTimeout()), target, ProbeLate)
+			}
+			now += time.Second
+			for _, id := range addresses(2) {
+				// After a round that proved nothing, the VM is suspected again.
+				if s, _ := r.State(); s != Isolated {
+					r.RecordFailure(at(now), at(now), id)
+				}
+			}
+		}
+		if got, _ := r.State(); got != c.want {
+			t.Errorf("%+v: %s", c, got)
+		}
+	}
+}
+
 // VMs that are probed together with instances must be those that are believed to run, of this
 // region first: one that is gone tells nothing about this VM's link.
 func TestControlsAreBelievedAlive(t *testing.T) {
