Take no request that may outlast a planned stop

Callers saw requests without an answer at planned stops, among them orders that an instance ran and that they may not repeat.

With a timeout of 4 s, a request taken at 2.0 s of 6 s may run until 6.0 s, but answers are awaited until 5.7 s only. Requests taken before whose bodies had stopped short were sent later, or held the stop until its bound.

Now the proxy knows the end of the stop. A request is sent only if its deadline, with the time that answers may be late, isn't after it; this is checked before the body is read, and before and after the wait for a slot. Meanwhile bodies are awaited until the deadline of their request at most. Each other request is refused at once as not run, with a Retry-After. Nothing is sent later that could have to be cut off, so that the refusal is true and the end of the stop has nothing to break off but what was sent before SIGTERM with a timeout beyond it. Both daemons use the rule. The server for pipelined requests doesn't wait for the rest of a body any more before the last answer of a connection.

TestFinishRefusesWhatMayOutlastTheStop is new with the method that it calls.

--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -244,7 +244,8 @@
 	if x.body.isExpected {
 		closes = closes || !x.body.isDone()
 	} else if !x.isFullDuplex && !closes {
-		closes = !x.body.settle()
+		// The last answer of a connection doesn't wait for a body that nobody reads.
+		closes = (x.c.s.finishing.Load() && !x.body.isDone()) || !x.body.settle()
 	}
 	switch {
 	case isHead || !hasBody || x.contentLength >= 0:
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -19,15 +19,17 @@
 )
 
 // Stop stops the node gracefully within the grace of the settings. Lookups and readiness
-// end immediately, new requests are accepted for lingerShare of the grace, and requests
-// in flight are completed. It returns the number of requests that were cut off.
+// end immediately. New requests are accepted for lingerShare of the grace if they end within it
+// at the latest, and requests in flight are completed. It returns the number of requests that
+// were cut off.
 func (n *Node) Stop() int {
 	started := time.Now()
 	event.StopRequested.Log(n.log, "in_flight", n.proxy.InFlight())
+	grace := n.settings.Load().StopGrace
 	n.finishCallers()
+	n.proxy.Finish(started.Add(grace - stopMargin - flushTimeout))
 	n.triggerAnnounce()
 	n.setCallerLimits(n.settings.Load())
-	grace := n.settings.Load().StopGrace
 	linger := time.NewTimer(time.Duration(lingerShare * float64(grace)))
 	defer linger.Stop()
 	<-linger.C
--- a/node/stop.go
+++ b/node/stop.go
@@ -30,6 +30,9 @@
 	n.mu.Lock()
 	n.leaving = true
 	n.mu.Unlock()
+	if end, ok := ctx.Deadline(); ok {
+		n.proxy.Finish(end)
+	}
 	n.control.Declare(member.Leaving)
 	n.refresh(time.Now())
 	var handover conc.WaitGroup
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -75,6 +76,10 @@
 	x.key, x.caller = x.meta.Key, x.meta.Caller
 	x.setQuery(&routed)
 	x.hasTeams = routed.HasTeams
+	last := x.query.Deadline.Add(o.DeadlineGrace)
+	if err := x.h.gate.check(last); err != nil {
+		return err
+	}
 	if a, ok := o.Selector.(transitAdmitter); ok && x.transit != nil {
 		if err := a.AdmitTransit(&x.query); err != nil {
 			return err
@@ -102,15 +107,10 @@
 		// disconnects, so that a resend gets its answer.
 		parent = context.WithoutCancel(parent)
 	}
-	x.ctx, x.cancel = context.WithDeadline(parent, x.query.Deadline.Add(o.DeadlineGrace))
-	x.body, err = readBody(x.r, o.MaxBufferBytes, maxBody, &x.memory)
-	if err != nil {
-		x.cancel()
-		if errors.Is(err, errNoMemory) {
-			return verdict.Wrap(err, verdict.NotRun, verdict.ReasonOverloaded)
-		}
-		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+	if err := x.receiveBody(last, maxBody); err != nil {
+		return err
 	}
+	x.ctx, x.cancel = context.WithDeadline(parent, last)
 	x.fingerprint = x.hashRequest(x.query.Service.Name)
 	// The service is left out, since a route's weights may select another one for a
 	// resend.
@@ -118,6 +118,34 @@
 	return nil
 }
 
+// receiveBody buffers the body of a request that ends at last.
+func (x *exchange) receiveBody(last time.Time, maxBody int64) error {
+	o := &x.h.options
+	if x.r.ContentLength == 0 {
+		x.body = new(body)
+		return nil
+	}
+	wait := &bodyWait{last: last, setDeadline: func(t time.Time) { _ = http.NewResponseController(x.w).SetReadDeadline(t) }}
+	if err := x.h.gate.beginBody(wait); err != nil {
+		return err
+	}
+	var err error
+	x.body, err = readBody(x.r, o.MaxBufferBytes, maxBody, &x.memory)
+	isStopping := x.h.gate.endBody(wait, err)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errNoMemory):
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonOverloaded)
+	case isStopping && errors.Is(err, os.ErrDeadlineExceeded):
+		e := verdict.Wrap(err, verdict.NotRun, verdict.ReasonStopping)
+		e.RetryAfter = stoppingRetryAfter
+		return e
+	default:
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
+	}
+}
+
 func (x *exchange) setQuery(routed *Routed) {
 	timeout := routed.DefaultTimeout
 	if x.meta.Timeout > 0 {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -336,6 +336,9 @@
 	}
 	o.Upstream.MaxConnections = o.MaxConnections
 	h := &Handler{options: o, client: upstream.New(o.Upstream), transitClient: upstream.New(o.Transit), gate: gate{limit: o.MaxConcurrent}}
+	if o.Selector != nil {
+		h.options.Selector = &gatedSelector{o.Selector, &h.gate, o.DeadlineGrace}
+	}
 	h.unknownHeaders = newUnknownHeaders(o.Log, o.Metrics)
 	if o.Metrics != nil {
 		h.meters = &meters{scope: o.Metrics.Scope(), answers: make(map[answerKey]answerMeter)}
@@ -352,6 +355,11 @@
 // SetReady sets whether requests are admitted or refused with "not-ready".
 func (h *Handler) SetReady(ready bool) { h.gate.setReady(ready) }
 
+// Finish begins a stop that ends at end. From then on a request is sent only if its deadline,
+// with Options.DeadlineGrace, is not later. Each other one is refused at once, so that it need
+// not be cut off while an instance runs it; those that were sent before are not affected.
+func (h *Handler) Finish(end time.Time) { h.gate.finish(end) }
+
 // Stop refuses new requests and waits until those in flight have ended or ctx is
 // done. It returns the number of requests still in flight.
 func (h *Handler) Stop(ctx context.Context) int {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -498,6 +498,38 @@
 	wantVerdict(t, res, verdict.NotRun, verdict.ReasonStopping)
 }
 
+// During a stop, a request that may outlast it must be refused before it is sent, however long
+// it waited for its slot; one that ends before is served.
+func TestFinishRefusesWhatMayOutlastTheStop(t *testing.T) {
+	u := startUpstream(t, standin.UpstreamOptions{ID: "u"})
+	f := newFixture(t, u.Address())
+	f.handler.Finish(time.Now().Add(10 * time.Second))
+	res, _, err := f.do(t, "POST", "/short", "x", HeaderTimeout, "5000")
+	if err != nil || res.StatusCode != 200 {
+		t.Fatalf("short: %v, %v", res, err)
+	}
+	if res, _, err = f.do(t, "POST", "/long", "x", HeaderTimeout, "15000"); err != nil {
+		t.Fatal(err)
+	}
+	wantVerdict(t, res, verdict.NotRun, verdict.ReasonStopping)
+	f.handler.options.Selector = &gatedSelector{slotWait{f}, &f.handler.gate, 0}
+	if res, _, err = f.do(t, "POST", "/waited", "x", HeaderTimeout, "5000"); err != nil {
+		t.Fatal(err)
+	}
+	wantVerdict(t, res, verdict.NotRun, verdict.ReasonStopping)
+	if total := u.Ledger().Total(); total != 1 || len(f.outcomes) != 2 || !f.outcomes[1].Cancelled {
+		t.Errorf("%d requests ran, outcomes %+v", total, f.outcomes)
+	}
+}
+
+// slotWait is a selector that waits for a slot while a stop begins.
+type slotWait struct{ f *fixture }
+
+func (s slotWait) Select(ctx context.Context, q *Query) (Selection, error) {
+	s.f.handler.Finish(time.Now().Add(time.Second))
+	return s.f.Select(ctx, q)
+}
+
 // Invalid requests must be refused before any attempt.
 func TestRefusalsBeforeAnyAttempt(t *testing.T) {
 	f := newFixture(t)
