Close no caller early because the VM stops

Callers that paused for 1.8 s, while they read an answer or sent a body, got a reset from a VM that was stopped with a grace of 6 s, and the stop counted nothing as cut off.

Cause: while the VM stopped, callerguard closed callers without progress after 0.3 of the grace instead of 8 s, so that requests that are not whole would not hold the stop until its end. It did so with the readers of answers too, and without a refusal.

Evidence: TestStopWaitsForSlowReaders failed before (0.1 of 24 MB, then a reset) and passes, and so do the last two cases of TestStopRefusesUnfinishedBodies (a reset before). TestStopWaitsForNoStalledCaller and TestStopBesideCrowd pass as before.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"syscall"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -44,20 +43,6 @@
 	maxDescriptors = 65536
 )
 
-// stopGraceShare is the part of the time for a stop after which callers that make no progress
-// are closed while the VM stops. Their requests are not whole, and the stop would wait for them
-// until its end.
-const stopGraceShare = 0.3
-
-// setCallerLimits applies the bounds of the settings.
-func (n *Node) setCallerLimits(s *Settings) {
-	l := callerLimits(s)
-	if n.leaving.Load() {
-		l.Grace = min(l.Grace, time.Duration(stopGraceShare*float64(s.StopGrace)))
-	}
-	n.guard.SetLimits(l)
-}
-
 // callerLimits returns the bounds on callers, with the defaults that depend on the VM.
 func callerLimits(s *Settings) callerguard.Limits {
 	descriptors := float64(maxDescriptors)
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -76,7 +76,7 @@
 	n.budgetMu.Unlock()
 	n.selector.setBounds(next)
 	n.teamCaps.setBound(teamBound(next))
-	n.setCallerLimits(next)
+	n.guard.SetLimits(callerLimits(next))
 	n.setVMs(now)
 	if !maps.Equal(next.Regions, old.Regions) {
 		event.DataCentresChanged.Log(n.log, "before", len(old.Regions), "now", len(next.Regions))
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -29,7 +29,6 @@
 	n.finishCallers()
 	n.proxy.Finish(started.Add(grace - stopMargin - flushTimeout))
 	n.triggerAnnounce()
-	n.setCallerLimits(n.settings.Load())
 	linger := time.NewTimer(time.Duration(lingerShare * float64(grace)))
 	defer linger.Stop()
 	<-linger.C
