Answer pipelined requests that have arrived when a VM stops

With pipeline_most above 1, a caller whose VM stopped got no answer to requests that the VM had read behind those in flight: the last answer in flight closed the connection.

Now an answer closes the connection only if nothing has arrived behind its request. What has arrived is run one after the other, or refused by the proxy, and the last answer closes. A body that has arrived is skipped, others aren't waited for, as before.

TestFinishedConnectionsAnswerOnce wanted the requests behind the started ones to be dropped; TestFinishedConnectionsAnswerWhatHasArrived wants each of them answered, in order, none started early, and the last to close.

--- a/callerconn/body.go
+++ b/callerconn/body.go
@@ -65,6 +65,9 @@
 	switch {
 	case err == io.EOF: //nolint:errorlint // A wrapped EOF is not the end of the body.
 		b.isWhole = true
+		b.x.c.mu.Lock()
+		b.x.hasMore = b.x.c.br.Buffered() > 0
+		b.x.c.mu.Unlock()
 		close(b.done)
 	case err != nil:
 		b.err = err
@@ -102,6 +105,17 @@
 	return b.isWhole
 }
 
+// hasArrived reports whether the rest of the body can be read without waiting for the caller.
+func (b *requestBody) hasArrived() bool {
+	if b.isDone() {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.x.req.ContentLength
+	return known > 0 && known-b.n <= int64(b.x.c.br.Buffered())
+}
+
 // isDone reports whether nothing more of the body is read.
 func (b *requestBody) isDone() bool {
 	if b.src == nil {
--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -201,6 +201,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseBusy
+	if n := len(c.queue); err == nil && n > 0 {
+		c.queue[n-1].hasMore = true
+	}
 	return err == nil
 }
 
@@ -270,6 +273,9 @@
 		x.isTurn = true
 	}
 	c.setReadTimeout(0)
+	if x.body.src == nil {
+		x.hasMore = c.br.Buffered() > 0
+	}
 	c.queue = append(c.queue, x)
 	if c.hasIdleWorker {
 		c.hasIdleWorker = false
--- a/callerconn/pipeline_test.go
+++ b/callerconn/pipeline_test.go
@@ -356,9 +356,10 @@
 	s.expectNoneStarted()
 }
 
-// While the server finishes connections, the last request of each must be answered with
+// While the server finishes connections, each request that has arrived must be answered, those
+// that were not started one after the other, and the last answer of each connection must have
 // "Connection: close", also on connections that were idle.
-func TestFinishedConnectionsAnswerOnce(t *testing.T) {
+func TestFinishedConnectionsAnswerWhatHasArrived(t *testing.T) {
 	t.Parallel()
 	s := newStage(t)
 	server := newSubject(s)
@@ -368,21 +369,26 @@
 	send(t, c, get("/a"), get("/b"))
 	s.expectStarted("/a", "/b")
 	server.FinishConnections()
-	send(t, c, get("/c"))
+	send(t, c, get("/c"), post("/order", "x"), get("/d"))
 	s.expectNoneStarted()
 	s.release("/a")
 	s.release("/b")
-	if res := expectAnswers(t, r, "/a"); res.Close {
-		t.Error("the connection closes before a request that was started")
+	expectAnswers(t, r, "/a")
+	for _, next := range []string{"/c", "/order", "/d"} {
+		s.expectStarted(next)
+		s.release(next)
 	}
-	if res := expectAnswers(t, r, "/b"); !res.Close {
+	if res := expectAnswers(t, r, "/b", "/c", "/order"); res.Close {
+		t.Error("the connection closes before a request that has arrived")
+	}
+	if res := expectAnswers(t, r, "/d"); !res.Close {
 		t.Error("the connection doesn't close")
 	}
 	expectEnd(t, r)
-	s.release("/d")
-	send(t, idle, get("/d"), get("/e"))
+	s.release("/e")
+	send(t, idle, get("/e"))
 	r = bufio.NewReader(idle)
-	if res := expectAnswers(t, r, "/d"); !res.Close {
+	if res := expectAnswers(t, r, "/e"); !res.Close {
 		t.Error("the connection doesn't close")
 	}
 	expectEnd(t, r)
--- a/callerconn/queue.go
+++ b/callerconn/queue.go
@@ -43,6 +43,8 @@
 	// closeAfter means that the connection ends after this answer. isAborted means that the
 	// answer is incomplete.
 	closeAfter, isAborted bool
+	// hasMore means that the caller has sent something behind the request.
+	hasMore bool
 	// isMarker marks the end of the queue, after which no request is read.
 	isMarker bool
 }
@@ -256,6 +258,15 @@
 	return n > 0 && (c.queue[n-1] == x || (n > 1 && c.queue[n-2] == x && c.queue[n-1].isMarker && len(c.queue[n-1].held) == 0))
 }
 
+// isFinished reports whether the connection ends after x because the server finishes: no request
+// is started after x, and nothing of another one has arrived. The caller holds c.mu.
+func (c *conn) isFinished(x *exchange) bool {
+	if !c.isLast(x) {
+		return false
+	}
+	return c.isDraining || (c.s.finishing.Load() && (!x.hasMore || c.phase == phaseAwait))
+}
+
 // end appends the end of the connection to the queue, with a refusal unless r is nil.
 func (c *conn) end(r *refusal) {
 	c.mu.Lock()
--- a/callerconn/response.go
+++ b/callerconn/response.go
@@ -244,8 +244,8 @@
 	if x.body.isExpected {
 		closes = closes || !x.body.isDone()
 	} else if !x.isFullDuplex && !closes {
-		// The last answer of a connection doesn't wait for a body that nobody reads.
-		closes = (x.c.s.finishing.Load() && !x.body.isDone()) || !x.body.settle()
+		// While the server finishes, no answer waits for a body that nobody reads.
+		closes = (x.c.s.finishing.Load() && !x.body.hasArrived()) || !x.body.settle()
 	}
 	switch {
 	case isHead || !hasBody || x.contentLength >= 0:
@@ -256,7 +256,7 @@
 		x.isUnframed, closes = true, true
 	}
 	x.c.mu.Lock()
-	if (x.c.isDraining || x.c.s.finishing.Load()) && x.c.isLast(x) {
+	if x.c.isFinished(x) {
 		closes = true
 	}
 	if closes {
--- a/callerconn/server.go
+++ b/callerconn/server.go
@@ -143,8 +143,9 @@
 	}
 }
 
-// FinishConnections ends each connection after the requests that are started on it, or
-// after its next request if there is none. The last answer has "Connection: close".
+// FinishConnections ends each connection after the last request that has arrived on it, or after
+// its next request if there is none. The last answer has "Connection: close". Requests that were
+// not started yet run one after the other.
 func (s *Server) FinishConnections() { s.finishing.Store(true) }
 
 // Shutdown closes the listeners and all connections without a started request. Started
