--- a/entry/callers.go
+++ b/entry/callers.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"syscall"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -14,6 +13,7 @@
 	"github.com/currantferry/currantferry/callerguard"
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/quiesce"
 )
 
 // Names of the ports, the values of label "port" of the counters of callers.
@@ -44,20 +44,6 @@
 	maxDescriptors = 65536
 )
 
-// stopGraceShare is the part of the time for a stop after which callers that make no progress
-// are closed while the VM stops. Their requests are not whole, and the stop would wait for them
-// until its end.
-const stopGraceShare = 0.3
-
-// setCallerLimits applies the bounds of the settings.
-func (n *Node) setCallerLimits(s *Settings) {
-	l := callerLimits(s)
-	if n.leaving.Load() {
-		l.Grace = min(l.Grace, time.Duration(stopGraceShare*float64(s.StopGrace)))
-	}
-	n.guard.SetLimits(l)
-}
-
 // callerLimits returns the bounds on callers, with the defaults that depend on the VM.
 func callerLimits(s *Settings) callerguard.Limits {
 	descriptors := float64(maxDescriptors)
@@ -128,7 +114,7 @@
 func (n *Node) newCallerServer() callerServer {
 	s := n.settings.Load()
 	if s.MaxPipelined <= 1 {
-		return n.newServer(n.closeWhenLeaving(n.proxy))
+		return n.newServer(quiesce.Handler(n.proxy, n.leaving.Load))
 	}
 	held := int64(defaultHeldBytes)
 	if s.MemoryMB > 0 {
@@ -151,16 +137,6 @@
 	return func(c callerconn.Count) { counters[c].Inc(1) }
 }
 
-// closeWhenLeaving asks callers to close their connections while the VM stops.
-func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // finishCallers asks callers to close their connections from now on. With pipelined
 // requests, only the last answer may say so, since the caller repeats the requests behind
 // it.
@@ -170,9 +146,3 @@
 		s.FinishConnections()
 	}
 }
-
-// isPipelining reports whether several requests of a connection may be in flight.
-func (n *Node) isPipelining() bool {
-	_, ok := n.callers.(*callerconn.Server)
-	return ok
-}
