Send reads on beside their attempts when the path is lost

A VM that believed that it reaches no instance (event 2361) ended every attempt of an idempotent request that it had sent. Instances were at work on them. The retry was often refused or failed at the other VM, and callers got 502 (retry-budget, may-have-run) up to 2 s before their deadlines, 24 to 56 at a time.

The belief may be wrong, and connections live on while new ones are refused, so it proves nothing about an attempt that was sent. Attempts that have sent nothing still end and are passed on. Beside one that was sent, a second is now sent through another VM, within the retry budget and the attempts of the request (event 2377, retries with the reason isolated). The first answer counts. If the first fails, the second counts. The verdict covers all attempts, also those that a hedge outlived: one that may have run and failed first was forgotten before. What another VM passed on is not sent again.

A request that was sent and not answered by a VM that was isolated meanwhile is no evidence of a crash, whatever ended it.

--- a/entry/selector.go
+++ b/entry/selector.go
@@ -366,6 +366,9 @@
 // Path returns a context that is cancelled when this VM reaches no instance any more.
 func (c *selection) Path() context.Context { return c.s.reach.Path() }
 
+// MayRunTwice returns true. The ledger refuses what has crashed instances.
+func (c *selection) MayRunTwice() bool { return true }
+
 // LogAttrs returns the log attributes that explain the choice of the instance.
 func (c *selection) LogAttrs() []any {
 	t := &c.ticket
@@ -391,7 +394,7 @@
 	}
 	// The connections of an isolated VM fail whatever state the instances are in.
 	var isOwnFailure, isDoubtful bool
-	if isConnectionFailure(&o) {
+	if isConnectionFailure(&o) || isUnanswered(&o) {
 		isOwnFailure, isDoubtful = c.s.reach.WasIsolated(c.chosenAt)
 	}
 	out.Cancelled = out.Cancelled || isOwnFailure
@@ -414,6 +417,11 @@
 	}
 }
 
+// isUnanswered reports whether an attempt was sent and ended before an answer.
+func isUnanswered(o *proxy.Outcome) bool {
+	return o.Verdict == verdict.MayHaveRun && o.Answered.IsZero()
+}
+
 // recordOutcome updates the ledger with the outcome of the attempt. The lock is held.
 func (c *selection) recordOutcome(now time.Time, o *proxy.Outcome) {
 	s, p, address := c.s, processOf(&c.ticket.Instance), c.ticket.Instance.Address
@@ -441,7 +449,7 @@
 		s.addCrashLocked(now, p, crashguard.EvidenceMisdirects)
 	case o.ConnectionRefused:
 		s.holdRefusal(now, p, address)
-	case o.Verdict == verdict.MayHaveRun && o.Answered.IsZero():
+	case isUnanswered(o):
 		s.holdEvidence(heldEvidence{at: now, process: p, address: address, record: func(at time.Time) { s.ledger.RecordUnanswered(at, c.fingerprint, p) }})
 	}
 	s.logSteps("")
--- a/event/feed.go
+++ b/event/feed.go
@@ -49,6 +49,7 @@
 	InstancesUnreachable  = define(2361, slog.LevelWarn, "this VM can't reach any instance", "check the links of the VM if other VMs don't report it, and the instances if all do")
 	InstancesReachable    = define(2362, slog.LevelInfo, "this VM reaches instances again", "")
 	InstancesProbed       = define(2376, slog.LevelInfo, "some of the instances that this VM probed accepted no connection", "if the other VMs that it probed did not either, check the VM's own links for congestion")
+	RequestPassedOn       = define(2377, slog.LevelDebug, "a request that was sent to an instance is passed on to another VM as well, since this VM believes that it reaches none", "the first answer counts; see the counter retries with the reason isolated")
 	InstanceEjected       = define(2364, slog.LevelInfo, "an instance failed repeatedly and gets no requests until a trial is due", "check the instance and the links to it; the reason is that of the last failure")
 	InstanceReadmitted    = define(2365, slog.LevelInfo, "an ejected instance gets requests again", "")
 	TransitDenied         = define(2363, slog.LevelWarn, "a request that claims to be passed on by another VM lacks this VM's key", "check who can reach the peer address; VMs learn the key of a restarted VM within seconds")
--- a/node/transit.go
+++ b/node/transit.go
@@ -199,3 +199,7 @@
 
 // Path returns a context that is cancelled when this VM reaches no instance any more.
 func (c *selection) Path() context.Context { return c.s.reach.Path() }
+
+// MayRunTwice returns false for a suspect of the crash guard, which never runs on two
+// instances at the same time.
+func (c *selection) MayRunTwice() bool { return !c.s.crash.isSuspect(&c.q) }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -40,6 +40,8 @@
 	written bool
 	// connectionRefused means that nothing listens at the instance's address.
 	connectionRefused bool
+	// isRefusalFinal says that another VM refused the request for a reason that is not its own.
+	isRefusalFinal bool
 	// answeredAt is when the header of the answer arrived, or zero.
 	answeredAt time.Time
 }
@@ -70,7 +72,7 @@
 		return (!isReceiver || receiver.CanSend()) && a.state.CompareAndSwap(attemptConnecting, attemptSending)
 	}
 	if s, ok := a.selection.(pathSelection); ok {
-		stop := context.AfterFunc(s.Path(), a.abandon)
+		stop := context.AfterFunc(s.Path(), func() { a.abandon() })
 		defer stop()
 	}
 	res, err := a.x.h.client.Do(a.ctx, &x)
@@ -200,6 +202,8 @@
 
 // fail ends the attempt with its error.
 func (a *attempt) fail() {
+	a.x.mayHaveRun = a.x.mayHaveRun || a.err.Verdict != verdict.NotRun
+	a.x.isRefusalFinal = a.x.isRefusalFinal || a.isRefusalFinal
 	cancelled := a.err.Reason == verdict.ReasonSlowUpstream || a.err.Reason == verdict.ReasonCallerGone
 	a.finish(Outcome{Verdict: a.err.Verdict, Reason: a.err.Reason, Cancelled: cancelled})
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -39,6 +39,8 @@
 	// unsent counts the attempts that ended before anything was sent, see
 	// maxUnsent.
 	unsent int
+	// mayHaveRun says that an attempt that failed may have run.
+	mayHaveRun bool
 	// transit is set if another VM passed the request on.
 	transit *transitRequest
 	// isRefusalFinal is set when another VM refused a request that was passed on to it, for
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -2,9 +2,6 @@
 
 import (
 	"net/http"
-	"time"
-
-	"github.com/sourcegraph/conc"
 
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/verdict"
@@ -58,27 +55,32 @@
 // allowed. The verdict of the error covers all attempts: it is NotRun only if no
 // attempt may have run.
 func (x *exchange) attemptAll() *verdict.Error {
-	worst := verdict.NotRun
 	for {
 		err := x.attemptOnce()
 		if err == nil {
 			return nil
 		}
-		if err.Verdict != verdict.NotRun {
-			worst = verdict.MayHaveRun
-		}
+		x.mayHaveRun = x.mayHaveRun || err.Verdict != verdict.NotRun
 		if finalErr := x.checkRetry(err); finalErr != nil {
 			final := *finalErr
-			final.Verdict = worst
+			final.Verdict = verdict.NotRun
+			if x.mayHaveRun {
+				final.Verdict = verdict.MayHaveRun
+			}
 			return &final
 		}
-		x.h.options.Metrics.CountRetry(err.Reason)
-		event.RequestRetried.Log(x.h.options.Log, append(x.logAttrs(), "instance", x.lastInstance(), "reason", string(err.Reason),
-			"verdict", err.Verdict.String(), "error", err.Err)...)
+		x.recordRetry(err)
 		x.query.IsRetry = true
 	}
 }
 
+// recordRetry counts and logs that another attempt follows after err.
+func (x *exchange) recordRetry(err *verdict.Error) {
+	x.h.options.Metrics.CountRetry(err.Reason)
+	event.RequestRetried.Log(x.h.options.Log, append(x.logAttrs(), "instance", x.lastInstance(), "reason", string(err.Reason),
+		"verdict", err.Verdict.String(), "error", err.Err)...)
+}
+
 // checkRetry returns nil if another attempt is allowed after err, or else the final
 // error of the request.
 func (x *exchange) checkRetry(err *verdict.Error) *verdict.Error {
@@ -127,8 +129,8 @@
 // connection failed, or the selection was withdrawn.
 const maxUnsent = 3
 
-// attemptOnce makes one attempt, hedged if it is a slow read, and forwards the
-// answer.
+// attemptOnce makes one attempt, with others beside it if it is late or this VM loses its
+// path to the instances, and forwards the answer.
 func (x *exchange) attemptOnce() *verdict.Error {
 	selection, err := x.h.options.Selector.Select(x.ctx, &x.query)
 	if err != nil {
@@ -137,9 +139,8 @@
 	x.attempts++
 	first := x.newAttempt(selection)
 	x.query.Exclude = append(x.query.Exclude, selection.Instance().ID)
-	winner := x.sendWithHedge(first)
+	winner := x.send(first)
 	if winner.err != nil {
-		winner.fail()
 		return winner.err
 	}
 	if x.transit != nil {
@@ -147,76 +148,3 @@
 	}
 	return x.deliver(winner)
 }
-
-// A hedge may be refused temporarily, because the hedge budget or the free slots
-// are used up. It is requested again after minHedgeRetryDelay, which doubles up to
-// maxHedgeRetryDelay. Otherwise a request to a frozen instance would wait until its
-// deadline.
-const (
-	minHedgeRetryDelay = 20 * time.Millisecond
-	maxHedgeRetryDelay = 160 * time.Millisecond
-)
-
-// sendWithHedge sends an attempt, and a hedge if the answer is late. It returns the
-// first attempt that was answered, or the last that failed. The other attempt has
-// ended by then.
-func (x *exchange) sendWithHedge(first *attempt) *attempt {
-	delay, ok := first.selection.HedgeAfter()
-	if !ok || !x.query.Idempotent || !x.body.isRepeatable() || x.body.rest != nil {
-		first.send()
-		return first
-	}
-	done := make(chan *attempt, 2)
-	var group conc.WaitGroup
-	defer group.Wait()
-	group.Go(func() { first.send(); done <- first })
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	var second *attempt
-	for retryDelay := max(delay, minHedgeRetryDelay); second == nil; retryDelay = min(2*retryDelay, maxHedgeRetryDelay) {
-		select {
-		case a := <-done:
-			return a
-		case <-timer.C:
-		}
-		second = x.hedge(first)
-		timer.Reset(retryDelay)
-	}
-	group.Go(func() { second.send(); done <- second })
-	winner := <-done
-	if winner.err != nil {
-		winner.fail()
-		return <-done
-	}
-	loser := first
-	if winner == first {
-		loser = second
-	}
-	loser.cancel()
-	<-done
-	loser.endLoser()
-	return winner
-}
-
-// hedge returns a second attempt at another instance, or nil if none is available.
-func (x *exchange) hedge(first *attempt) *attempt {
-	selection, ok := first.selection.Hedge()
-	if !ok {
-		return nil
-	}
-	x.query.Exclude = append(x.query.Exclude, selection.Instance().ID)
-	x.h.options.Metrics.CountRetry(verdict.ReasonSlowUpstream)
-	return x.newAttempt(selection)
-}
-
-// endLoser ends the slower attempt of a hedged request.
-func (a *attempt) endLoser() {
-	if a.res != nil {
-		a.res.Body.Close()
-	}
-	o := Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonSlowUpstream, Cancelled: true}
-	if a.err != nil {
-		o.Verdict = a.err.Verdict
-	}
-	a.finish(o)
-}
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -66,6 +66,9 @@
 type pathSelection interface {
 	// Path returns a context that is cancelled when this VM reaches no instance any more.
 	Path() context.Context
+	// MayRunTwice reports whether the request, if it is idempotent, may run at another
+	// instance while it may run at this one.
+	MayRunTwice() bool
 }
 
 // States of an attempt, which decide whether it can be abandoned.
@@ -75,15 +78,15 @@
 	attemptAbandoned
 )
 
-// abandon ends an attempt whose VM has lost its path to the instances, so that the request
-// can be passed on: if nothing was sent, or if the request may run again.
-func (a *attempt) abandon() {
+// abandon ends an attempt whose VM has lost its path to the instances if nothing was sent, so
+// that the request can be passed on. It reports whether it did. One that was sent goes on: the
+// instance works on it, and its connection may live on although new ones can't be opened.
+func (a *attempt) abandon() bool {
 	if !a.state.CompareAndSwap(attemptConnecting, attemptAbandoned) {
-		if !a.x.query.Idempotent || !a.state.CompareAndSwap(attemptSending, attemptAbandoned) {
-			return
-		}
+		return a.state.Load() == attemptAbandoned
 	}
 	a.cancel()
+	return true
 }
 
 // transitRequest is what the VM that passed a request on states about it.
@@ -199,7 +202,7 @@
 	a.err = parseTransitVerdict(refusal)
 	// The other VM has made all attempts that the request allows, unless it could not
 	// accept it.
-	a.x.isRefusalFinal = !isVMReason(a.err.Reason)
+	a.isRefusalFinal = !isVMReason(a.err.Reason)
 }
 
 // isVMReason reports whether a refusal says something about the VM only, so that another
