Ask again for retry budget while the path is lost

A read beside which no second attempt was sent because the retry budget was used up waited for its deadline if its links were really cut. Other requests refill the budget meanwhile, so it is asked for again after 20 to 160 ms, as a hedge that was refused is.

The new case of TestLostPathAddsAttemptThroughAnotherVM failed before.

--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -154,7 +154,7 @@
 }
 
 // A read whose instance can't be reached any more must be served through another VM soon after
-// this VM has lost its path, also if none is available at once. It must not be allowed more
+// this VM has lost its path, also if none or no retry budget is available at once. It must not be allowed more
 // attempts than it has left, and an order must not run a second time.
 func TestLostPathAddsAttemptThroughAnotherVM(t *testing.T) {
 	frozen := startUpstream(t, standin.UpstreamOptions{ID: "frozen", WorkTime: 20 * time.Second})
@@ -179,6 +179,17 @@
 			}
 		})
 	}
+	t.Run("once the budget has filled", func(t *testing.T) {
+		f, lose := newPathFixture(t, frozen.Address())
+		f.retries, f.vms = 0, []string{other.address}
+		time.AfterFunc(lossTime, lose)
+		time.AfterFunc(3*lossTime, func() { f.mu.Lock(); defer f.mu.Unlock(); f.retries = 1 })
+		res, _, err := f.do(t, "GET", "/a", "", HeaderTimeout, "5000")
+		if err != nil || res.StatusCode != http.StatusOK || res.Header.Get(standin.HeaderInstance) != "other" {
+			t.Fatalf("answer %v, %v", res, err)
+		}
+		f.checkAllEnded(t)
+	})
 	f, lose := newPathFixture(t, frozen.Address())
 	f.vms = []string{other.address}
 	time.AfterFunc(lossTime, lose)
--- a/proxy/race.go
+++ b/proxy/race.go
@@ -14,7 +14,7 @@
 // A hedge may be refused temporarily, because the hedge budget or the free slots
 // are used up. It is requested again after minHedgeRetryDelay, which doubles up to
 // maxHedgeRetryDelay. Otherwise a request to a frozen instance would wait until its
-// deadline. The same holds for an attempt through another VM while no VM is available.
+// deadline. The same holds for an attempt through another VM, which needs retry budget.
 const (
 	minHedgeRetryDelay = 20 * time.Millisecond
 	maxHedgeRetryDelay = 160 * time.Millisecond
@@ -182,8 +182,9 @@
 	})
 }
 
-// passOn adds an attempt through the VM that was selected, if the limits of the request and
-// the retry budget allow it. Nil means that none was available.
+// passOn adds an attempt through the VM that was selected, if the limits of the request allow
+// it. Nil means that none was available. Then, or if the retry budget is used up, it is tried
+// again later.
 func (r *race) passOn(s Selection) {
 	r.cancel()
 	x := r.x
@@ -193,9 +194,16 @@
 		return
 	case s == nil:
 		return
-	case !r.mayPassOn(), !r.isPaid && !x.h.options.Budget.TakeRetry(x.query.Service.Name, x.caller):
+	case !r.mayPassOn():
 		s.Done(Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonWithdrawn, Cancelled: true})
 		return
+	case !r.isPaid && !x.h.options.Budget.TakeRetry(x.query.Service.Name, x.caller):
+		s.Done(Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonWithdrawn, Cancelled: true})
+		if len(r.running) > 0 {
+			// Other requests refill the budget.
+			r.retryLater()
+		}
+		return
 	}
 	x.h.options.Metrics.CountRetry(verdict.ReasonIsolated)
 	event.RequestPassedOn.Log(x.h.options.Log, append(x.logAttrs(), "instance", x.lastInstance(), "via", s.Instance().ID)...)
