Close connections of other VMs when a VM stops

Callers of a stopping VM are asked to close their connections, but other VMs that pass requests on were not. They kept idle connections to it until its process exited. An order that one of them writes at that moment may have run as far as it can tell, and its caller gets 502 though nothing ran. Now each answer of a stopping VM to another one closes its connection, so that later requests open a new one, which is refused once the process has exited, and are passed on elsewhere.

TestStoppingVMClosesConnectionsOfOtherVMs failed before.

--- a/entry/transit.go
+++ b/entry/transit.go
@@ -31,20 +31,26 @@
 // transitHandler serves the requests that other VMs pass on, and leaves all others to
 // next. Callers don't use this address.
 func (n *Node) transitHandler(next *httprouter.Router) http.Handler {
+	passedOn := n.closeWhenLeaving(http.HandlerFunc(n.serveTransit))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(proxy.HeaderTransit) == "" {
 			next.ServeHTTP(w, r)
 			return
 		}
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get(proxy.HeaderTransitKey)), []byte(n.self.TransitKey)) != 1 {
-			event.TransitDenied.Log(n.log, "from", r.RemoteAddr)
-			n.proxy.RefuseTransit(w, r, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter))
-			return
-		}
-		n.proxy.ServeTransit(w, r)
+		passedOn.ServeHTTP(w, r)
 	})
 }
 
+// serveTransit serves a request that another VM passes on. Only VMs know the key.
+func (n *Node) serveTransit(w http.ResponseWriter, r *http.Request) {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(proxy.HeaderTransitKey)), []byte(n.self.TransitKey)) != 1 {
+		event.TransitDenied.Log(n.log, "from", r.RemoteAddr)
+		n.proxy.RefuseTransit(w, r, verdict.New(verdict.NotRun, verdict.ReasonIsolated, defaultRetryAfter))
+		return
+	}
+	n.proxy.ServeTransit(w, r)
+}
+
 // transitPeers returns the VMs to which requests can be passed on.
 func transitPeers(v *view, self string) []transit.Peer {
 	var peers []transit.Peer
--- a/node/node.go
+++ b/node/node.go
@@ -359,8 +359,8 @@
 	return l, nil
 }
 
-// closeWhenLeaving makes callers close their connections while the VM drains, so that
-// none sends a request on a connection that is about to be closed.
+// closeWhenLeaving makes callers and other VMs close their connections while the VM drains, so
+// that none sends a request on a connection that is about to be closed.
 func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.isLeaving() {
--- a/node/transit.go
+++ b/node/transit.go
@@ -67,7 +67,7 @@
 	}
 	n.transitKey = rand.Text()
 	server := &http.Server{
-		Handler: http.HandlerFunc(n.serveTransit), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: n.closeWhenLeaving(http.HandlerFunc(n.serveTransit)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, server)
