Tell other VMs which of their requests were not read

A VM whose memory for callers is used up refuses heads before it reads them, also on its peer port. The answer can't repeat the number of a request that another VM passed on, so that VM took it for the answer to another one: orders got 502 (answer-mismatch, may-have-run) though they had not run, and reads cost retry budget. Refusals on the peer port now say so in a header of their own, and the request is passed on elsewhere, or refused as not run. An answer without that header still counts as one that may have run, since the address may be another program's by now.

TestOrderThatAnotherVMDidNotReadIsNotRun, with a real guard, failed before: 502 in both cases.

--- a/callerguard/callerguard.go
+++ b/callerguard/callerguard.go
@@ -55,6 +55,8 @@
 	Limits Limits
 	// Ports are the names of all ports that will be protected.
 	Ports []string
+	// RefusalHeaders holds lines that are added to the heads of refusals, by the port's name.
+	RefusalHeaders map[string]string
 	// Scope receives the counters. Log receives events; nil discards them.
 	Scope tally.Scope
 	Log   *slog.Logger
@@ -113,6 +115,8 @@
 	guard *Guard
 	name  string
 	gauge tally.Gauge
+	// refusalHeader is added to the heads of refusals.
+	refusalHeader string
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -134,7 +138,7 @@
 		p := &port{
 			guard: g, name: name, conns: make(map[*conn]struct{}), byAddress: make(map[netip.Addr]int),
 			counts: make(map[string]*atomic.Int64), counters: make(map[string]tally.Counter),
-			gauge: o.Scope.Tagged(map[string]string{"port": name}).Gauge("caller_connections"),
+			gauge: o.Scope.Tagged(map[string]string{"port": name}).Gauge("caller_connections"), refusalHeader: o.RefusalHeaders[name],
 		}
 		for _, reason := range reasons {
 			p.counts[reason] = new(atomic.Int64)
--- a/callerguard/conn.go
+++ b/callerguard/conn.go
@@ -155,7 +155,7 @@
 		c.port.count(reason)
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
-	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n"+header+"Connection: close\r\nContent-Length: 0\r\n\r\n")
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\n"+header+c.port.refusalHeader+"Connection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -191,7 +191,8 @@
 	n.teamCaps = newTeamCaps(&n.self, teamBound(s), n.log, n.metrics.Scope())
 	n.teamCaps.send = n.sendTeamCap
 	n.guard = callerguard.New(callerguard.Options{
-		Limits: callerLimits(s), Ports: []string{portCaller, portReady, portLookup, portPeer}, Scope: n.metrics.Scope(), Log: n.log,
+		Limits: callerLimits(s), Ports: []string{portCaller, portReady, portLookup, portPeer},
+		RefusalHeaders: map[string]string{portPeer: proxy.UnreadRefusal}, Scope: n.metrics.Scope(), Log: n.log,
 	})
 	n.proxy = proxy.New(proxy.Options{
 		Router: n.router, Protocol: o.Platform.Protocol, Selector: n.selector, Budget: n, Admission: n.teamCaps, Metrics: n.metrics, Log: n.log,
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -38,6 +38,14 @@
 	headerTransitVerdict  = transitPrefix + "-Verdict"
 )
 
+// unreadRefusal is the value of headerTransitVerdict in refusals of requests that were not read.
+const unreadRefusal = "not-run overloaded 1000"
+
+// UnreadRefusal is a header line for answers of a VM's peer port that are sent before the request
+// is read, and can't repeat its HeaderTransit. Without it, the VM that passed the request on has to
+// assume that it may have run.
+const UnreadRefusal = headerTransitVerdict + ": " + unreadRefusal + "\r\n"
+
 // transitSelection is implemented by selections whose target is another VM, which chooses
 // the instance.
 type transitSelection interface {
@@ -174,10 +182,15 @@
 	x := upstream.Exchange{
 		Address: s.Instance().Address, Request: req, Repeatable: a.x.query.Idempotent,
 		MatchAnswer: func(res *http.Response) upstream.Match {
-			if res.Header.Get(HeaderTransit) != a.nonce {
+			switch nonce := res.Header.Get(HeaderTransit); {
+			case nonce == a.nonce:
+				return upstream.MatchRequest
+			case nonce == "" && res.Header.Get(headerTransitVerdict) == unreadRefusal:
+				// The VM did not read the request, see UnreadRefusal.
+				return upstream.MatchLast
+			default:
 				return upstream.MatchOther
 			}
-			return upstream.MatchRequest
 		},
 	}
 	res, err := a.x.h.transitClient.Do(a.ctx, &x)
--- a/proxy/transit_test.go
+++ b/proxy/transit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/currantferry/currantferry/callerguard"
+	"github.com/currantferry/currantferry/standin"
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -48,3 +53,42 @@
 		}
 	}
 }
+
+// An order that another VM refuses before it has read it, as a VM does whose memory for callers is
+// used up, has not run. It must go to a VM that takes it, or be refused as not run: it got 502, as
+// if it may have run.
+func TestOrderThatAnotherVMDidNotReadIsNotRun(t *testing.T) {
+	other := startOtherVM(t, startUpstream(t, standin.UpstreamOptions{ID: "u"}).Address())
+	// It has memory for a connection, but for no head.
+	guard := callerguard.New(callerguard.Options{
+		Limits: callerguard.Limits{MemoryBytes: 16 << 10}, Ports: []string{"peer"}, RefusalHeaders: map[string]string{"peer": UnreadRefusal},
+		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
+	})
+	full := httptest.NewUnstartedServer(http.HandlerFunc(other.handler.ServeTransit))
+	full.Listener = guard.Protect("peer", full.Config, full.Listener)
+	full.Start()
+	t.Cleanup(full.Close)
+	address := full.Listener.Addr().String()
+	for name, vms := range map[string][]string{"another one takes it": {address, other.address}, "none takes it": {address}} {
+		t.Run(name, func(t *testing.T) {
+			f, lose := newPathFixture(t)
+			lose()
+			f.vms = vms
+			res, _, err := f.do(t, "POST", "/order", "x")
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.checkAllEnded(t)
+			if len(vms) > 1 {
+				if res.StatusCode != http.StatusOK {
+					t.Errorf("status %d, verdict %q, reason %q", res.StatusCode, res.Header.Get(verdict.HeaderVerdict), res.Header.Get(verdict.HeaderReason))
+				}
+				return
+			}
+			wantVerdict(t, res, verdict.NotRun, verdict.ReasonOverloaded)
+			if res.Header.Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+		})
+	}
+}
