Cancel the other attempt of a read once a small answer is whole

The header of an answer ended the other attempt of a hedged read, or of one that was also passed on. If the answer then ended early, the read was lost with both, unless the retry budget allowed a third attempt; if it stalled, as behind a link that is cut, the caller waited for its deadline. Attempts without another beside them are not affected.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -31,6 +31,8 @@
 	// res is the answer's header with an open body, or nil.
 	res *http.Response
 	err *verdict.Error
+	// isWhole says that the body of the answer was read to its end.
+	isWhole bool
 
 	// state is attemptConnecting, attemptSending or attemptAbandoned.
 	state atomic.Int32
--- a/proxy/race.go
+++ b/proxy/race.go
@@ -1,7 +1,10 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net/http"
 	"slices"
 	"time"
 
@@ -25,7 +28,8 @@
 const maxRacing = 3
 
 // race is the attempts of one request that are under way at the same time. The first that is
-// answered wins, and one that fails does not end the others. Only run uses the fields of the
+// answered wins, if its answer is small with the end of the answer. One that fails does not end
+// the others. Only run uses the fields of the
 // race and of the exchange while the attempts and the selection are under way.
 type race struct {
 	x     *exchange
@@ -92,16 +96,10 @@
 	for len(r.running) > 0 || r.isSelecting {
 		select {
 		case a := <-r.done:
-			r.running = slices.DeleteFunc(r.running, func(other *attempt) bool { return other == a })
-			if a.err == nil {
+			if r.hasWon(a) {
 				r.endLosers()
 				return a
 			}
-			a.fail()
-			r.last = a
-			if a == r.passedOn {
-				r.replacePassedOn()
-			}
 		case <-r.timer:
 			if r.isLost {
 				r.selectVM()
@@ -121,6 +119,46 @@
 	return r.last
 }
 
+// hasWon reports whether an attempt that was answered or failed ends the race.
+func (r *race) hasWon(a *attempt) bool {
+	r.running = slices.DeleteFunc(r.running, func(other *attempt) bool { return other == a })
+	if a.err == nil {
+		return !r.readAnswer(a)
+	}
+	a.fail()
+	r.last = a
+	if a == r.passedOn {
+		r.replacePassedOn()
+	}
+	return false
+}
+
+// readAnswer begins to read the body of a small answer if other attempts are under way, and
+// reports whether it did. They go on until the answer is whole, since it may end early.
+func (r *race) readAnswer(a *attempt) bool {
+	if (len(r.running) == 0 && !r.isSelecting) || a.isWhole || a.res.ContentLength <= 0 || a.res.ContentLength > copyBufferBytes || r.x.r.Method == http.MethodHead {
+		return false
+	}
+	r.running = append(r.running, a)
+	r.group.Go(func() { a.readWhole(); r.done <- a })
+	return true
+}
+
+// readWhole reads the body of the answer to its end.
+func (a *attempt) readWhole() {
+	a.isWhole = true
+	body := a.res.Body
+	defer body.Close()
+	data := make([]byte, a.res.ContentLength)
+	if _, err := io.ReadFull(body, data); err != nil {
+		a.err, a.res = a.x.truncationError(a, err), nil
+		return
+	}
+	// The connection can be reused only after its body returned io.EOF.
+	_, _ = body.Read(make([]byte, 1))
+	a.res.Body = io.NopCloser(bytes.NewReader(data))
+}
+
 // retryLater sets the timer and doubles its delay.
 func (r *race) retryLater() {
 	r.timer = time.After(r.delay)
