--- a/node/transit.go
+++ b/node/transit.go
@@ -15,6 +15,7 @@
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/proxy"
+	"github.com/currantferry/currantferry/quiesce"
 	"github.com/currantferry/currantferry/transit"
 	"github.com/currantferry/currantferry/upstream"
 	"github.com/currantferry/currantferry/verdict"
@@ -67,7 +68,7 @@
 	}
 	n.transitKey = rand.Text()
 	server := &http.Server{
-		Handler: http.HandlerFunc(n.serveTransit), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: quiesce.Handler(http.HandlerFunc(n.serveTransit), n.isLeaving), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, server)
@@ -212,3 +213,7 @@
 
 // Path returns a context that is cancelled when this VM reaches no instance any more.
 func (c *selection) Path() context.Context { return c.s.reach.Path() }
+
+// MayRunTwice returns false for a suspect of the crash guard, which never runs on two
+// instances at the same time.
+func (c *selection) MayRunTwice() bool { return !c.s.crash.isSuspect(&c.q) }
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -38,6 +38,14 @@
 	headerTransitVerdict  = transitPrefix + "-Verdict"
 )
 
+// unreadRefusal is the value of headerTransitVerdict in refusals of requests that were not read.
+const unreadRefusal = "not-run overloaded 1000"
+
+// UnreadRefusal is a header line for answers of a VM's peer port that are sent before the request
+// is read, and can't repeat its HeaderTransit. Without it, the VM that passed the request on has to
+// assume that it may have run.
+const UnreadRefusal = headerTransitVerdict + ": " + unreadRefusal + "\r\n"
+
 // transitSelection is implemented by selections whose target is another VM, which chooses
 // the instance.
 type transitSelection interface {
@@ -66,6 +74,9 @@
 type pathSelection interface {
 	// Path returns a context that is cancelled when this VM reaches no instance any more.
 	Path() context.Context
+	// MayRunTwice reports whether the request, if it is idempotent, may run at another
+	// instance while it may run at this one.
+	MayRunTwice() bool
 }
 
 // States of an attempt, which decide whether it can be abandoned.
@@ -75,15 +86,15 @@
 	attemptAbandoned
 )
 
-// abandon ends an attempt whose VM has lost its path to the instances, so that the request
-// can be passed on: if nothing was sent, or if the request may run again.
-func (a *attempt) abandon() {
+// abandon ends an attempt whose VM has lost its path to the instances if nothing was sent, so
+// that the request can be passed on. It reports whether it did. One that was sent goes on: the
+// instance works on it, and its connection may live on although new ones can't be opened.
+func (a *attempt) abandon() bool {
 	if !a.state.CompareAndSwap(attemptConnecting, attemptAbandoned) {
-		if !a.x.query.Idempotent || !a.state.CompareAndSwap(attemptSending, attemptAbandoned) {
-			return
-		}
+		return a.state.Load() == attemptAbandoned
 	}
 	a.cancel()
+	return true
 }
 
 // transitRequest is what the VM that passed a request on states about it.
@@ -171,10 +182,15 @@
 	x := upstream.Exchange{
 		Address: s.Instance().Address, Request: req, Repeatable: a.x.query.Idempotent,
 		MatchAnswer: func(res *http.Response) upstream.Match {
-			if res.Header.Get(HeaderTransit) != a.nonce {
+			switch nonce := res.Header.Get(HeaderTransit); {
+			case nonce == a.nonce:
+				return upstream.MatchRequest
+			case nonce == "" && res.Header.Get(headerTransitVerdict) == unreadRefusal:
+				// The VM did not read the request, see UnreadRefusal.
+				return upstream.MatchLast
+			default:
 				return upstream.MatchOther
 			}
-			return upstream.MatchRequest
 		},
 	}
 	res, err := a.x.h.transitClient.Do(a.ctx, &x)
@@ -199,7 +215,7 @@
 	a.err = parseTransitVerdict(refusal)
 	// The other VM has made all attempts that the request allows, unless it could not
 	// accept it.
-	a.x.isRefusalFinal = !isVMReason(a.err.Reason)
+	a.isRefusalFinal = !isVMReason(a.err.Reason)
 }
 
 // isVMReason reports whether a refusal says something about the VM only, so that another
