Show that a congested VM gives up all late records

Its link of 10 Mbit/s was full of answers, and its log has no contact with any source of records from 3.4 to 11.4 s: each connection and answer later than 350 ms was given up, and the next source asked, over the same link. The test fails: no change within 10 s.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -594,3 +594,34 @@
 		}
 	})
 }
+
+// lateSource answers each watch later than asked, as over a congested link.
+type lateSource struct {
+	*memorySource
+	delay time.Duration
+}
+
+func (s lateSource) Watch(ctx context.Context, after history.Position, wait time.Duration) (Answer, error) {
+	a, err := s.memorySource.Watch(ctx, after, wait)
+	select {
+	case <-ctx.Done():
+		return Answer{}, ctx.Err()
+	case <-time.After(s.delay):
+		return a, err
+	}
+}
+
+// A VM whose own link is congested gets late answers from every source. It must not give all of
+// them up, since it would learn of no change, such as an instance that leaves, until the link is
+// free again.
+func TestCongestedFollowerLearnsOfChanges(t *testing.T) {
+	store := newMemorySource()
+	vm := newTestVM(store, func() ([]string, bool) { return nil, true })
+	vm.follower.options.Store = lateSource{store, 2 * DefaultAnswerGrace}
+	vm.run(t)
+	for k := range uint64(3) {
+		key := fmt.Sprint("change ", k)
+		store.put(k+2, key)
+		eventually(t, key, func() bool { return vm.sink.has(key) })
+	}
+}
