Wait longer for records when every source is late

An answer later than 350 ms was taken for a source that doesn't answer, given up, and the next source asked, over the same link.

Change: if no source answers in time, the VM waits twice as long the next time, up to 1.4 s, and falls back to twice the lateness of the last answer. One source that answers in time, or fails otherwise, changes nothing.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -111,6 +111,8 @@
 	// store may list an old state as that of the present epoch.
 	listedAt   history.Position
 	avoidUntil map[string]time.Time
+	// lateness says how long an answer is awaited beyond the time that was asked for.
+	lateness *lateness
 	// source is the address of the relay that answered last, or storeName.
 	source string
 	// reloaded is set when the last answer was the whole state although a state was
@@ -147,7 +149,7 @@
 	if f.refresh {
 		f.refresh, wait = false, time.Millisecond
 	}
-	ctx, f.interrupt = context.WithTimeout(ctx, wait+f.options.AnswerGrace)
+	ctx, f.interrupt = context.WithTimeout(ctx, wait+f.lateness.grace())
 	return ctx, wait
 }
 
@@ -166,13 +168,15 @@
 // New returns a follower without any records.
 func New(o Options) *Follower {
 	o.setDefaults()
-	dialer := net.Dialer{Timeout: o.AnswerGrace}
 	records := newReplica()
 	records.maxGap = o.MaxAge
-	return &Follower{
-		options: o, replica: records, avoidUntil: make(map[string]time.Time),
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+	f := &Follower{options: o, replica: records, avoidUntil: make(map[string]time.Time), lateness: newLateness(o.AnswerGrace)}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialer := net.Dialer{Timeout: f.lateness.grace()}
+		return dialer.DialContext(ctx, network, address)
 	}
+	f.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
+	return f
 }
 
 // Run follows the sources until ctx ends.
@@ -246,6 +250,7 @@
 func (f *Follower) step(ctx context.Context) (direct bool, err error) {
 	f.listRelays(ctx)
 	err = errors.New("feed: no source")
+	allLate := true
 	for _, name := range f.sourceOrder() {
 		if err = f.fetch(ctx, name); errors.Is(err, errPaused) && ctx.Err() == nil {
 			// The pause was on this VM: the source has not failed.
@@ -259,6 +264,10 @@
 			return false, err
 		}
 		f.recordFailure(name, err)
+		allLate = allLate && isTimeout(err)
+	}
+	if allLate {
+		f.lateness.recordNoAnswer()
 	}
 	return false, err
 }
@@ -311,6 +320,7 @@
 	if err != nil {
 		return err
 	}
+	f.lateness.recordAnswer(f.options.Uptime() - sentAt - wait)
 	if a.Age > f.options.MaxAge {
 		return errors.Errorf("feed: relay %s had its last contact with the store %s ago", name, a.Age)
 	}
@@ -345,7 +355,7 @@
 // since.
 func (f *Follower) isLate(sentAt, wait time.Duration) bool {
 	took := f.options.Uptime() - sentAt
-	if took <= wait+2*f.options.AnswerGrace {
+	if took <= wait+2*f.lateness.grace() {
 		return false
 	}
 	event.FeedPaused.Log(f.options.Log, "took_ms", took.Milliseconds())
