--- a/feed/follower.go
+++ b/feed/follower.go
@@ -246,12 +246,17 @@
 	}
 }
 
+// minLateSources is the number of sources that must be late, or all, while none has records, until
+// this VM's own link is suspected. One that is late may be down.
+const minLateSources = 2
+
 // step tries the sources in order until one answers.
 func (f *Follower) step(ctx context.Context) (direct bool, err error) {
 	f.listRelays(ctx)
 	err = errors.New("feed: no source")
-	allLate := true
-	for _, name := range f.sourceOrder() {
+	numLate := 0
+	names := f.sourceOrder()
+	for _, name := range names {
 		if err = f.fetch(ctx, name); errors.Is(err, errPaused) && ctx.Err() == nil {
 			// The pause was on this VM: the source has not failed.
 			err = f.fetch(ctx, name)
@@ -264,9 +269,11 @@
 			return false, err
 		}
 		f.recordFailure(name, err)
-		allLate = allLate && isTimeout(err)
+		if isTimeout(err) {
+			numLate++
+		}
 	}
-	if allLate {
+	if numLate >= min(minLateSources, len(names)) {
 		f.lateness.recordNoAnswer()
 	}
 	return false, err
--- a/feed/lateness.go
+++ b/feed/lateness.go
@@ -14,9 +14,9 @@
 // no records in time anyway.
 const maxGraceFactor = 4
 
-// lateness adapts how long an answer is awaited to how late answers are. If no source answers in
-// time, the link of this VM is probably congested, and another source would be late as well. It
-// is safe for concurrent use.
+// lateness adapts how long an answer is awaited to how late answers are. If several sources don't answer
+// in time, the link of this VM is probably congested, and another one would be late as well. It is
+// safe for concurrent use.
 type lateness struct {
 	usual   time.Duration
 	current atomic.Int64
@@ -31,7 +31,7 @@
 // grace returns how long an answer is awaited beyond the time that was asked for.
 func (l *lateness) grace() time.Duration { return time.Duration(l.current.Load()) }
 
-// recordNoAnswer is called when all sources were given up.
+// recordNoAnswer is called when no source had records and several did not answer in time.
 func (l *lateness) recordNoAnswer() { l.set(2 * l.grace()) }
 
 // recordAnswer records how late an answer was. A negative time, of an answer that came before
