Test that answers without end don't fill a VM's memory

One VM process with 64 MB; 200 callers that don't read; two instances that answer without end until the connection is closed (up to 16 MB each), in 19 forms of heads and bodies. Checked: the process lives, its peak resident memory, that the answers end after the deadlines, that an answer which is none is not taken whole, and ordinary requests beside the crowd and after it.

--- /dev/null
+++ b/abuse/endless_test.go
@@ -0,0 +1,156 @@
+package abuse
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/platform/standin"
+)
+
+const (
+	// endlessCallers is the number of requests that get an endless answer at the same time.
+	endlessCallers = 200
+	// maxEndlessBytes is when an endless answer ends by itself: together the answers of a test
+	// are many times as long as the memory of the VM.
+	maxEndlessBytes = 16 << 20
+	// endlessDeadline is the deadline of these requests.
+	endlessDeadline = 3 * time.Second
+)
+
+// endless counts what faulty instances send.
+type endless struct {
+	open, connections, bytes, most atomic.Int64
+}
+
+// write writes a beginning and then repeats a part until the VM closes the connection.
+func (e *endless) write(w io.Writer, beginning, part string) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	e.connections.Add(1)
+	block := strings.Repeat(part, max(1, 16<<10/len(part)))
+	n, err := io.WriteString(w, beginning)
+	sent := int64(n)
+	for err == nil && sent < maxEndlessBytes {
+		n, err = io.WriteString(w, block)
+		sent += int64(n)
+	}
+	e.bytes.Add(sent)
+	for {
+		most := e.most.Load()
+		if sent <= most || e.most.CompareAndSwap(most, sent) {
+			return
+		}
+	}
+}
+
+// endlessForm is an endless answer to the request with the ID %s. isBody says that it is
+// passed on to a caller as it arrives.
+type endlessForm struct {
+	beginning, part string
+	isBody          bool
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nX-Currantferry-Request-Id: %s\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	chunk       = "400\r\n"
+)
+
+var (
+	// manyFields and longField nearly fill the largest head that is accepted.
+	manyFields = strings.Repeat(shortField, 15_900)
+	longField  = "Long: " + strings.Repeat("x", 63_000) + "\r\n"
+	oneChunk   = chunk + strings.Repeat("x", 0x400) + "\r\n"
+)
+
+var endlessForms = map[string]endlessForm{
+	"no answer":                      {"", "z", false},
+	"one field":                      {okHead + "Long: ", "x", false},
+	"fields":                         {okHead, shortField, false},
+	"interim answers":                {"", "HTTP/1.1 102 Processing\r\n\r\n", false},
+	"interim answers with fields":    {"", "HTTP/1.1 102 Processing\r\n" + strings.Repeat(shortField, 200) + "\r\n", false},
+	"switched protocol":              {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", "x", false},
+	"answer to another":              {"HTTP/1.1 200 OK\r\nX-Currantferry-Request-Id: other\r\nContent-Length: 1000000000000\r\n\r\n", "x", false},
+	"refusal":                        {"HTTP/1.1 503 Full\r\nX-Currantferry-Request-Id: %s\r\nX-Currantferry-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", oneChunk, false},
+	"misdirected":                    {"HTTP/1.1 421 Misdirected Request\r\nX-Currantferry-Request-Id: %s\r\n\r\n", "x", false},
+	"length":                         {okHead + "Content-Length: 1000000000000\r\n\r\n", "x", true},
+	"no length":                      {okHead + "\r\n", "x", true},
+	"chunks":                         {chunkedHead, oneChunk, true},
+	"small chunks":                   {chunkedHead, "1\r\nx\r\n", true},
+	"chunk extension":                {chunkedHead + "1;", "x", false},
+	"trailers":                       {chunkedHead + oneChunk + "0\r\n", shortField, false},
+	"many fields before body":        {okHead + manyFields + "Content-Length: 1000000000000\r\n\r\n", "x", true},
+	"long field before body":         {okHead + longField + "Content-Length: 1000000000000\r\n\r\n", "x", true},
+	"failure with many fields":       {"HTTP/1.1 500 Failed\r\n" + manyFields + "\r\n", "x", true},
+	"many fields, interim, and body": {"HTTP/1.1 102 Processing\r\n" + manyFields[:len(manyFields)/2] + "\r\n" + okHead + "\r\n", "x", true},
+}
+
+// startEndless starts a VM whose instances answer the requests of the crowd without end.
+func startEndless(t *testing.T, form endlessForm) (*vm, *endless) {
+	t.Helper()
+	v := startVMWith(t, memoryMB, 2, endlessCallers, fmt.Sprintf("[callers]\nconnections = %d\n", maxCallers))
+	e := new(endless)
+	for _, i := range v.instances {
+		i.SetBehaviour(func(id string) standin.Behaviour {
+			if !strings.HasPrefix(id, "crowd") {
+				return standin.Behaviour{}
+			}
+			return standin.Behaviour{Write: func(w io.Writer) { e.write(w, strings.ReplaceAll(form.beginning, "%s", id), form.part) }}
+		})
+	}
+	return v, e
+}
+
+// askEndless sends the request of a caller that doesn't read its answer.
+func askEndless(deadline time.Duration) func(c net.Conn, n int) {
+	return func(c net.Conn, n int) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4 << 10)
+		}
+		write(c, start("GET", "/reads/", n), fmt.Sprintf("X-Currantferry-Deadline-Ms: %d\r\n\r\n", deadline.Milliseconds()))
+	}
+}
+
+// awaitEnd waits until the VM has closed the connections of all endless answers. The time is
+// several deadlines long, so that a VM that never closes them fails the test; it is no target.
+func (e *endless) awaitEnd(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(ordinaryTimeout); e.open.Load() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d endless answers are still taken", e.open.Load(), e.connections.Load())
+		}
+	}
+}
+
+// Instances that send bytes without end, in a head or in a body, must not fill the memory of
+// the VM that called them, also when the callers don't read, and the answers must end by the
+// deadlines of their requests. Other callers must be served meanwhile.
+func TestEndlessAnswers(t *testing.T) {
+	for name, form := range endlessForms {
+		t.Run(name, func(t *testing.T) {
+			v, e := startEndless(t, form)
+			var group crowd
+			defer group.leave()
+			group.join(v.caller, endlessCallers, askEndless(endlessDeadline))
+			mb, descriptors := v.observe(1500 * time.Millisecond)
+			v.check(mb, descriptors, maxCallers+2*endlessCallers)
+			v.awaitOrdinary("beside")
+			e.awaitEnd(t)
+			t.Logf("%d answers, %d MB, longest %d KB", e.connections.Load(), e.bytes.Load()>>20, e.most.Load()>>10)
+			if e.connections.Load() == 0 {
+				t.Error("no instance was asked")
+			}
+			if !form.isBody && e.most.Load() >= maxEndlessBytes {
+				t.Errorf("%d bytes were taken of an answer that is none", e.most.Load())
+			}
+			group.leave()
+			v.awaitOrdinary("after")
+			v.check(v.peakMB(), v.numDescriptors(), maxCallers+2*endlessCallers)
+		})
+	}
+}
