Bound the fields of an answer's head

What callers saw: a VM of 64 MB used 94 to 116 MB with 128 answers whose heads had 15,900 fields of four bytes (64 KB, within the bound in bytes) before a body without end: 600 KB each, held until the deadline. With the memory gone, all requests of the VM end.

Cause: DefaultMaxHeaderBytes bounds bytes, not fields, and what is parsed of an answer's head isn't counted.

A head's lines are now counted as they are read, before net/http parses them: more than 500 fields fail the exchange with ErrTooLong. Interim answers are counted each. Lines of a body don't count, since the counter ends at the empty line and begins again with what is buffered.

TestFieldsOfHeadersAreBounded is new.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -57,26 +58,73 @@
 }
 
 // ErrTooLong means that the header of an answer, its interim answers or the skipped
-// answers before it exceeded their bounds.
+// answers before it exceeded their bounds, or that a header has too many fields.
 var ErrTooLong = errors.New("upstream: header or skipped answer is too long")
 
+// headCounter counts the lines of a head, up to the empty line at its end. The zero value
+// counts nothing.
+type headCounter struct {
+	linesLeft int
+	isActive  bool
+	// isLineEmpty says that the current line has no bytes so far except carriage returns.
+	isLineEmpty bool
+}
+
+// begin begins a head with the bytes that were read already. It returns false if they have
+// more lines than allowed.
+func (h *headCounter) begin(maxLines int, buffered []byte) bool {
+	*h = headCounter{linesLeft: maxLines, isActive: true}
+	return h.count(buffered)
+}
+
+// count counts the lines in bytes that were read, and returns false if there are too many.
+func (h *headCounter) count(p []byte) bool {
+	for len(p) > 0 && h.isActive {
+		k := bytes.IndexByte(p, '\n')
+		line, hasEnd := p, k >= 0
+		if hasEnd {
+			line = p[:k]
+		}
+		h.isLineEmpty = h.isLineEmpty && len(bytes.TrimRight(line, "\r")) == 0
+		if !hasEnd {
+			return true
+		}
+		p = p[k+1:]
+		if h.isLineEmpty {
+			h.isActive = false
+			return true
+		}
+		h.isLineEmpty = true
+		if h.linesLeft--; h.linesLeft < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // limitedReader fails when more bytes are read than its limit allows.
 type limitedReader struct {
 	source io.Reader
 	// remaining is the number of bytes that may still be read while isLimited is set.
 	remaining int64
 	isLimited bool
+	head      headCounter
+	// isExceeded is set once a bound was exceeded, after which every limited read fails.
+	isExceeded bool
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if !r.isLimited {
 		return r.source.Read(p)
 	}
-	if r.remaining <= 0 {
+	if r.isExceeded = r.isExceeded || r.remaining <= 0; r.isExceeded {
 		return 0, ErrTooLong
 	}
 	n, err := r.source.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
+	if r.isExceeded = !r.head.count(p[:n]); r.isExceeded {
+		return 0, ErrTooLong
+	}
 	return n, err
 }
 
@@ -190,9 +238,17 @@
 			o.Answered(n.address)
 		}
 		e.answered = true
+		buffered, _ := n.reader.Peek(n.reader.Buffered())
+		if !n.input.head.begin(1+options.MaxHeaderFields, buffered) {
+			return nil, ErrTooLong
+		}
 		// If setting the deadline fails, the next read fails too.
 		_ = n.raw.SetReadDeadline(time.Now().Add(options.HeaderTimeout))
 		res, err := http.ReadResponse(n.reader, e.x.Request)
+		if err != nil && n.input.isExceeded {
+			// The error would be about the line that was cut off.
+			return nil, ErrTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/upstream/hostile_test.go
+++ b/upstream/hostile_test.go
@@ -101,6 +101,51 @@
 	}
 }
 
+// Heads with many small fields must be refused before they are parsed: one with 15,900 fields
+// in 64 KB costs 600 KB. Heads at the bound must be accepted, however their bytes are split and
+// with interim answers before them, and lines of a body don't count.
+func TestFieldsOfHeadersAreBounded(t *testing.T) {
+	const bound = 20
+	head := func(status string, fields int) string {
+		return "HTTP/1.1 " + status + "\r\nX-Request-Id: r\r\n" + strings.Repeat("a:\r\n", fields-1)
+	}
+	body := strings.Repeat("\n", 3000)
+	const length = "Content-Length: 3000\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		ok     bool
+	}{
+		"at the bound":               {head("200 OK", bound-1) + length + body, true},
+		"above the bound":            {head("200 OK", bound) + length + body, false},
+		"without end":                {head("200 OK", 12_000), false},
+		"interim at the bound":       {head("102 Processing", bound) + "\r\n" + head("200 OK", bound-1) + length + body, true},
+		"interim above the bound":    {head("102 Processing", bound+1) + "\r\n" + head("200 OK", bound-1) + length + body, false},
+		"above it after an interim":  {head("102 Processing", 2) + "\r\n" + head("200 OK", bound) + length + body, false},
+		"line feeds alone, at it":    {strings.ReplaceAll(head("200 OK", bound-1)+length, "\r", "") + body, true},
+		"line feeds alone, above it": {strings.ReplaceAll(head("200 OK", bound)+length, "\r", "") + body, false},
+	} {
+		for _, piece := range []int{1, 7, 1 << 20} {
+			s := startScript(t, func(conn net.Conn, _, _ int) bool {
+				for rest := c.answer; rest != ""; {
+					n := min(piece, len(rest))
+					if _, err := io.WriteString(conn, rest[:n]); err != nil {
+						return false
+					}
+					rest = rest[n:]
+				}
+				return true
+			})
+			got, err := do(t, New(Options{MaxHeaderFields: bound}), s.address, "r", true)
+			if c.ok && (err != nil || got != body) {
+				t.Errorf("%s, in pieces of %d: %d bytes, %v", name, piece, len(got), err)
+			}
+			if !c.ok && !errors.Is(err, ErrTooLong) {
+				t.Errorf("%s, in pieces of %d: %v, want %v", name, piece, err, ErrTooLong)
+			}
+		}
+	}
+}
+
 // An instance that sends a header byte by byte must not block a request until its
 // deadline.
 func TestTricklingHeaderTimesOut(t *testing.T) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -37,6 +37,9 @@
 	// DefaultMaxHeaderBytes bounds the header of an answer including the interim answers
 	// before it. It equals the limit of common servers for a request header.
 	DefaultMaxHeaderBytes = 64 << 10
+	// DefaultMaxHeaderFields bounds the fields of one header: instances send some ten. A field
+	// of four bytes costs ten times as much once it is parsed.
+	DefaultMaxHeaderFields = 500
 	// DefaultHeaderTimeout bounds the time from the first byte of a header to its end.
 	// It covers two retransmissions of the first segment.
 	DefaultHeaderTimeout = 3 * time.Second
@@ -61,6 +64,7 @@
 	MaxIdleConnections  int
 	UnackedTimeout      time.Duration
 	MaxHeaderBytes      int64
+	MaxHeaderFields     int
 	HeaderTimeout       time.Duration
 	// MaxConnections bounds the connections of this client to one instance. Zero means
 	// no bound.
@@ -95,6 +99,9 @@
 	if o.MaxHeaderBytes <= 0 {
 		o.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
+	if o.MaxHeaderFields <= 0 {
+		o.MaxHeaderFields = DefaultMaxHeaderFields
+	}
 	if o.HeaderTimeout <= 0 {
 		o.HeaderTimeout = DefaultHeaderTimeout
 	}
