Test answers of the store without end

The stand-in sends bytes until the connection is closed, up to 64 MB, in 16 forms for each of four calls.

--- /dev/null
+++ b/internal/testkit/endless.go
@@ -0,0 +1,118 @@
+package testkit
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// MaxEndlessBytes is when an endless answer ends by itself.
+const MaxEndlessBytes = 64 << 20
+
+// Endless is a server at a loopback address that sends bytes without end on each of its
+// connections, whatever it is asked.
+type Endless struct {
+	listener net.Listener
+	open     atomic.Int64
+	bytes    atomic.Int64
+}
+
+// StartEndless starts a server that waits for the first bytes on a connection, writes a
+// beginning and then repeats a part until the connection is closed or MaxEndlessBytes were
+// written.
+func StartEndless(t *testing.T, beginning, part string) *Endless {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &Endless{listener: l}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { e.serve(c, beginning, part) })
+		}
+	})
+	t.Cleanup(func() { l.Close(); group.Wait() })
+	return e
+}
+
+func (e *Endless) serve(c net.Conn, beginning, part string) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	defer c.Close()
+	// A reader that never closes must fail the test, not block it.
+	_ = c.SetDeadline(time.Now().Add(time.Minute))
+	if _, err := c.Read(make([]byte, 4096)); err != nil {
+		return
+	}
+	block := strings.Repeat(part, max(1, 16<<10/len(part)))
+	n, err := io.WriteString(c, beginning)
+	for sent := n; err == nil && sent < MaxEndlessBytes; sent += n {
+		e.bytes.Add(int64(n))
+		n, err = io.WriteString(c, block)
+	}
+	e.bytes.Add(int64(n))
+}
+
+// Address returns the address of the server.
+func (e *Endless) Address() string { return e.listener.Addr().String() }
+
+// Bytes returns how many bytes were written to all connections.
+func (e *Endless) Bytes() int64 { return e.bytes.Load() }
+
+// Open returns the number of connections on which the server still writes.
+func (e *Endless) Open() int64 { return e.open.Load() }
+
+// EndlessHeads are answers whose head never ends, as beginning and repeated part.
+var EndlessHeads = map[string][2]string{
+	"no answer":       {"", "z"},
+	"one field":       {"HTTP/1.1 200 OK\r\nLong: ", "x"},
+	"fields":          {"HTTP/1.1 200 OK\r\n", "a:\r\n"},
+	"interim answers": {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+}
+
+// WatchHeap samples the size of the heap until the returned function is called, which returns
+// the maximum growth in bytes.
+func WatchHeap() (growth func() int64) {
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	// Garbage that is not collected yet must not count.
+	percent := debug.SetGCPercent(10)
+	for range 3 {
+		// What pools keep is freed by the second collection.
+		runtime.GC()
+	}
+	before, peak := heap(), int64(0)
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			peak = max(peak, heap())
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+	return func() int64 {
+		close(done)
+		group.Wait()
+		debug.SetGCPercent(percent)
+		return max(peak, heap()) - before
+	}
+}
