--- /dev/null
+++ b/feed/endless_test.go
@@ -0,0 +1,58 @@
+package feed
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"maps"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantferry/currantferry/history"
+	"github.com/currantferry/currantferry/internal/testkit"
+)
+
+// pack compresses a beginning and many times a part, together 256 MB.
+func pack(t *testing.T, beginning, part string) string {
+	t.Helper()
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	block := []byte(strings.Repeat(part, 1<<20/len(part)))
+	_, err := w.Write([]byte(beginning))
+	for n := 0; n < 256 && err == nil; n++ {
+		_, err = w.Write(block)
+	}
+	if err != nil || w.Close() != nil {
+		t.Fatal(err)
+	}
+	return out.String()
+}
+
+// A relay that answers without end, or with bytes that expand to hundreds of megabytes, must not
+// fill the memory of the VM that follows it.
+func TestEndlessAnswersOfRelay(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + headerRevision + ": 5\r\n" + headerAge + ": 5\r\n\r\n"
+	record := `{"k":"servers/` + strings.Repeat("k", 100) + `","v":"` + strings.Repeat("eHh4", 4000) + `","r":1}`
+	forms := map[string][2]string{
+		"no gzip":         {head, "x"},
+		"name in gzip":    {head + "\x1f\x8b\x08\x08\x00\x00\x00\x00\x00\xff", "x"},
+		"empty parts":     {head, "\x1f\x8b\x08\x00\x00\x00\x00\x00\x00\xff\x01\x00\x00\xff\xff\x00\x00\x00\x00\x00\x00\x00\x00"},
+		"spaces":          {head + pack(t, "", " "), "x"},
+		"string":          {head + pack(t, `[{"k":"`, "x"), "x"},
+		"value":           {head + pack(t, `[{"v":"`, "eHh4"), "x"},
+		"empty records":   {head + pack(t, `[{}`, ",{}"), "x"},
+		"records":         {head + pack(t, "["+record, ","+record), "x"},
+		"unknown field":   {head + pack(t, `[{"y":[0`, ",0"), "x"},
+		"error":           {"HTTP/1.1 500 Failed\r\n\r\n", "x"},
+		"no content":      {"HTTP/1.1 204 No Content\r\n" + head[len("HTTP/1.1 200 OK\r\n"):], "x"},
+		"head, then gone": {"HTTP/1.1 410 Gone\r\n\r\n", "x"},
+	}
+	maps.Copy(forms, testkit.EndlessHeads)
+	// A third of the memory of the smallest VMs, 184 MB: records are kept up to a bound in bytes.
+	testkit.CheckEndless(t, forms, 184<<20/3, 2*time.Second, func(ctx context.Context, address string) error {
+		source := &relaySource{New(Options{}).client, address, time.Second, history.Position{}}
+		_, err := source.Read(ctx)
+		return err
+	})
+}
--- a/internal/testkit/endless.go
+++ b/internal/testkit/endless.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"context"
 	"io"
 	"net"
 	"runtime"
@@ -19,7 +20,6 @@
 // connections, whatever it is asked.
 type Endless struct {
 	listener net.Listener
-	open     atomic.Int64
 	bytes    atomic.Int64
 }
 
@@ -48,8 +48,6 @@
 }
 
 func (e *Endless) serve(c net.Conn, beginning, part string) {
-	e.open.Add(1)
-	defer e.open.Add(-1)
 	defer c.Close()
 	// A reader that never closes must fail the test, not block it.
 	_ = c.SetDeadline(time.Now().Add(time.Minute))
@@ -71,9 +69,6 @@
 // Bytes returns how many bytes were written to all connections.
 func (e *Endless) Bytes() int64 { return e.bytes.Load() }
 
-// Open returns the number of connections on which the server still writes.
-func (e *Endless) Open() int64 { return e.open.Load() }
-
 // EndlessHeads are answers whose head never ends, as beginning and repeated part.
 var EndlessHeads = map[string][2]string{
 	"no answer":       {"", "z"},
@@ -116,3 +111,29 @@
 		return max(peak, heap()) - before
 	}
 }
+
+// CheckEndless runs a call against a server for each form of an endless answer, as beginning
+// and repeated part. The heap must not grow by more than maxGrowth, and the call must end by its
+// deadline. The call's error is only logged: an answer may be whole before the endless part.
+func CheckEndless(t *testing.T, forms map[string][2]string, maxGrowth int64, deadline time.Duration, call func(ctx context.Context, address string) error) {
+	t.Helper()
+	for name, form := range forms {
+		t.Run(name, func(t *testing.T) {
+			e := StartEndless(t, form[0], form[1])
+			ctx, cancel := context.WithTimeout(t.Context(), deadline)
+			defer cancel()
+			growth := WatchHeap()
+			began := time.Now()
+			err := call(ctx, e.Address())
+			// The slack is for a machine that is busy.
+			if took := time.Since(began); took > deadline+3*time.Second {
+				t.Errorf("the call ended after %s", took)
+			}
+			peak := growth()
+			t.Logf("%v; heap +%d KB, %d KB sent", err, peak>>10, e.Bytes()>>10)
+			if peak > maxGrowth {
+				t.Errorf("the heap grew by %d KB", peak>>10)
+			}
+		})
+	}
+}
