Bound the heads of answers to net/http's clients

A faulty store, relay, VM or instance could make the process that asked it hold 84 to 105 MB for one head of fields of four bytes, 20 to 35 MB for a line without end. The smallest VMs have 184 MB.

The bound covers interim answers too.

Heads of the store, of relays and of probed instances may now have 16 KB, the others 64 KB, as those of instances on the request path.

--- a/adminclient/client.go
+++ b/adminclient/client.go
@@ -45,12 +45,17 @@
 // is smaller.
 const maxResponseBytes = 128 << 20
 
+// maxHeadBytes bounds the head of a response. The default of net/http is 10 MB, and small fields
+// cost ten times as much.
+const maxHeadBytes = 64 << 10
+
 // New returns a client of the VM at o.Address.
 func New(o Options) (*Client, error) {
 	if o.Address == "" {
 		return nil, errors.New("no VM is named; set -admin IP:PORT or CURRANTFERRY_ADMIN")
 	}
-	c := &Client{opts: o, baseURL: strings.TrimSuffix(o.Address, "/"), http: new(http.Client)}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadBytes}
+	c := &Client{opts: o, baseURL: strings.TrimSuffix(o.Address, "/"), http: &http.Client{Transport: transport}}
 	if !strings.Contains(c.baseURL, "://") {
 		c.baseURL = "http://" + c.baseURL
 	}
@@ -63,7 +68,7 @@
 		if !roots.AppendCertsFromPEM(pem) {
 			return nil, errors.Errorf("%s contains no certificate in PEM form", o.CAFile)
 		}
-		c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
 	}
 	return c, nil
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -42,6 +42,9 @@
 	defaultMaxSends = 4
 	dialTimeout     = time.Second
 	maxAnswerBytes  = 64 << 20
+	// maxHeadBytes bounds the head of an answer. It equals the bound of entry VMs for heads of
+	// instances. The default of net/http is 10 MB, and small fields cost ten times as much.
+	maxHeadBytes = 64 << 10
 )
 
 // Client sends requests through entry VMs. It is safe for concurrent use.
@@ -74,7 +77,7 @@
 	}
 	transport := &http.Transport{
 		DialContext:         o.Dialer.DialContext,
-		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c := &Client{
 		options: o, maxAnswerBytes: maxAnswerBytes, http: &http.Client{Transport: transport},
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -171,7 +171,7 @@
 	records.maxGap = o.MaxAge
 	return &Follower{
 		options: o, replica: records, avoidUntil: make(map[string]time.Time),
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}},
 	}
 }
 
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -34,6 +34,10 @@
 // of records of a few hundred bytes.
 const maxRelayBytes = 64 << 20
 
+// maxHeadBytes bounds the head of a relay's answer. The default of net/http is 10 MB, and small
+// fields cost ten times as much.
+const maxHeadBytes = 16 << 10
+
 // Headers of an answer between VMs. Its compressed body holds nothing but the records,
 // so that one body serves all followers at the same revision.
 const (
--- a/node/prober.go
+++ b/node/prober.go
@@ -28,6 +28,12 @@
 	// reports an instance as down.
 	failuresUntilDown  = 2
 	maxLoadReportBytes = 4 << 10
+	// maxIdleProbeTime bounds how long the connection to an instance that is no longer probed is
+	// kept.
+	maxIdleProbeTime = 90 * time.Second
+	// maxLoadHeadBytes bounds the head of an answer to a probe. The default of net/http is 10 MB,
+	// and small fields cost ten times as much.
+	maxLoadHeadBytes = 16 << 10
 )
 
 // prober fetches the load of the instances assigned to this VM and gossips which of
@@ -53,10 +59,10 @@
 // newProber returns a prober that opens connections by dial, or by the default dialer if it is
 // nil.
 func newProber(n *Node, dial func(ctx context.Context, network, address string) (net.Conn, error)) *prober {
-	client := &http.Client{Timeout: probeTimeout}
-	if dial != nil {
-		client.Transport = &http.Transport{DialContext: dial}
+	transport := &http.Transport{
+		Proxy: http.ProxyFromEnvironment, DialContext: dial, IdleConnTimeout: maxIdleProbeTime, MaxResponseHeaderBytes: maxLoadHeadBytes,
 	}
+	client := &http.Client{Timeout: probeTimeout, Transport: transport}
 	return &prober{
 		n: n, client: client,
 		failures: make(map[string]int), down: make(map[string]bool),
--- a/store/kvhttp/kvhttp.go
+++ b/store/kvhttp/kvhttp.go
@@ -47,6 +47,9 @@
 	// maxReplyBytes allows for many entries, encoded in base64, with their other
 	// fields.
 	maxReplyBytes = 64 << 20
+	// maxHeadBytes bounds the head of a reply. The default of net/http is 10 MB, and small fields
+	// cost ten times as much.
+	maxHeadBytes = 16 << 10
 	// watchJitterDivisor allows for the jitter that services add to a blocking query,
 	// up to a sixteenth of the waiting time.
 	watchJitterDivisor = 16
@@ -73,9 +76,10 @@
 	}
 	if o.Transport == nil {
 		o.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			MaxIdleConnsPerHost:    8,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}
 	}
 	return &Client{options: o, http: &http.Client{Transport: o.Transport}}, nil
