Decode the records of a relay one by one

An answer of a relay of some hundred KB that expands to more than 64 MB (spaces, a string or value without end, empty records) grew the heap of the VM that follows it by 229 MB. The smallest VMs have 184 MB.

Cause: the bound of 64 MB for the decompressed bytes, below which the decoder kept the whole list in a buffer that doubles.

Records are decoded one by one now, with bounds of 2 MB for each, 100,000 records and 32 MB together (package itemreader). A list that is too long ends with an error, as before with a cut off one.

--- a/feed/relay.go
+++ b/feed/relay.go
@@ -5,7 +5,6 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"net/url"
@@ -18,6 +17,7 @@
 
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/history"
+	"github.com/currantferry/currantferry/internal/itemreader"
 )
 
 // Paths of the requests between VMs.
@@ -30,9 +30,9 @@
 // maxRelayWait bounds how long a relay holds a request that waits for a change.
 const maxRelayWait = 10 * time.Second
 
-// maxRelayBytes bounds the decompressed answer of a relay. It holds tens of thousands
-// of records of a few hundred bytes.
-const maxRelayBytes = 64 << 20
+// relayLimits bounds the decompressed answer of a relay. It holds tens of thousands of records
+// of a few hundred bytes, and the configuration of up to 1 MB in base64.
+var relayLimits = itemreader.Limits{Bytes: 32 << 20, ItemBytes: 2 << 20, Items: 100_000}
 
 // maxHeadBytes bounds the head of a relay's answer. The default of net/http is 10 MB, and small
 // fields cost ten times as much.
@@ -340,5 +340,7 @@
 		return a, err
 	}
 	defer body.Close()
-	return a, json.NewDecoder(io.LimitReader(body, maxRelayBytes)).Decode(&a.Records)
+	bounded := itemreader.New(body, relayLimits)
+	err = itemreader.Decode(json.NewDecoder(bounded), bounded, func(r *Record) { a.Records = append(a.Records, *r) })
+	return a, err
 }
