Bound replies of the native store by their kind

A faulty store could make a VM hold 165 MB for one reply, also for the body of an error. The smallest VMs have 184 MB.

Cause: every reply was read whole, up to 64 MB, into a buffer that grows, and decoded afterwards.

Lists of entries are decoded as they arrive, with bounds of 4 MB for an entry, 100,000 entries and, as before, 64 MB together. Other replies may have 4 MB, bodies of failures 64 KB.

TestEndlessAnswersOfStore of this package failed before (162 to 166 MB for a reply of one entry) and passes; it covers lists and VMs too.

--- a/store/kvhttp/kvhttp.go
+++ b/store/kvhttp/kvhttp.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/internal/itemreader"
 	"github.com/currantferry/currantferry/store"
 )
 
@@ -44,9 +45,11 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	// maxReplyBytes allows for many entries, encoded in base64, with their other
-	// fields.
-	maxReplyBytes = 64 << 20
+	// maxReplyBytes bounds a reply that is no list of entries: a value of up to MaxValueBytes,
+	// encoded in base64, with its other fields, or some KB for each VM.
+	maxReplyBytes = 4 << 20
+	// maxIgnoredBytes bounds the body of a failure, of which the start is reported.
+	maxIgnoredBytes = 64 << 10
 	// maxHeadBytes bounds the head of a reply. The default of net/http is 10 MB, and small fields
 	// cost ten times as much.
 	maxHeadBytes = 16 << 10
@@ -55,6 +58,10 @@
 	watchJitterDivisor = 16
 )
 
+// listLimits bounds a list of entries: those that a VM reads at once are chunks of the
+// configuration, and records of requests.
+var listLimits = itemreader.Limits{Bytes: 64 << 20, ItemBytes: 4 << 20, Items: 100_000}
+
 // Client is a client of the service. It is safe for concurrent use.
 type Client struct {
 	options      Options
@@ -110,12 +117,16 @@
 	query  url.Values
 	body   []byte
 	wait   time.Duration
+	// isList says that the reply is a list of entries, which is decoded as it arrives.
+	isList bool
 }
 
 // reply is a response whose body was read completely.
 type reply struct {
 	status int
 	body   []byte
+	// pairList holds the entries of a list.
+	pairList []kvPair
 }
 
 // statusError is a reply that the protocol doesn't define.
@@ -162,14 +173,24 @@
 		return reply{}, err
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
+	if q.isList && res.StatusCode == http.StatusOK {
+		r := reply{status: res.StatusCode, pairList: []kvPair{}}
+		bounded := itemreader.New(res.Body, listLimits)
+		err := itemreader.Decode(json.NewDecoder(bounded), bounded, func(p *kvPair) { r.pairList = append(r.pairList, *p) })
+		return r, errors.Wrap(err, "reply")
+	}
+	limit := int64(maxReplyBytes)
+	if res.StatusCode != http.StatusOK {
+		limit = maxIgnoredBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, limit))
 	if err != nil {
 		return reply{}, err
 	}
 	if res.StatusCode >= http.StatusInternalServerError {
-		return reply{}, reply{res.StatusCode, body}.unexpectedReply()
+		return reply{}, reply{status: res.StatusCode, body: body}.unexpectedReply()
 	}
-	return reply{res.StatusCode, body}, nil
+	return reply{status: res.StatusCode, body: body}, nil
 }
 
 // Get implements store.Store.
@@ -206,6 +227,9 @@
 	default:
 		return nil, r.unexpectedReply()
 	}
+	if r.pairList != nil {
+		return r.pairList, nil
+	}
 	var pairs []kvPair
 	if err := json.Unmarshal(r.body, &pairs); err != nil {
 		return nil, errors.Wrap(err, "store: reply")
@@ -215,7 +239,7 @@
 
 // List implements store.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, error) {
-	r, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/kv/" + prefix, query: url.Values{"recurse": {"true"}}})
+	r, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/kv/" + prefix, query: url.Values{"recurse": {"true"}}, isList: true})
 	if err != nil {
 		return nil, err
 	}
