Test endless answers of many instances, in a stop, and on idle connections

Endless bodies of eight instances with 450 callers; a stop beside them, with callers that read and that don't; bytes after an answer, and on connections before a request, which probes open and keep.

--- a/abuse/endless_test.go
+++ b/abuse/endless_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/currantferry/currantferry/internal/testkit"
 	"github.com/currantferry/currantferry/platform/standin"
 )
 
@@ -25,6 +27,8 @@
 // endless counts what faulty instances send.
 type endless struct {
 	open, connections, bytes, most atomic.Int64
+	// pause is the time between two parts, if not zero.
+	pause time.Duration
 }
 
 // write writes a beginning and then repeats a part until the VM closes the connection.
@@ -36,6 +40,7 @@
 	n, err := io.WriteString(w, beginning)
 	sent := int64(n)
 	for err == nil && sent < maxEndlessBytes {
+		time.Sleep(e.pause)
 		n, err = io.WriteString(w, block)
 		sent += int64(n)
 	}
@@ -91,9 +96,9 @@
 }
 
 // startEndless starts a VM whose instances answer the requests of the crowd without end.
-func startEndless(t *testing.T, form endlessForm) (*vm, *endless) {
+func startEndless(t *testing.T, form endlessForm, instances int) (*vm, *endless) {
 	t.Helper()
-	v := startVMWith(t, memoryMB, 2, endlessCallers, fmt.Sprintf("[callers]\nconnections = %d\n", maxCallers))
+	v := startVMWith(t, memoryMB, instances, endlessCallers, fmt.Sprintf("[callers]\nconnections = %d\n", maxCallers))
 	e := new(endless)
 	for _, i := range v.instances {
 		i.SetBehaviour(func(id string) standin.Behaviour {
@@ -133,7 +138,7 @@
 func TestEndlessAnswers(t *testing.T) {
 	for name, form := range endlessForms {
 		t.Run(name, func(t *testing.T) {
-			v, e := startEndless(t, form)
+			v, e := startEndless(t, form, 2)
 			var group crowd
 			defer group.leave()
 			group.join(v.caller, endlessCallers, askEndless(endlessDeadline))
@@ -154,3 +159,102 @@
 		})
 	}
 }
+
+// Answers without end of many instances at once, with the largest heads that are accepted, must not
+// fill the memory either: what is kept of a head until the answer ends counts.
+func TestEndlessAnswersOfManyInstances(t *testing.T) {
+	const instances, callers = 8, 450
+	for _, name := range []string{"long field before body", "chunks", "length"} {
+		t.Run(name, func(t *testing.T) {
+			v, e := startEndless(t, endlessForms[name], instances)
+			var group crowd
+			defer group.leave()
+			group.join(v.caller, callers, askEndless(endlessDeadline))
+			mb, descriptors := v.observe(1500 * time.Millisecond)
+			t.Logf("%d answers", e.connections.Load())
+			v.check(mb, descriptors, maxCallers+callers)
+			v.awaitOrdinary("beside")
+			e.awaitEnd(t)
+			v.check(v.peakMB(), v.numDescriptors(), maxCallers+callers)
+		})
+	}
+}
+
+// Answers without end must not hold a stop beyond its bound, stop_grace, with callers that read
+// and with callers that don't.
+func TestEndlessAnswersDoNotHoldStop(t *testing.T) {
+	for _, name := range []string{"length", "chunks", "no length", "fields"} {
+		t.Run(name, func(t *testing.T) {
+			v, e := startEndless(t, endlessForms[name], 2)
+			// At 0.8 MB/s the answers last until the deadline.
+			e.pause = 20 * time.Millisecond
+			var group crowd
+			defer group.leave()
+			const deadline = 20 * time.Second
+			group.join(v.caller, 20, askEndless(deadline))
+			group.join(v.caller, 20, func(c net.Conn, n int) {
+				askEndless(deadline)(c, 1000+n)
+				_, _ = io.Copy(io.Discard, c)
+			})
+			v.observe(500 * time.Millisecond)
+			began := time.Now()
+			v.signal(syscall.SIGTERM)
+			v.observe(stopTimeout)
+			if v.isAlive() {
+				t.Fatal("the process did not end")
+			}
+			t.Logf("ended after %s, %d answers, %d MB", time.Since(began), e.connections.Load(), e.bytes.Load()>>20)
+			// The bound is 3 s; the rest is for a machine that is busy.
+			if took := time.Since(began); took > deadline/2 {
+				t.Errorf("ended after %s, with requests that end after %s", took, deadline)
+			}
+			if state := v.cmd.ProcessState; !state.Exited() {
+				t.Errorf("the process ended by %v", state)
+			}
+		})
+	}
+}
+
+// Connections on which bytes arrive before a request was sent, or after an answer, must cost no
+// memory and no request: probes open and keep connections that nobody reads.
+func TestEndlessBytesOnIdleConnections(t *testing.T) {
+	v := startVMWith(t, memoryMB, 2, endlessCallers, "")
+	e := new(endless)
+	// An instance that answers and goes on to write, and one that writes at once.
+	v.instances[0].SetBehaviour(func(id string) standin.Behaviour {
+		if !strings.HasPrefix(id, "crowd") {
+			return standin.Behaviour{}
+		}
+		return standin.Behaviour{Write: func(w io.Writer) {
+			e.write(w, strings.ReplaceAll(okHead, "%s", id)+"Content-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+		}}
+	})
+	l, err := net.Listen("tcp", testkit.UniqueLoopbackIP()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group crowd
+	defer group.leave()
+	defer l.Close()
+	group.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.wg.Go(func() { defer c.Close(); e.write(c, "", "z") })
+		}
+	})
+	v.store.RegisterAt(v.instances[1], l.Addr().String(), "shop", "zone-1", "ready")
+	for range 3 {
+		group.join(v.caller, endlessCallers, askEndless(endlessDeadline))
+		mb, descriptors := v.observe(700 * time.Millisecond)
+		v.check(mb, descriptors, maxCallers+2*endlessCallers)
+	}
+	v.awaitOrdinary("beside")
+	t.Logf("%d connections, %d MB, longest %d KB", e.connections.Load(), e.bytes.Load()>>20, e.most.Load()>>10)
+	if e.most.Load() >= maxEndlessBytes {
+		t.Errorf("%d bytes were taken of one connection without a request", e.most.Load())
+	}
+	e.awaitEnd(t)
+}
--- a/abuse/harness_test.go
+++ b/abuse/harness_test.go
@@ -58,6 +58,7 @@
 	cmd                         *exec.Cmd
 	exited                      chan struct{}
 	instances                   []*standin.Instance
+	store                       *standin.Store
 }
 
 // startVM starts a VM with lowered bounds.
@@ -81,7 +82,7 @@
 	}
 	t.Cleanup(store.Close)
 	store.Configure(standin.Configuration(1, "shop", 8*time.Second, 1000))
-	v := &vm{t: t, exited: make(chan struct{})}
+	v := &vm{t: t, exited: make(chan struct{}), store: store}
 	for n := range instances {
 		i, err := standin.StartInstance(testkit.UniqueLoopbackIP()+":0", fmt.Sprint("i-", n), slots, 2*slots, nil)
 		if err != nil {
