Reserve the memory of large heads of answers

A VM of 64 MB used up to 71 MB with 400 answers whose heads had 63 KB before a body without end.

Cause: what is kept of a head until its answer ends was not counted, unlike heads of callers and bodies. At 1,845 callers, the default for 184 MB, it would be 230 MB.

A head that costs more than 4 KB is reserved from the memory of the caller's connection before the answer is delivered. If there is no room, the attempt fails at once with overloaded (may-have-run): 502 to the platform's callers, a resend if the request is idempotent.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -25,6 +25,11 @@
 		a.fail()
 		return a.err
 	}
+	if n := headBytes(res.Header); n > smallHeadBytes && !x.memory.reserve(n, false) {
+		a.err = x.addRetryAfter(verdict.Wrap(errNoMemory, verdict.MayHaveRun, verdict.ReasonOverloaded))
+		a.fail()
+		return a.err
+	}
 	var kept []byte
 	switch {
 	case x.r.Method == http.MethodHead:
--- a/proxy/memory.go
+++ b/proxy/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,26 @@
 
 func (r *reservation) releaseAll() { r.release(r.held) }
 
+const (
+	// smallHeadBytes is the size up to which what an answer's head holds is part of the estimate
+	// for a request. Usual heads have a few hundred bytes.
+	smallHeadBytes = 4 << 10
+	// fieldBytes is what a field costs beside its text.
+	fieldBytes = 200
+)
+
+// headBytes estimates what the head of an answer holds until the answer ends: the parsed fields
+// and the copy that is sent to the caller.
+func headBytes(h http.Header) int64 {
+	n := int64(0)
+	for name, values := range h {
+		for _, value := range values {
+			n += fieldBytes + 2*int64(len(name)+len(value))
+		}
+	}
+	return n
+}
+
 const (
 	// minSegmentBytes and maxSegmentBytes bound the parts in which bodies are buffered. Each is
 	// as large as all before it, so that few parts are needed and little is reserved in
