--- a/internal/testkit/endless.go
+++ b/internal/testkit/endless.go
@@ -54,11 +54,11 @@
 	if _, err := c.Read(make([]byte, 4096)); err != nil {
 		return
 	}
-	block := strings.Repeat(part, max(1, 16<<10/len(part)))
+	block := []byte(strings.Repeat(part, max(1, 16<<10/len(part))))
 	n, err := io.WriteString(c, beginning)
 	for sent := n; err == nil && sent < MaxEndlessBytes; sent += n {
 		e.bytes.Add(int64(n))
-		n, err = io.WriteString(c, block)
+		n, err = c.Write(block)
 	}
 	e.bytes.Add(int64(n))
 }
