Wait 50 ms for the rest of a refusal's body

A caller got 503 at its deadline if an instance (or another VM) refused its request with a body that didn't end, although other instances were free: the refusal's head says that the request has not run.

Cause: up to 4 KB of the body were read so that the connection can be reused, without a bound in time.

The attempt is now cancelled after 50 ms, which closes the connection; the verdict is that of the head. It is the same for requests passed on.

TestStalledRefusalIsSentElsewhere failed before (16 s for four requests of 4 s) and passes.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -97,9 +97,7 @@
 		receiver.ReceiveNotice(notice)
 	}
 	if reason != "" {
-		// The connection can be reused only after the body was read to its end.
-		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBytes))
-		res.Body.Close()
+		a.discardRefusal(res)
 		if retryAfter <= 0 {
 			retryAfter = o.DefaultRetryAfter
 		}
@@ -109,9 +107,22 @@
 	a.res = res
 }
 
-// maxRefusalBytes bounds how much of an upstream's refusal is read so that its
-// connection can be reused.
-const maxRefusalBytes = 4 << 10
+const (
+	// maxRefusalBytes and refusalTimeout bound how much of a refusal's body is read, and for how
+	// long, so that its connection can be reused. The body usually arrives with the head; the
+	// request waits for it.
+	maxRefusalBytes = 4 << 10
+	refusalTimeout  = 50 * time.Millisecond
+)
+
+// discardRefusal reads the body of a refusal, since the connection can be reused only after its
+// end.
+func (a *attempt) discardRefusal(res *http.Response) {
+	timer := time.AfterFunc(refusalTimeout, a.cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBytes))
+	res.Body.Close()
+}
 
 // request returns the request to the instance.
 func (a *attempt) request() (*http.Request, error) {
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -194,8 +193,7 @@
 		a.res = res
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBytes))
-	res.Body.Close()
+	a.discardRefusal(res)
 	a.err = parseTransitVerdict(refusal)
 	// The other VM has made all attempts that the request allows, unless it could not
 	// accept it.
