--- a/abuse/endless_test.go
+++ b/abuse/endless_test.go
@@ -1,6 +1,8 @@
 package abuse
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +13,8 @@
 	"time"
 
 	"github.com/currantferry/currantferry/internal/testkit"
+	"github.com/currantferry/currantferry/inventory"
+	"github.com/currantferry/currantferry/platform"
 	"github.com/currantferry/currantferry/platform/standin"
 )
 
@@ -180,6 +184,65 @@
 	}
 }
 
+// Bodies without end that callers read must end after the deadlines of their requests, also when
+// they arrive slowly.
+func TestEndlessBodiesEndAtDeadline(t *testing.T) {
+	for _, name := range []string{"length", "chunks", "no length"} {
+		t.Run(name, func(t *testing.T) {
+			v, e := startEndless(t, endlessForms[name], 2)
+			// At 0.8 MB/s they would last for 20 s.
+			e.pause = 20 * time.Millisecond
+			var group crowd
+			defer group.leave()
+			group.join(v.caller, 20, func(c net.Conn, n int) {
+				askEndless(endlessDeadline)(c, n)
+				_, _ = io.Copy(io.Discard, c)
+			})
+			v.observe(500 * time.Millisecond)
+			e.awaitEnd(t)
+			t.Logf("%d answers, longest %d KB", e.connections.Load(), e.most.Load()>>10)
+			if e.connections.Load() == 0 || e.most.Load() > maxEndlessBytes/2 {
+				t.Errorf("%d KB were taken of one of %d answers", e.most.Load()>>10, e.connections.Load())
+			}
+			v.awaitOrdinary("after")
+		})
+	}
+}
+
+// Requests without end at the port for other VMs, with the key of VMs and without, must not fill
+// the memory: a process at the address of a VM need not be one.
+func TestEndlessRequestsPassedOn(t *testing.T) {
+	for _, hasKey := range []bool{false, true} {
+		for name, form := range map[string][2]string{
+			"head":            {"", shortField},
+			"field":           {"Long: ", "x"},
+			"body":            {"Content-Length: 1000000000\r\n\r\n", "x"},
+			"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", oneChunk},
+			"chunk extension": {"Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+			"trailers":        {"Transfer-Encoding: chunked\r\n\r\n0\r\n", shortField},
+		} {
+			t.Run(fmt.Sprintf("%s, key %t", name, hasKey), func(t *testing.T) {
+				const size, maxBytes = 40, 8 << 20
+				v := startVM(t)
+				key := "wrong"
+				if hasKey {
+					key = v.transitKey()
+				}
+				var group crowd
+				defer group.leave()
+				group.join(v.peer, size, func(c net.Conn, n int) {
+					ok := write(c, start("POST", "/orders/", n), fmt.Sprintf("Currantferry-Transit: %d\r\nCurrantferry-Transit-Key: %s\r\n", n, key),
+						"Currantferry-Transit-Left-Ms: 2000\r\nCurrantferry-Transit-Attempts: 1\r\n", form[0])
+					_ = ok && repeat(c, form[1], maxBytes/len(form[1]))
+				})
+				mb, descriptors := v.observe(crowdPeriod)
+				v.check(mb, descriptors, maxPeerCallers+size)
+				v.awaitOrdinary("beside")
+			})
+		}
+	}
+}
+
 // Answers without end must not hold a stop beyond its bound, stop_grace, with callers that read
 // and with callers that don't.
 func TestEndlessAnswersDoNotHoldStop(t *testing.T) {
@@ -258,3 +321,19 @@
 	}
 	e.awaitEnd(t)
 }
+
+// transitKey returns the key that VMs state when they pass a request on to this one.
+func (v *vm) transitKey() string {
+	v.t.Helper()
+	ctx, cancel := context.WithTimeout(v.t.Context(), ordinaryTimeout)
+	defer cancel()
+	a, err := platform.NewStore(v.store.Address()).List(ctx, "vm/")
+	if err != nil || len(a.Records) != 1 {
+		v.t.Fatalf("%d records of VMs, %v", len(a.Records), err)
+	}
+	var record inventory.VM
+	if err := json.Unmarshal(a.Records[0].Value, &record); err != nil || record.TransitKey == "" {
+		v.t.Fatalf("no key, %v", err)
+	}
+	return record.TransitKey
+}
