--- a/feed/follower.go
+++ b/feed/follower.go
@@ -175,7 +175,7 @@
 		dialer := net.Dialer{Timeout: f.lateness.grace()}
 		return dialer.DialContext(ctx, network, address)
 	}
-	f.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
+	f.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}}
 	return f
 }
 
