Slow the links of tests without cutting them

What was missing: testkit.Links cut links or pass everything.

Change: Links.SetSpeed delays the opening of connections, and gives all connections together a rate of bytes for each direction. Open connections stay open.

--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -40,10 +40,69 @@
 	// only holds the addresses to which the links are cut. Nil means all.
 	only  map[string]bool
 	conns map[*linkConn]bool
+	// speed is that of the links while they aren't cut.
+	speed Speed
+	// freeAt is when the link has carried the bytes read and written so far.
+	freeAt [2]time.Time
 	// healed is closed when the present cut ends.
 	healed chan struct{}
 }
 
+// Speed is how fast links are. The zero value means that nothing is held up.
+type Speed struct {
+	// OpenDelay is how much later connections open.
+	OpenDelay time.Duration
+	// BytesPerSecond is the rate of all connections together in each direction; zero means
+	// that bytes aren't held up.
+	BytesPerSecond int
+}
+
+// maxPaced is the number of bytes that a connection moves at once over slow links, so that
+// the connections take turns.
+const maxPaced = 4 << 10
+
+// Indices of the directions of a link.
+const (
+	inbound = iota
+	outbound
+)
+
+// SetSpeed changes the speed of the links to all addresses. Open connections stay open.
+func (l *Links) SetSpeed(s Speed) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.speed, l.freeAt = s, [2]time.Time{}
+}
+
+// openDelay returns how much later a connection opens.
+func (l *Links) openDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.speed.OpenDelay
+}
+
+// isPaced reports whether bytes are held up.
+func (l *Links) isPaced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.speed.BytesPerSecond > 0
+}
+
+// reserve returns how long the link needs to carry n more bytes.
+func (l *Links) reserve(direction, n int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.speed.BytesPerSecond <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if l.freeAt[direction].Before(now) {
+		l.freeAt[direction] = now
+	}
+	l.freeAt[direction] = l.freeAt[direction].Add(time.Duration(n) * time.Second / time.Duration(l.speed.BytesPerSecond))
+	return l.freeAt[direction].Sub(now)
+}
+
 // dialTimeout is when Dial gives up, as the dialer that it replaces does.
 const dialTimeout = 500 * time.Millisecond
 
@@ -128,6 +187,13 @@
 		case <-healed:
 		}
 	}
+	if delay := l.openDelay(); delay > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(delay):
+		}
+	}
 	raw, err := new(net.Dialer).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -159,8 +225,24 @@
 	closed    chan struct{}
 }
 
+// hold waits until the link has carried n more bytes, or the connection is closed.
+func (c *linkConn) hold(direction, n int) {
+	d := c.links.reserve(direction, n)
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-c.closed:
+	}
+}
+
 func (c *linkConn) Read(p []byte) (int, error) {
+	if len(p) > maxPaced && c.links.isPaced() {
+		p = p[:maxPaced]
+	}
 	n, err := c.TCPConn.Read(p)
+	c.hold(inbound, n)
 	if kind, healed := c.links.state(c.address); kind.dropsBytes() {
 		// The bytes are lost; the end of the cut resets the connection.
 		select {
@@ -177,7 +259,19 @@
 	if kind, _ := c.links.state(c.address); kind.dropsBytes() {
 		return len(p), nil
 	}
-	return c.TCPConn.Write(p)
+	written := 0
+	for len(p) > maxPaced && c.links.isPaced() {
+		c.hold(outbound, maxPaced)
+		n, err := c.TCPConn.Write(p[:maxPaced])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		p = p[maxPaced:]
+	}
+	c.hold(outbound, len(p))
+	n, err := c.TCPConn.Write(p)
+	return written + n, err
 }
 
 func (c *linkConn) Close() error {
