Look for requests lost around planned stops in the soak

It could not see that a stopping VM gives up a request at which an instance works.

Change: callers that keep their connections, pipeline reads, read 100 KB slowly, or stay idle until late in the grace; stops of busy VMs that overlap (TestPlannedStops: alone, with slow links of a VM, and under each other fault); a check of what callers and instances recorded. It sees requests that were cut off after an instance had begun, answers of the VM in the place of an instance that works, refusals without a fault near, and kept connections closed without an answer. The check also runs in TestSoak and TestUpgrade.

--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -43,6 +43,10 @@
 		// Stops are rare because a VM that started recently is not checked.
 		kinds: []faultKind{stopVM, changeRoutes, changeRoutes, changeRoutes, changeRoutes, changeRoutes}, noticed: "cut off request",
 	},
+	"a planned stop gives up what instances work on": {
+		file: "entry/stop.go", old: "context.WithDeadline(context.Background(), started.Add(grace-stopMargin))", with: "context.WithDeadline(context.Background(), started)",
+		kinds: []faultKind{stopBusyVM}, noticed: "lost: ",
+	},
 	"routes' timeouts do not bind": {
 		file: "proxy/exchange.go", old: "if routed.Timeout > 0 &&", with: "if false &&",
 		kinds: []faultKind{changeRoutes}, noticed: "held request",
@@ -117,7 +121,11 @@
 		b := brokenBuilds[name]
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, []string{b.build(t)}, seed, defaultSize)
+			fleet := defaultSize
+			if slices.Contains(b.kinds, stopBusyVM) {
+				fleet = plannedStopsSize
+			}
+			w := newWorld(t, []string{b.build(t)}, seed, fleet)
 			w.run(brokenBuildSeconds*time.Second, b.kinds)
 			violations := w.violations()
 			for _, v := range violations {
--- a/soak/cut_test.go
+++ b/soak/cut_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"time"
 
@@ -24,12 +23,12 @@
 	transitTime = 3 * time.Second
 )
 
-// linksFile is added to the daemon: its links to instances can then be cut by a file.
+// linksFile is added to the daemon: its links to instances can then be cut or slowed by a file.
 const linksFile = `package main
 
 import (
+	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -40,29 +39,45 @@
 
 func init() {
 	go func() {
+		cut := testkit.NoCut
 		for last := ""; ; time.Sleep(20 * time.Millisecond) {
 			data, err := os.ReadFile(os.Getenv("CURRANTFERRY_SOAK_LINKS"))
-			if text := strings.TrimSpace(string(data)); err == nil && text != "" && text != last {
-				last = text
-				if kind, err := strconv.Atoi(text); err == nil {
-					links.Cut(testkit.CutKind(kind))
-				}
+			text := strings.TrimSpace(string(data))
+			if err != nil || text == "" || text == last {
+				continue
+			}
+			last = text
+			var kind testkit.CutKind
+			var speed testkit.Speed
+			if _, err := fmt.Sscan(text, &kind, &speed.OpenDelay, &speed.BytesPerSecond); err != nil {
+				panic(err)
 			}
+			links.SetSpeed(speed)
+			if kind != cut {
+				links.Cut(kind)
+			}
+			cut = kind
 		}
 	}()
 }
 `
 
 // withLinks returns the source files with which the links of the daemon of the source tree at
-// root can be cut.
+// root can be cut or slowed.
 func withLinks(root string) (map[string]string, error) {
 	const entry, old = "cmd/currantferryd/entry.go", "entry.Options{Settings: s,"
 	source, err := os.ReadFile(filepath.Join(root, entry))
 	if err != nil {
 		return nil, err
 	}
+	// An earlier version may lack some of what the present links can do.
+	const testLinks = "internal/testkit/links.go"
+	present, err := os.ReadFile(filepath.Join("..", testLinks))
+	if err != nil {
+		return nil, err
+	}
 	changed, err := replaceOnce(string(source), old, "entry.Options{Dial: links.Dial, Settings: s,")
-	return map[string]string{entry: changed, "cmd/currantferryd/soaklinks.go": linksFile}, err
+	return map[string]string{entry: changed, "cmd/currantferryd/soaklinks.go": linksFile, testLinks: string(present)}, err
 }
 
 // cutFromInstances cuts up to half of the VMs off from all instances for some seconds,
@@ -80,6 +95,7 @@
 		return
 	}
 	for _, n := range chosen {
+		w.addFault(w.vms[n], duration+faultMargin)
 		w.setLinks(w.vms[n], kind)
 	}
 	w.restores.Go(func() {
@@ -95,15 +111,10 @@
 
 // setLinks cuts the links of a VM to the instances, or heals them.
 func (w *world) setLinks(v *vm, kind testkit.CutKind) {
-	if err := os.WriteFile(v.links+".new", []byte(strconv.Itoa(int(kind))), 0o600); err != nil {
-		w.t.Error(err)
-		return
-	}
-	if err := os.Rename(v.links+".new", v.links); err != nil {
-		w.t.Error(err)
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	v.linksCut = kind
+	w.writeLinksLocked(v)
 	if kind == testkit.NoCut {
 		v.cutSince, v.healedAt = time.Time{}, time.Now()
 	} else {
@@ -111,6 +122,19 @@
 	}
 }
 
+// writeLinksLocked writes the file by which the links of a VM are cut or slowed. The lock is
+// held.
+func (w *world) writeLinksLocked(v *vm) {
+	text := fmt.Sprintln(int(v.linksCut), int64(v.linksSpeed.OpenDelay), v.linksSpeed.BytesPerSecond)
+	if err := os.WriteFile(v.links+".new", []byte(text), 0o600); err != nil {
+		w.t.Error(err)
+		return
+	}
+	if err := os.Rename(v.links+".new", v.links); err != nil {
+		w.t.Error(err)
+	}
+}
+
 // underservedCuts reports VMs that were cut off from all instances and served their callers
 // worse than the others did meanwhile. The lock is held.
 func (w *world) underservedCuts() []string {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -40,6 +40,9 @@
 			}
 		})
 	}
+	for c := range w.size.keptCallers {
+		group.Go(func() { newKeptCaller(w, c, stop).run() })
+	}
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		w.injectFault(kinds[w.rng.IntN(len(kinds))])
 		time.Sleep(time.Duration(100+w.rng.IntN(500)) * time.Millisecond)
@@ -79,9 +82,23 @@
 	nameLimits
 	restoreStore
 	cutFromInstances
+	// numFaultKinds is the number of the kinds above, of which drawKinds draws.
 	numFaultKinds
+	// stopBusyVM is a planned stop of a VM while it has requests of kept connections.
+	stopBusyVM
+	slowLinks
 )
 
+// isPlanned reports whether a kind is ordinary work of the operators or of instances.
+func (k faultKind) isPlanned() bool {
+	switch k {
+	case stopVM, stopBusyVM, reloadVM, compactStore, changeRoutes, drainInstance, evacuate, leaveInAnswers:
+		return true
+	default:
+		return false
+	}
+}
+
 // drawKinds returns about half of the kinds, so that the guarantees about undisturbed VMs
 // and about a reachable store are also checked.
 func (w *world) drawKinds() []faultKind {
@@ -104,8 +121,15 @@
 	w.mu.Lock()
 	u := w.instances[w.rng.IntN(len(w.instances))]
 	busy := v.stopping || v.paused
+	if !kind.isPlanned() && w.unplannedAt.IsZero() {
+		w.unplannedAt = time.Now()
+	}
 	w.mu.Unlock()
 	switch kind {
+	case stopBusyVM:
+		w.stopBusyVM()
+	case slowLinks:
+		w.slowLinks(v)
 	case killVM:
 		if !busy {
 			w.kill(v)
@@ -212,6 +236,7 @@
 // kill kills the process of a VM and restarts it.
 func (w *world) kill(v *vm) {
 	w.markDisturbed(v)
+	w.addFault(v, 0)
 	w.markStoreFault(v.region)
 	w.signal(v, syscall.SIGKILL)
 	<-v.exited
@@ -220,20 +245,25 @@
 
 // plannedStop sends SIGTERM and restarts the VM when its process has exited.
 func (w *world) plannedStop(v *vm) {
+	began := time.Now()
 	w.mu.Lock()
 	v.stopping = true
+	v.stops = append(v.stops, period{began, began.Add(w.size.grace + stopMargin)})
 	exited := v.exited
 	w.mu.Unlock()
 	w.signal(v, syscall.SIGTERM)
-	began := time.Now()
 	go func() {
 		select {
 		case <-exited:
-		case <-time.After(stopGrace + time.Second):
-			w.t.Errorf("VM %d still runs %s after SIGTERM, its grace is %s", v.number, time.Since(began), stopGrace)
+		case <-time.After(w.size.grace + stopMargin):
+			w.t.Errorf("VM %d still runs %s after SIGTERM, its grace is %s", v.number, time.Since(began), w.size.grace)
 			w.signal(v, syscall.SIGKILL)
 			<-exited
 		}
+		w.mu.Lock()
+		// The next process is not the one that got SIGTERM.
+		v.stops[len(v.stops)-1].to = time.Now()
+		w.mu.Unlock()
 		w.start(v)
 	}()
 }
@@ -241,6 +271,7 @@
 // pause stops the process of a VM with SIGSTOP for a time.
 func (w *world) pause(v *vm, duration time.Duration) {
 	w.markDisturbed(v)
+	w.addFault(v, duration+faultMargin)
 	w.markStoreFault(v.region)
 	w.mu.Lock()
 	v.paused = true
@@ -340,6 +371,7 @@
 	out = append(out, w.ignoredNotices()...)
 	out = append(out, w.exceededLimits()...)
 	out = append(out, w.underservedCuts()...)
+	out = append(out, w.lostRequests()...)
 	out = append(out, w.excessCrashes(informed)...)
 	for id, n := range w.extraRuns {
 		runs[id] += n
@@ -363,8 +395,8 @@
 		if r.cutOff && r.undisturbed {
 			add("VM %d cut off request %s after %s without a fault near", r.vm, r.id, r.took)
 		}
-		if r.undisturbed && r.took > routeTimeout+answerMargin {
-			add("VM %d held request %s for %s, its route's timeout is %s", r.vm, r.id, r.took, routeTimeout)
+		if r.undisturbed && r.took > w.size.timeout+answerMargin {
+			add("VM %d held request %s for %s, its route's timeout is %s", r.vm, r.id, r.took, w.size.timeout)
 		}
 		if r.dueReason != "" && r.status == http.StatusNotFound {
 			add("VM %d lacks version %d of the routes in request %s although %s", r.vm, r.version, r.id, r.dueReason)
@@ -402,7 +434,8 @@
 	if err := os.CopyFS(kept, os.DirFS(w.dir)); err != nil {
 		w.t.Error(err)
 	}
-	w.t.Logf("logs in %s; run again: CURRANTFERRY_SEED=%d CURRANTFERRY_ROUNDS=1 go test ./soak -run '^TestSoak$'", strings.TrimSpace(kept), w.seed)
+	test, _, _ := strings.Cut(w.t.Name(), "/")
+	w.t.Logf("logs in %s; run again: CURRANTFERRY_SEED=%d CURRANTFERRY_ROUNDS=1 go test ./soak -run '^%s$'", strings.TrimSpace(kept), w.seed, test)
 }
 
 // markStoreFault records that a fault which affects the updates of the store to the VMs of
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,6 +147,23 @@
 				w.record(&request{id: fmt.Sprint("o", n), status: 200, body: fmt.Sprint("ran o", n) + padding, informed: true, isDuringCut: true})
 			}
 		},
+		"planned stop cuts off a request at which an instance works": func(w *world) {
+			w.addLostRequest(t, &request{cutOff: true}, -time.Second, &standin.Run{})
+		},
+		"planned stop cuts off a request whose instance has answered": func(w *world) {
+			w.addLostRequest(t, &request{cutOff: true}, -time.Second, &standin.Run{EndedAt: w.started.Add(100 * time.Millisecond)})
+		},
+		"stopping VM answers in the place of an instance": func(w *world) {
+			w.addLostRequest(t, &request{isOwnFailure: true, status: 502}, 50*time.Millisecond, &standin.Run{})
+		},
+		"stopping VM refuses a request without a fault near": func(w *world) {
+			w.addLostRequest(t, &request{isOwnFailure: true, isKept: true, status: 503}, -time.Second, &standin.Run{ID: "other"})
+		},
+		"kept connections are closed without an answer": func(w *world) {
+			for n := range maxClosed + 1 {
+				w.addLostRequest(t, &request{id: fmt.Sprint("x", n), cutOff: true, isKept: true}, -time.Minute, &standin.Run{})
+			}
+		},
 		"planned stop cuts off a request": func(w *world) { w.record(&request{id: "x", cutOff: true, undisturbed: true, vm: 0}) },
 		"request held past its timeout":   func(w *world) { w.record(&request{id: "x", status: 504, undisturbed: true, took: 5 * time.Second}) },
 	} {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -20,25 +20,33 @@
 	"github.com/currantferry/currantferry/platform/standin"
 )
 
-// size is the size of a fleet.
-type size struct{ vms, regions, instances, callers int }
+// size is the size of a fleet, with the times of its settings.
+type size struct {
+	vms, regions, instances, callers int
+	// keptCallers is the number of callers that keep their connections open.
+	keptCallers int
+	// pipelined is the setting pipeline_most of every second VM, or zero.
+	pipelined int
+	// grace is that of planned stops, and timeout that of the routes.
+	grace, timeout time.Duration
+}
 
 // defaultSize has two VMs and three instances in each of three regions.
-var defaultSize = size{vms: 6, regions: 3, instances: 9, callers: 12}
+var defaultSize = size{vms: 6, regions: 3, instances: 9, callers: 12, grace: 3 * time.Second, timeout: 1200 * time.Millisecond}
 
 // sizeFor returns the size of a fleet with the given number of VMs.
 func sizeFor(vms int) size {
 	if vms == defaultSize.vms {
 		return defaultSize
 	}
-	return size{vms: vms, regions: 3, instances: max(3, vms*3/2), callers: 2 * vms}
+	s := defaultSize
+	s.vms, s.instances, s.callers = vms, max(3, vms*3/2), 2*vms
+	return s
 }
 
 const (
-	stopGrace = 3 * time.Second
-	// routeTimeout is the timeout of the routes. Undisturbed VMs must answer within
-	// answerMargin after it.
-	routeTimeout = 1200 * time.Millisecond
+	// answerMargin is the time after the timeout of its route within which an undisturbed
+	// VM must have answered a request.
 	answerMargin = 500 * time.Millisecond
 	// settleTime is the time without faults after which a VM must serve normally.
 	settleTime = 6 * time.Second
@@ -85,6 +93,15 @@
 	isCut, isDuringCut, mayPassOn bool
 	// dueReason says why the VM must have that version. Empty means that it need not.
 	dueReason string
+	// timeout is the lesser of the caller's deadline and the route's timeout.
+	timeout time.Duration
+	// isOwnFailure means that the answer was a 5xx of the VM, not of an instance.
+	isOwnFailure bool
+	// isKept means that the caller keeps its connections open, and isBehind that the request
+	// was sent before the answer to an earlier one on its connection.
+	isKept, isBehind bool
+	// failure is why there was no complete answer, or the text of the VM's own failure.
+	failure string
 }
 
 // vm is an entry VM: its daemon process, and the relay between it and the store.
@@ -107,12 +124,20 @@
 	lastStoreFault time.Time
 	// disturbances are all times at which a fault affected the process.
 	disturbances []time.Time
+	// stops are the planned stops, and faults the periods of unplanned faults of the process
+	// and of its links to instances.
+	stops, faults []period
+	// numOpen is the number of requests on kept connections that have no answer yet.
+	numOpen int
 	// isStorePathFaulty says that the relay between the VM and the store misbehaves.
 	isStorePathFaulty bool
 	// links is the file by which the links to instances are cut, cutSince when they were, or
 	// zero, and healedAt when the last cut ended.
 	links              string
 	cutSince, healedAt time.Time
+	// linksCut and linksSpeed are what that file says.
+	linksCut   testkit.CutKind
+	linksSpeed testkit.Speed
 	// stopping says that a planned stop is in progress.
 	stopping bool
 	paused   bool
@@ -183,13 +208,15 @@
 	isCutting bool
 	restores  sync.WaitGroup
 	started   time.Time
+	// unplannedAt is when the first unplanned fault began, or zero.
+	unplannedAt time.Time
 	// served counts the answers with status 200, by VM.
 	served map[int]int
 }
 
 func emptyWorld(seed uint64) *world {
 	return &world{
-		seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), extraRuns: make(map[string]int), served: make(map[int]int), started: time.Now(),
+		seed: seed, size: defaultSize, rng: rand.New(rand.NewPCG(seed, 11)), extraRuns: make(map[string]int), served: make(map[int]int), started: time.Now(),
 	}
 }
 
@@ -233,12 +260,12 @@
 		marked = append(marked, v.version)
 	}
 	w.mu.Unlock()
-	w.store.Configure(standin.Configuration(version, "shop", routeTimeout, 50, marked...))
+	w.store.Configure(standin.Configuration(version, "shop", w.size.timeout, 50, marked...))
 }
 
 // restoreBackup writes an older version of the routes, and then the newest again.
 func (w *world) restoreBackup() {
-	w.store.Configure(standin.Configuration(1, "shop", routeTimeout, 50, 1))
+	w.store.Configure(standin.Configuration(1, "shop", w.size.timeout, 50, 1))
 	time.Sleep(time.Duration(w.rng.IntN(1500)) * time.Millisecond)
 	w.writeRoutes()
 }
@@ -279,6 +306,9 @@
 // behaviourOf chooses the behaviour of an instance by the request ID. A small part of the
 // requests gets a faulty one.
 func behaviourOf(id string) standin.Behaviour {
+	if strings.HasPrefix(id, keptPrefix) {
+		return keptBehaviour(id)
+	}
 	b := standin.Behaviour{Work: time.Duration(5+len(id)%7*5) * time.Millisecond}
 	switch {
 	case strings.HasPrefix(id, crashPrefix):
@@ -311,7 +341,10 @@
 		fmt.Fprintf(&text, "%s = region%d\n%s = region%d\n", zoneOf(region, 0), region, zoneOf(region, 1), region)
 	}
 	fmt.Fprintf(&text, "[store]\naddress = %s\nlease_minimum = 1\n[bounds]\nstop_grace = %g\nretry_ratio = %g\n",
-		v.relay.Address(), stopGrace.Seconds(), retryRatio)
+		v.relay.Address(), w.size.grace.Seconds(), retryRatio)
+	if w.size.pipelined > 0 && n%2 == 0 {
+		fmt.Fprintf(&text, "[callers]\npipeline_most = %d\n", w.size.pipelined)
+	}
 	if err := os.WriteFile(v.settings, []byte(text.String()), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -488,7 +521,7 @@
 	lastDisturbed, lastStoreFault, cmd, seenVersion, wasReceiving, stopping := v.lastDisturbed, v.lastStoreFault, v.cmd, v.seenVersion, w.isReceivingUpdates(v), v.stopping
 	w.mu.Unlock()
 	sentAt := time.Now()
-	r := &request{id: call.ID, order: call.Order, vm: n, undisturbed: sentAt.Sub(lastDisturbed) > settleTime, sentAt: sentAt, version: call.Version}
+	r := &request{id: call.ID, order: call.Order, vm: n, undisturbed: sentAt.Sub(lastDisturbed) > settleTime, sentAt: sentAt, version: call.Version, timeout: min(call.Timeout, w.size.timeout)}
 	w.markCut(r)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
@@ -503,8 +536,9 @@
 		data, err = io.ReadAll(res.Body)
 		res.Body.Close()
 		r.status, r.body, r.leaving = res.StatusCode, string(data), standin.LeavingInstance(res)
-		r.limited = standin.LimitingInstance(res)
+		r.limited, r.isOwnFailure = standin.LimitingInstance(res), isOwnFailure(res)
 	}
+	r.setFailure(err)
 	r.cutOff, r.took = err != nil, time.Since(sentAt)
 	w.mu.Lock()
 	// A stopping VM need not serve callers to which no lookup returned its address.
