Narrow the slow links of the soak, and record what it found

What was missing: at 100 to 600 KB/s, answers of 100 KB are hardly later than on a wide link, and the log did not name the speed.

Change: a slow link carries 40, 80, 160, 320 or 640 KB/s, so that such an answer alone needs 0.2 to 2.5 s.

--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -84,8 +84,9 @@
 // they are slow. New connections are late, and some give up, while open ones go on.
 func (w *world) slowLinks(v *vm) {
 	speed := testkit.Speed{
-		OpenDelay:      time.Duration(150+w.rng.IntN(500)) * time.Millisecond,
-		BytesPerSecond: 100_000 + w.rng.IntN(500_000),
+		OpenDelay: time.Duration(150+w.rng.IntN(500)) * time.Millisecond,
+		// A long answer alone needs 0.2 to 2.5 s.
+		BytesPerSecond: 40_000 << w.rng.IntN(5),
 	}
 	duration := time.Duration(3000+w.rng.IntN(5000)) * time.Millisecond
 	w.mu.Lock()
@@ -101,6 +102,7 @@
 		w.mu.Unlock()
 		w.setStorePathMode(v, mode)
 	}
+	w.t.Logf("%s: links of VM %d: %+v for %s", time.Now().Format("15:04:05.000"), v.number, speed, duration)
 	set(speed, testkit.Delay)
 	w.restores.Go(func() {
 		time.Sleep(duration)
