Send callers of a stopping VM elsewhere at once

A stopping VM refuses more requests than before, all of which the other VMs can serve at once, but asked their callers to wait a second first, a third or more of the time of most routes. Retry-After is 50 ms now where the protocol has fractions; whole seconds are rounded up as before.

--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -74,9 +74,9 @@
 	return g.count
 }
 
-// stoppingRetryAfter is the Retry-After of a stopping VM's refusals, for callers that ask for
-// the other VMs first.
-const stoppingRetryAfter = time.Second
+// stoppingRetryAfter is the Retry-After of a stopping VM's refusals. Other VMs can serve the
+// request at once; without the field, callers would wait for their own usual time.
+const stoppingRetryAfter = 50 * time.Millisecond
 
 func errStopping() error {
 	return verdict.New(verdict.NotRun, verdict.ReasonStopping, stoppingRetryAfter)
