Complete orders that another VM passed on

The native service ended an order with a key at the instance when the connection of the VM that had passed it on was lost: caller-gone, may-have-run. The work can't be taken back, and a resend needs its end. The platform's service completes such orders already.

TestPassedOnOrderIsCompleted failed before (native settings) and passes.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -104,7 +104,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonKeyRequired, 0)
 	}
 	parent := x.r.Context()
-	if x.isClaimed() || (o.FinishUnkeyed && !x.query.Idempotent) {
+	isClaimedElsewhere := x.transit != nil && x.key != "" && !x.query.Idempotent
+	if x.isClaimed() || isClaimedElsewhere || (o.FinishUnkeyed && !x.query.Idempotent) {
 		// A request that must not run twice is completed even if the caller
 		// disconnects, so that a resend gets its answer.
 		parent = context.WithoutCancel(parent)
