Keep hedges and passing on after a short loss of the path

A read whose VM lost its path for a moment, in which no other VM took it, was never hedged or passed on again: the race no longer watched the path and had no timer. Nor was it passed on again after the attempt through another VM was lost while the retry budget was used up. A panic while an attempt is sent left the read waiting for ever.

--- a/proxy/race.go
+++ b/proxy/race.go
@@ -88,7 +88,11 @@
 
 func (r *race) start(a *attempt) {
 	r.running = append(r.running, a)
-	r.group.Go(func() { a.send(); r.done <- a })
+	r.group.Go(func() {
+		// After a panic too, which Wait passes on: run must not wait for the attempt forever.
+		defer func() { r.done <- a }()
+		a.send()
+	})
 }
 
 func (r *race) run() *attempt {
@@ -172,7 +176,7 @@
 		r.retryLater()
 		return
 	}
-	r.timer = nil
+	r.timer, r.hedged = nil, nil
 	r.x.query.Exclude = append(r.x.query.Exclude, selection.Instance().ID)
 	r.x.h.options.Metrics.CountRetry(verdict.ReasonSlowUpstream)
 	r.start(r.x.newAttempt(selection))
@@ -191,6 +195,19 @@
 	}
 }
 
+// onRestored watches the path again if it is back before another VM took the request, and lets the
+// hedge that was due be sent.
+func (r *race) onRestored() {
+	path := r.path.Path()
+	if path.Err() != nil {
+		return
+	}
+	r.lost, r.isLost, r.delay = path.Done(), false, minHedgeRetryDelay
+	if r.hedged != nil {
+		r.timer = time.After(r.delay)
+	}
+}
+
 // mayPassOn reports whether an attempt through another VM may be added.
 func (r *race) mayPassOn() bool {
 	x := r.x
@@ -201,6 +218,7 @@
 func (r *race) selectVM() {
 	r.timer = nil
 	if !r.mayPassOn() {
+		r.onRestored()
 		return
 	}
 	if r.selected == nil {
@@ -234,6 +252,7 @@
 		return
 	case !r.mayPassOn():
 		s.Done(Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonWithdrawn, Cancelled: true})
+		r.onRestored()
 		return
 	case !r.isPaid && !x.h.options.Budget.TakeRetry(x.query.Service.Name, x.caller):
 		s.Done(Outcome{Verdict: verdict.NotRun, Reason: verdict.ReasonWithdrawn, Cancelled: true})
@@ -256,7 +275,14 @@
 func (r *race) replacePassedOn() {
 	failed := r.passedOn
 	r.passedOn = nil
-	if len(r.running) == 0 || r.x.checkRetry(failed.err) != nil {
+	if len(r.running) == 0 {
+		return
+	}
+	if err := r.x.checkRetry(failed.err); err != nil {
+		if err.Reason == verdict.ReasonRetryBudget {
+			// Other requests refill the budget.
+			r.retryLater()
+		}
 		return
 	}
 	r.x.recordRetry(failed.err)
