Close idle connections to other VMs

Each probe of another VM leaves an idle connection, up to 64 for each, which nobody closed: they use descriptors here and places at the other VM's guard. The native service swept no connections at all.

TestConnectionsToVMsAreSwept failed before (30 of 30 open after 8 s) and passes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -238,7 +238,7 @@
 		n.receiveDigests,
 		func() { n.runEvery(teamCapInterval, n.teamCaps.tick) },
 		func() { n.runEvery(callerguard.SweepInterval, n.guard.Sweep) },
-		func() { n.runEvery(sweepInterval, func(time.Time) { n.proxy.Client().Sweep() }) },
+		func() { n.runEvery(sweepInterval, func(time.Time) { n.proxy.Sweep() }) },
 	} {
 		n.group.Go(run)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -383,6 +383,7 @@
 		{reachInterval, n.tickReach},
 		{200 * time.Millisecond, n.refresh},
 		{time.Second, n.everySecond},
+		{time.Second, func(time.Time) { n.proxy.Sweep() }},
 		{planInterval, n.planner.step},
 		{probeInterval, n.prober.step},
 	} {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -352,6 +352,13 @@
 // TransitClient returns the client that holds the connections to other VMs.
 func (h *Handler) TransitClient() *upstream.Client { return h.transitClient }
 
+// Sweep closes the connections to instances and other VMs that have been idle for too long. It
+// should be called about once a second.
+func (h *Handler) Sweep() {
+	h.client.Sweep()
+	h.transitClient.Sweep()
+}
+
 // SetReady sets whether requests are admitted or refused with "not-ready".
 func (h *Handler) SetReady(ready bool) { h.gate.setReady(ready) }
 
