Notice hanging connections while other VMs are gone

A VM whose new connections to instances hang while open ones answer did not notice it, since all three of the other VMs probed had to accept a connection, and some were gone. Four rounds in a row in which one does prove it as well.

A VM that was isolated before it knew another VM did not end unsent attempts once it knew one.

TestHangingConnectionsAreNoticedWhileAnswersArrive, TestConnectionLimitIsNoIsolation and TestPathIsLostWhenVMsAppear failed before; package transit passes unchanged, the model of congested links included.

--- a/transit/monitor/monitor.go
+++ b/transit/monitor/monitor.go
@@ -212,6 +212,8 @@
 	switch {
 	case err == nil:
 		return transit.ProbeOpened
+	case errors.Is(err, upstream.ErrConnectionLimit):
+		return transit.ProbeNotSent
 	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
 		return transit.ProbeRefused
 	default:
@@ -302,7 +304,8 @@
 		var succeeded atomic.Bool
 		for _, address := range others {
 			attempts.Go(func() {
-				if m.Open(bounded, address) == nil {
+				// An instance at the limit of connections was reached.
+				if err := m.Open(bounded, address); err == nil || errors.Is(err, upstream.ErrConnectionLimit) {
 					succeeded.Store(true)
 				}
 			})
@@ -330,9 +333,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.peers.Set(peers)
-	if len(peers) == 0 {
+	state, _ := m.reach.State()
+	switch {
+	case len(peers) == 0:
 		// Without another VM, this one goes on trying instances.
 		m.restorePath()
+	case state == transit.Isolated:
+		m.losePath()
 	}
 }
 
--- a/transit/reach.go
+++ b/transit/reach.go
@@ -67,6 +67,9 @@
 	// numControls is the number of other VMs that are probed together with instances. Two of
 	// them may be gone.
 	numControls = 3
+	// minRoundsReached is the number of rounds in a row in which another VM must accept a
+	// connection in time to prove that this VM's link works while instances answer.
+	minRoundsReached = 4
 	// congestionTTL is how long this VM's link counts as congested after a round of probes
 	// that nobody answered in time.
 	congestionTTL = 2 * time.Second
@@ -89,6 +92,8 @@
 	ProbeOpened
 	// ProbeRefused probes were refused or reset, which congestion does not do.
 	ProbeRefused
+	// ProbeNotSent probes were not sent for want of a free connection, and show nothing.
+	ProbeNotSent
 )
 
 // Round is a round of probes that are sent at once.
@@ -162,6 +167,9 @@
 	// isAnyFast that an instance or another VM accepted or refused one in time.
 	numControls, numControlsFast int
 	isControlOpen, isAnyFast     bool
+	// numRoundsReached is the number of rounds in a row in which another VM accepted a
+	// connection in time and no instance did at all.
+	numRoundsReached int
 	// congestedAt is when a round ended last in which nobody answered in time, and
 	// isCongested says that none did since.
 	congestedAt time.Time
@@ -255,12 +263,15 @@
 // recorded as any other.
 func (r *Reach) RecordProbe(now time.Time, instance string, result ProbeResult) {
 	r.numProbing--
-	if result != ProbeLate {
+	if result == ProbeOpened || result == ProbeRefused {
 		r.recordFast(now)
 	}
-	if result == ProbeOpened {
+	switch result {
+	case ProbeOpened:
 		r.roundSucceeded = true
-	} else {
+	case ProbeNotSent:
+		r.roundSize--
+	default:
 		r.RecordFailure(now, r.probedAt, instance)
 	}
 	if result == ProbeRefused && !r.probedAt.Before(r.connectedAt) {
@@ -277,7 +288,7 @@
 	if !began.Equal(r.probedAt) {
 		return
 	}
-	if result != ProbeLate {
+	if result == ProbeOpened || result == ProbeRefused {
 		r.recordFast(now)
 	}
 	if result != ProbeOpened {
@@ -315,9 +326,9 @@
 // isOthersReached reports whether the links to other VMs work at the time of the present round
 // of probes. One VM that accepts a connection in time is enough, unless an instance has answered
 // during the round: the link is then more likely full, and a single connection may open fast by
-// chance.
+// chance. It does not do so in minRoundsReached rounds in a row, while the other VMs may be gone.
 func (r *Reach) isOthersReached() bool {
-	if r.answeredAt.After(r.probedAt) {
+	if r.answeredAt.After(r.probedAt) && r.numRoundsReached < minRoundsReached {
 		return r.numControlsFast == r.numControls
 	}
 	return r.numControlsFast > 0
@@ -329,14 +340,20 @@
 		r.isCongested, r.congestedAt = true, now
 	}
 	if r.roundSucceeded {
+		r.numRoundsReached = 0
 		return
 	}
+	if r.numControlsFast > 0 {
+		r.numRoundsReached++
+	} else {
+		r.numRoundsReached = 0
+	}
 	r.numConnected = 0
 	if r.roundSize > 1 {
 		r.RecordRoundFailure(now)
 	}
 	r.conclude(now)
-	if r.state == Suspected && r.numControls > 0 && !r.isOthersReached() && !r.isFast(now) {
+	if r.state == Suspected && r.numControls > 0 && r.numControlsFast == 0 && !r.isFast(now) {
 		// Connections that open late say nothing about instances, except those that refused.
 		clear(r.failedAt)
 		maps.Copy(r.failedAt, r.refusedAt)
