Let the wait for records fall while changes arrive

The wait for late records stayed at its most, 1.4 s, as long as changes came before the time that was asked for.

TestGraceFallsAgain failed before and passes.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -625,3 +625,16 @@
 		eventually(t, key, func() bool { return vm.sink.has(key) })
 	}
 }
+
+// The grace must fall again once answers come before the time that was asked for.
+func TestGraceFallsAgain(t *testing.T) {
+	l := newLateness(350 * time.Millisecond)
+	l.recordNoAnswer()
+	l.recordNoAnswer()
+	for range 1000 {
+		l.recordAnswer(-400 * time.Millisecond)
+	}
+	if got := l.grace(); got != 350*time.Millisecond {
+		t.Errorf("grace %s after 1000 answers in time", got)
+	}
+}
--- a/feed/lateness.go
+++ b/feed/lateness.go
@@ -34,11 +34,14 @@
 // recordNoAnswer is called when no source had records and several did not answer in time.
 func (l *lateness) recordNoAnswer() { l.set(2 * l.grace()) }
 
-// recordAnswer records how late an answer was. A negative time, of an answer that came before
-// the time that was asked for, says nothing.
+// recordAnswer records how late an answer was. A negative time is that of an answer with changes,
+// which came before the time that was asked for. It says little about lateness, so the grace
+// falls slowly.
 func (l *lateness) recordAnswer(late time.Duration) {
 	if late > 0 {
 		l.set(2 * late)
+	} else {
+		l.set(l.grace() * 3 / 4)
 	}
 }
 
