--- a/proxy/pathloss_test.go
+++ b/proxy/pathloss_test.go
@@ -16,7 +16,6 @@
 	*pathSelector
 	mu   sync.Mutex
 	path context.Context
-	vm   bool
 }
 
 type flapSelection struct {
@@ -84,9 +83,9 @@
 	time.AfterFunc(100*time.Millisecond, lose)
 	time.AfterFunc(200*time.Millisecond, restore)
 	time.AfterFunc(500*time.Millisecond, func() {
-		f.pathSelector.fixture.mu.Lock()
+		f.fixture.mu.Lock()
 		f.vms = []string{other.address}
-		f.pathSelector.fixture.mu.Unlock()
+		f.fixture.mu.Unlock()
 		lose()
 	})
 	res, _, err := f.do(t, "GET", "/a", "", HeaderTimeout, "3000")
