--- a/callerguard/callerguard_test.go
+++ b/callerguard/callerguard_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	now     time.Time
 	// release lets the handler of /wait go on.
 	release chan struct{}
+	// numHeld is the number of requests for /wait whose handlers run.
+	numHeld atomic.Int64
 }
 
 func newFixture(t *testing.T, l Limits) *fixture {
@@ -37,6 +40,7 @@
 		switch r.URL.Path {
 		case "/ignore":
 		case "/wait":
+			f.numHeld.Add(1)
 			<-f.release
 		case "/large":
 			_, _ = io.WriteString(w, strings.Repeat("x", 64<<20))
@@ -187,7 +191,7 @@
 		t.Fatal(s)
 	}
 	f.send(waiting, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
-	f.await("neither waits for its caller", func() bool { return f.numWaiting() == 0 })
+	f.await("the request is handled and neither waits for its caller", func() bool { return f.numHeld.Load() == 1 && f.numWaiting() == 0 })
 	f.sweep(60)
 	close(f.release)
 	if s := status(t, bufio.NewReader(waiting)); s != http.StatusOK {
