Count reset dials as refused in TestMemoryIsTakenFromStalledCallers

Cause: the guard refuses some of the stalled callers with a reset, which may come before net.Dial has returned.

Change: such a caller counts as refused, and there may not be more of them than the guard has closed for want of memory. The other checks are as before.

--- a/callerguard/callerguard_test.go
+++ b/callerguard/callerguard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -315,8 +317,14 @@
 	l := usual
 	l.MemoryBytes = 20 * (idleBytes + activeBytes + 4096)
 	f := newFixture(t, l)
+	numReset := 0
 	for range 30 {
 		c, err := net.Dial("tcp", f.address)
+		if errors.Is(err, syscall.ECONNRESET) {
+			// The guard refused the connection before the call returned.
+			numReset++
+			continue
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -331,7 +339,7 @@
 			t.Errorf("a later caller got %d", s)
 		}
 	}
-	if f.count(reasonMemory) == 0 || f.guard.Budget().Used() > l.MemoryBytes {
+	if f.count(reasonMemory) == 0 || int(f.count(reasonMemory)) < numReset || f.guard.Budget().Used() > l.MemoryBytes {
 		t.Errorf("%d closed, %d of %d bytes used", f.count(reasonMemory), f.guard.Budget().Used(), l.MemoryBytes)
 	}
 }
