Close no signal twice when a connection follows the last one

A connection that is accepted just before a stopping listener closes, after all others have gone, closed a closed channel when it ended: a panic in the server's goroutine, which ends the process and every request in it. Found by reading; not seen in a run.

TestConnectionAfterTheLast panicked before (close of closed channel) and passes with the race detector.

--- a/quiesce/quiesce.go
+++ b/quiesce/quiesce.go
@@ -25,8 +25,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// isEmpty, if not nil, is closed when no connection is left.
-	isEmpty chan struct{}
+	// emptied is closed when no connection is left while AwaitQuiet waits. Nil means that it
+	// doesn't wait.
+	emptied chan struct{}
 }
 
 // New returns a listener that follows the connections of l.
@@ -89,13 +90,12 @@
 func (l *Listener) empty() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.isEmpty == nil {
-		l.isEmpty = make(chan struct{})
-		if len(l.conns) == 0 {
-			close(l.isEmpty)
-		}
+	if l.emptied == nil {
+		l.emptied = make(chan struct{})
 	}
-	return l.isEmpty
+	emptied := l.emptied
+	l.signalEmpty()
+	return emptied
 }
 
 func (l *Listener) remove(c *conn) {
@@ -105,8 +105,14 @@
 		return
 	}
 	delete(l.conns, c)
-	if len(l.conns) == 0 && l.isEmpty != nil {
-		close(l.isEmpty)
+	l.signalEmpty()
+}
+
+// signalEmpty ends the wait of AwaitQuiet if no connection is left. The lock is held.
+func (l *Listener) signalEmpty() {
+	if len(l.conns) == 0 && l.emptied != nil {
+		close(l.emptied)
+		l.emptied = nil
 	}
 }
 
--- a/quiesce/quiesce_test.go
+++ b/quiesce/quiesce_test.go
@@ -100,3 +100,24 @@
 		}
 	}
 }
+
+// A connection that is accepted after no other was left must not end the process when it closes.
+func TestConnectionAfterTheLast(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := quiesce.New(raw)
+	defer l.Close()
+	l.AwaitQuiet(t.Context())
+	caller, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
