Show a stale VM that routes requests passed on to it

Review case 7: a VM in touch, cut off from all instances, passes requests on to one that was frozen over a change of the configuration.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,3 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's scripts. Its only case is a day, so there are none.
+# Builds what the scripts of the second review start beside the program of the deploy file.
 set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+go build -tags review -o target/review/case7 ./review/7
