Reject answers with a status below 100

An instance's answer with a status such as 000 was read as an interim answer and skipped. Callers got what followed as the answer: one behind it, or bytes of its body. If the instance kept the connection open and sent nothing more, the request waited for its deadline, and a caller of an order learned nothing before it.

Cause: net/http parses the status as a number without a lower bound (000, 099, +20), and the client of instances takes every status below 200 as interim. A status 000 with nothing that looks like an answer behind it ended as 502 before, and still does; in the log its error was about the bytes after it.

The head of every answer, also of interim ones and of those to other requests, is checked by httpanswer.CheckHead. A failure ends the exchange: the request may have run, so that orders get 502 and reads may be sent to another instance. The error in the log has the status.

--- /dev/null
+++ b/internal/httpanswer/head.go
@@ -0,0 +1,19 @@
+package httpanswer
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ErrMalformed means that bytes which net/http accepts are no answer of HTTP/1.1, RFC 9112.
+var ErrMalformed = errors.New("malformed answer")
+
+// CheckHead checks the head of an answer that http.ReadResponse or an http.Transport accepted. It
+// returns an error that wraps ErrMalformed if the head is malformed.
+func CheckHead(res *http.Response) error {
+	if res.StatusCode < http.StatusContinue {
+		return errors.WithMessagef(ErrMalformed, "status %.10q", res.Status)
+	}
+	return nil
+}
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -5,11 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/currantferry/currantferry/internal/testkit"
 )
 
@@ -63,3 +66,29 @@
 		}
 	}
 }
+
+// Answers with malformed heads must not be accepted, and the request may have run.
+func TestMalformedAnswersAreRejected(t *testing.T) {
+	const fields, body = "X-Request-Id: r\r\n", "body"
+	for name, text := range testkit.MalformedAnswers(fields, body) {
+		address := testkit.StartServer(t, testkit.ServeText(text))
+		got, err := do(t, New(Options{}), address, "r", true)
+		var failed *Error
+		if !errors.As(err, &failed) || !failed.Written || !failed.Answered {
+			t.Errorf("%s: body %q, %v; want a failure after which the request may have run", name, got, err)
+		}
+	}
+}
+
+// A request whose answer has no status must end at once, not at its deadline, although the instance
+// keeps the connection open.
+func TestStatus000EndsRequestAtOnce(t *testing.T) {
+	s := startScript(t, func(c net.Conn, _, _ int) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 000 None\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	began := time.Now()
+	if _, err := do(t, New(Options{}), s.address, "r", true); err == nil || time.Since(began) > 2*time.Second {
+		t.Errorf("%v after %s", err, time.Since(began))
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,6 +17,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/currantferry/currantferry/internal/httpanswer"
 )
 
 // conn is a connection to an instance. It carries one request at a time.
@@ -252,6 +254,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httpanswer.CheckHead(res); err != nil {
+			return nil, err
+		}
 		headerBytesLeft = n.input.remaining
 		_ = n.raw.SetReadDeadline(time.Time{})
 		n.input.removeLimit()
