Reject answers with a blank in a field name

An instance's answer with a blank in the name of a field, or between a name and its colon, reached callers as an answer, with that line passed on. With "Content-Length : n" or "Transfer-Encoding : chunked" the body was another one than the instance's: without an end of its own, or with the sizes of the chunks in it.

Cause: http.ReadResponse keeps such names as they are, so that the field isn't the one it looks like. It rejects control bytes and all other bytes that no name may have, in names and values, and lines without a name or a colon; that was so before.

httpanswer.CheckHead rejects names that are no token, in interim answers too. The test for tokens is that of requests, which moves from callerconn to internal/httptext. RFC 9112 lets a proxy remove blanks before a colon instead; a line of which it isn't known which field it is must not end a body.

--- a/callerconn/head.go
+++ b/callerconn/head.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/internal/httptext"
 )
 
 // headScan finds the end of a head and what http.ReadRequest doesn't report. It accepts the
@@ -201,17 +203,17 @@
 		return refuseVersion
 	case req.ProtoAtLeast(1, 1) && scan.hosts == 0 && req.Method != http.MethodConnect:
 		return refuseNoHost
-	case scan.hosts > 0 && !isHost(scan.host):
+	case scan.hosts > 0 && !hostBytes.HasAll(scan.host):
 		return refuseHost
 	case scan.hasLength && scan.hasEncoding:
 		return refuseTwoLengths
 	}
 	for name, values := range req.Header {
-		if !isToken(name) {
+		if !httptext.IsToken(name) {
 			return refuseName
 		}
 		for _, v := range values {
-			if !isFieldValue(v) {
+			if !httptext.IsFieldValue(v) {
 				return refuseValue
 			}
 		}
@@ -260,43 +262,8 @@
 	}
 }
 
-const letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
-
-var (
-	tokenBytes = byteSet(letters + "!#$%&'*+-.^_`|~")
-	// hostBytes are those of RFC 3986, section 3.2.2, with a port.
-	hostBytes = byteSet(letters + "!$%&'()*+,-.:;=[]_~")
-)
-
-func byteSet(bytes string) (set [256]bool) {
-	for i := range len(bytes) {
-		set[bytes[i]] = true
-	}
-	return set
-}
-
-func isIn(set *[256]bool, s string) bool {
-	for i := range len(s) {
-		if !set[s[i]] {
-			return false
-		}
-	}
-	return true
-}
-
-func isToken(s string) bool { return s != "" && isIn(&tokenBytes, s) }
-
-func isHost(s string) bool { return isIn(&hostBytes, s) }
-
-// isFieldValue reports whether s has no control characters but tabs.
-func isFieldValue(s string) bool {
-	for i := range len(s) {
-		if b := s[i]; (b < ' ' && b != '\t') || b == 0x7f {
-			return false
-		}
-	}
-	return true
-}
+// hostBytes are those of RFC 3986, section 3.2.2, with a port.
+var hostBytes = httptext.NewSet(httptext.Alphanumeric + "!$%&'()*+,-.:;=[]_~")
 
 // hasToken reports whether a list contains a token, in any case. Like net/http's server, it
 // takes spaces for separators too.
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/internal/httptext"
 )
 
 // ErrMalformed means that bytes which net/http accepts are no answer of HTTP/1.1, RFC 9112.
@@ -15,5 +17,10 @@
 	if res.StatusCode < http.StatusContinue {
 		return errors.WithMessagef(ErrMalformed, "status %.10q", res.Status)
 	}
+	for name := range res.Header {
+		if !httptext.IsToken(name) {
+			return errors.WithMessagef(ErrMalformed, "field name %.40q", name)
+		}
+	}
 	return nil
 }
--- a/internal/testkit/malformed.go
+++ b/internal/testkit/malformed.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"strings"
 )
 
 // ServeText returns a function for StartServer that reads each request, writes the text and
@@ -34,8 +36,50 @@
 		"status 000 before an answer": "HTTP/1.1 000 None\r\n\r\n" + sound,
 		"status 000 around an answer": fmt.Sprintf("HTTP/1.1 000 None\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(sound), sound),
 	}
+	maps.Copy(out, malformedFields(fields, body))
 	for _, status := range []string{"000", "099", "+20", "-00"} {
 		out["status "+status] = "HTTP/1.1 " + status + " None\r\n" + fields + whole
 	}
 	return out
 }
+
+// malformedFields returns answers with a line that is no field.
+func malformedFields(fields, body string) map[string]string {
+	head := "HTTP/1.1 200 OK\r\n" + fields
+	whole := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	out := map[string]string{
+		"interim with a blank":  "HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\n" + head + whole,
+		"length before a blank": fmt.Sprintf("%sContent-Length : %d\r\n\r\n%s", head, len(body), body),
+		"chunks before a blank": fmt.Sprintf("%sTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body),
+		"no name":               head + ": v\r\n" + whole,
+		"no colon":              head + "X-Odd\r\n" + whole,
+	}
+	for _, c := range []string{" ", "\t", "\x00", "\x01", "\x0b", "\r", "\x7f", "\xe9", "(", "@"} {
+		out[fmt.Sprintf("name with %q", c)] = head + "X" + c + "Odd: v\r\n" + whole
+		out[fmt.Sprintf("name before %q", c)] = head + "X-Odd" + c + ": v\r\n" + whole
+		if c < " " && c != "\t" || c == "\x7f" {
+			out[fmt.Sprintf("value with %q", c)] = head + "X-Odd: v" + c + "w\r\n" + whole
+		}
+	}
+	return out
+}
+
+// SoundAnswers returns answers that every client must accept, by what is unusual about them.
+func SoundAnswers(fields, body string) map[string]string {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	whole := length + "\r\n" + body
+	return map[string]string{
+		"length":                       "HTTP/1.1 200 OK\r\n" + fields + whole,
+		"no length":                    "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body,
+		"chunks":                       fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", fields, len(body), body),
+		"HTTP/1.0":                     "HTTP/1.0 200 OK\r\n" + fields + whole,
+		"HTTP/1.0 without length":      "HTTP/1.0 200 OK\r\n" + fields + "X-Transfer-Encoding: chunked\r\n\r\n" + body,
+		"no reason":                    "HTTP/1.1 200\r\n" + fields + whole,
+		"reason with a tab":            "HTTP/1.1 200 O\tK \xe9\r\n" + fields + whole,
+		"line feeds alone":             strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+length+"\r\n", "\r", "") + body,
+		"folded value":                 "HTTP/1.1 200 OK\r\n" + fields + "X-Odd: a\r\n b : c\r\n\t\r\n" + whole,
+		"every character of a name":    "HTTP/1.1 200 OK\r\n" + fields + "X!#$%&'*+-.^_`|~09az: v\r\n" + whole,
+		"value with a tab and letters": "HTTP/1.1 200 OK\r\n" + fields + "X-Odd: a\tb \xe9\xff\r\nX-Empty:\r\n" + whole,
+		"interim":                      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + whole,
+	}
+}
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// Answers with malformed heads must not be accepted, and the request may have run.
+// Answers with malformed heads must not be accepted, and the request may have run. Unusual ones that
+// are sound must be accepted.
 func TestMalformedAnswersAreRejected(t *testing.T) {
 	const fields, body = "X-Request-Id: r\r\n", "body"
 	for name, text := range testkit.MalformedAnswers(fields, body) {
@@ -78,6 +79,12 @@
 			t.Errorf("%s: body %q, %v; want a failure after which the request may have run", name, got, err)
 		}
 	}
+	for name, text := range testkit.SoundAnswers(fields, body) {
+		address := testkit.StartServer(t, testkit.ServeText(text))
+		if got, err := do(t, New(Options{}), address, "r", true); err != nil || got != body {
+			t.Errorf("%s: body %q, %v", name, got, err)
+		}
+	}
 }
 
 // A request whose answer has no status must end at once, not at its deadline, although the instance
