Reject answers with a malformed status line

Two further forms of bytes that are no answer reached callers as the instance's: a version of HTTP whose messages have another form (0.9, 2.0), and a control byte in the reason behind the status.

Cause: http.ReadResponse accepts any two digits as the version, and doesn't look at the reason. httpanswer.CheckHead now requires HTTP/1.x, and applies the rule for values of fields to the reason. A missing reason, other minor versions and statuses of 600 and above are accepted as before: RFC 9110 has clients treat such statuses as those of server errors.

Tests: seven of the ten new forms of MalformedAnswers failed before at the client of instances and through an entry VM; three were rejected already (HTTP/1, http/1.1, ICY).

--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -14,8 +14,11 @@
 // CheckHead checks the head of an answer that http.ReadResponse or an http.Transport accepted. It
 // returns an error that wraps ErrMalformed if the head is malformed.
 func CheckHead(res *http.Response) error {
-	if res.StatusCode < http.StatusContinue {
-		return errors.WithMessagef(ErrMalformed, "status %.10q", res.Status)
+	switch {
+	case res.ProtoMajor != 1:
+		return errors.WithMessagef(ErrMalformed, "version %.10q", res.Proto)
+	case res.StatusCode < http.StatusContinue, !httptext.IsFieldValue(res.Status):
+		return errors.WithMessagef(ErrMalformed, "status %.40q", res.Status)
 	}
 	for name := range res.Header {
 		if !httptext.IsToken(name) {
--- a/internal/testkit/malformed.go
+++ b/internal/testkit/malformed.go
@@ -40,6 +40,12 @@
 	for _, status := range []string{"000", "099", "+20", "-00"} {
 		out["status "+status] = "HTTP/1.1 " + status + " None\r\n" + fields + whole
 	}
+	for _, c := range []string{"\x00", "\x01", "\x0b", "\r", "\x7f"} {
+		out[fmt.Sprintf("reason with %q", c)] = "HTTP/1.1 200 O" + c + "K\r\n" + fields + whole
+	}
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/1", "http/1.1", "ICY"} {
+		out["version "+version] = version + " 200 OK\r\n" + fields + whole
+	}
 	return out
 }
 
