Reject answers of HTTP/1.0 with a transfer encoding

An instance's answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached callers with the sizes of the chunks in its body, and with a length beside it as that many bytes of them.

Cause: http.ReadResponse drops the field in HTTP/1.0 without a word, so that the body ends with the connection or at the length. RFC 9112, section 6.1, has clients treat the framing of such a message as faulty.

The scan of the head, which counted lines only, now finds the field too, and the client of instances rejects the answer if its version is below 1.1. Other answers of HTTP/1.0 are accepted as before, with and without a length.

--- a/internal/testkit/malformed.go
+++ b/internal/testkit/malformed.go
@@ -49,6 +49,18 @@
 	return out
 }
 
+// ChunkedHTTP10Answers returns answers of HTTP/1.0 with a field that this version doesn't have,
+// which leaves the end of their bodies open.
+func ChunkedHTTP10Answers(fields, body string) map[string]string {
+	out := make(map[string]string)
+	for name, field := range map[string]string{"": "Transfer-Encoding: chunked\r\n", " in lower case": "transfer-encoding:chunked\r\n"} {
+		head := "HTTP/1.0 200 OK\r\n" + fields + field
+		out["chunks in HTTP/1.0"+name] = fmt.Sprintf("%s\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+		out["chunks and length in HTTP/1.0"+name] = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	return out
+}
+
 // malformedFields returns answers with a line that is no field.
 func malformedFields(fields, body string) map[string]string {
 	head := "HTTP/1.1 200 OK\r\n" + fields
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -71,7 +72,9 @@
 // are sound must be accepted.
 func TestMalformedAnswersAreRejected(t *testing.T) {
 	const fields, body = "X-Request-Id: r\r\n", "body"
-	for name, text := range testkit.MalformedAnswers(fields, body) {
+	forms := testkit.MalformedAnswers(fields, body)
+	maps.Copy(forms, testkit.ChunkedHTTP10Answers(fields, body))
+	for name, text := range forms {
 		address := testkit.StartServer(t, testkit.ServeText(text))
 		got, err := do(t, New(Options{}), address, "r", true)
 		var failed *Error
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -63,24 +63,36 @@
 // answers before it exceeded their bounds, or that a header has too many fields.
 var ErrTooLong = errors.New("upstream: header or skipped answer is too long")
 
-// headCounter counts the lines of a head, up to the empty line at its end. The zero value
-// counts nothing.
-type headCounter struct {
+// errEncodingHTTP10 means that it isn't known where the body of an answer ends (RFC 9112, section
+// 6.1). http.ReadResponse ignores the encoding.
+var errEncodingHTTP10 = errors.WithMessage(httpanswer.ErrMalformed, "transfer encoding in HTTP/1.0")
+
+// headScan counts the lines of a head, up to the empty line at its end, and finds what
+// http.ReadResponse doesn't report. The zero value counts nothing.
+type headScan struct {
 	linesLeft int
 	isActive  bool
 	// isLineEmpty says that the current line has no bytes so far except carriage returns.
 	isLineEmpty bool
+	// lineStart holds the first bytes of the current line, and startBytes their number.
+	lineStart  [len(encodingField)]byte
+	startBytes int
+	// hasEncoding says that a line has the field Transfer-Encoding.
+	hasEncoding bool
 }
 
+// encodingField begins the line of the field Transfer-Encoding, in any case.
+const encodingField = "transfer-encoding:"
+
 // begin begins a head with the bytes that were read already. It returns false if they have
 // more lines than allowed.
-func (h *headCounter) begin(maxLines int, buffered []byte) bool {
-	*h = headCounter{linesLeft: maxLines, isActive: true}
-	return h.count(buffered)
+func (h *headScan) begin(maxLines int, buffered []byte) bool {
+	*h = headScan{linesLeft: maxLines, isActive: true}
+	return h.scan(buffered)
 }
 
-// count counts the lines in bytes that were read, and returns false if there are too many.
-func (h *headCounter) count(p []byte) bool {
+// scan scans the lines in bytes that were read, and returns false if there are too many.
+func (h *headScan) scan(p []byte) bool {
 	for len(p) > 0 && h.isActive {
 		k := bytes.IndexByte(p, '\n')
 		line, hasEnd := p, k >= 0
@@ -88,6 +100,7 @@
 			line = p[:k]
 		}
 		h.isLineEmpty = h.isLineEmpty && len(bytes.TrimRight(line, "\r")) == 0
+		h.startBytes += copy(h.lineStart[h.startBytes:], line)
 		if !hasEnd {
 			return true
 		}
@@ -96,7 +109,8 @@
 			h.isActive = false
 			return true
 		}
-		h.isLineEmpty = true
+		h.hasEncoding = h.hasEncoding || strings.EqualFold(string(h.lineStart[:h.startBytes]), encodingField)
+		h.isLineEmpty, h.startBytes = true, 0
 		if h.linesLeft--; h.linesLeft < 0 {
 			return false
 		}
@@ -110,7 +124,7 @@
 	// remaining is the number of bytes that may still be read while isLimited is set.
 	remaining int64
 	isLimited bool
-	head      headCounter
+	head      headScan
 	// isExceeded is set once a bound was exceeded, after which every limited read fails.
 	isExceeded bool
 }
@@ -124,7 +138,7 @@
 	}
 	n, err := r.source.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
-	if r.isExceeded = !r.head.count(p[:n]); r.isExceeded {
+	if r.isExceeded = !r.head.scan(p[:n]); r.isExceeded {
 		return 0, ErrTooLong
 	}
 	return n, err
@@ -257,6 +271,9 @@
 		if err := httpanswer.CheckHead(res); err != nil {
 			return nil, err
 		}
+		if n.input.head.hasEncoding && !res.ProtoAtLeast(1, 1) {
+			return nil, errEncodingHTTP10
+		}
 		headerBytesLeft = n.input.remaining
 		_ = n.raw.SetReadDeadline(time.Time{})
 		n.input.removeLimit()
