Take no reset for the end of an answer in other readers

An application that uses the caller library, and an operator's command, got a part of an answer as the whole one if the VM reset the connection while a large request was still being written.

Cause: that of the same fault at the client of instances. net/http's transport reads an answer while another goroutine writes the request, which may get the only report of the reset.

--- a/adminclient/client.go
+++ b/adminclient/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/currantferry/currantferry/admin"
+	"github.com/currantferry/currantferry/internal/httpanswer"
 )
 
 // Options configure a Client.
@@ -55,7 +56,7 @@
 		return nil, errors.New("no VM is named; set -admin IP:PORT or CURRANTFERRY_ADMIN")
 	}
 	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: maxHeadBytes}
-	c := &Client{opts: o, baseURL: strings.TrimSuffix(o.Address, "/"), http: &http.Client{Transport: transport}}
+	c := &Client{opts: o, baseURL: strings.TrimSuffix(o.Address, "/")}
 	if !strings.Contains(c.baseURL, "://") {
 		c.baseURL = "http://" + c.baseURL
 	}
@@ -70,6 +71,7 @@
 		}
 		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
 	}
+	c.http = &http.Client{Transport: httpanswer.NewTransport(transport)}
 	return c, nil
 }
 
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/currantferry/currantferry/internal/httpanswer"
 	"github.com/currantferry/currantferry/lookup"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/verdict"
@@ -80,7 +81,7 @@
 		MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c := &Client{
-		options: o, maxAnswerBytes: maxAnswerBytes, http: &http.Client{Transport: transport},
+		options: o, maxAnswerBytes: maxAnswerBytes, http: &http.Client{Transport: httpanswer.NewTransport(transport)},
 		rng: rand.New(rand.NewPCG(o.Seed, 1)), answers: make(map[string]*cachedAnswer), vms: make(map[string]*vmHealth),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/history"
+	"github.com/currantferry/currantferry/internal/httpanswer"
 )
 
 // Defaults of Options.
@@ -175,7 +176,9 @@
 		dialer := net.Dialer{Timeout: f.lateness.grace()}
 		return dialer.DialContext(ctx, network, address)
 	}
-	f.client = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}}
+	f.client = &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
+		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+	})}
 	return f
 }
 
--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/internal/httpanswer"
 	"github.com/currantferry/currantferry/standin"
 )
 
@@ -68,11 +69,11 @@
 func (r *run) collectRuns(ctx context.Context) (runsByKey map[string][]string, missing []string) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: r.dialer.DialContext}
-	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: httpanswer.NewTransport(&http.Transport{DialContext: r.dialer.DialContext})}
+	defer client.CloseIdleConnections()
 	runsByKey = make(map[string][]string)
 	for _, address := range r.options.Control {
-		page, err := readRuns(ctx, &http.Client{Transport: transport}, address, r.prefix)
+		page, err := readRuns(ctx, client, address, r.prefix)
 		if err != nil {
 			missing = append(missing, fmt.Sprintf("%s: %v", address, err))
 			continue
--- a/node/prober.go
+++ b/node/prober.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/currantferry/currantferry/balance"
+	"github.com/currantferry/currantferry/internal/httpanswer"
 	"github.com/currantferry/currantferry/member"
 	"github.com/currantferry/currantferry/register"
 )
@@ -59,9 +60,9 @@
 // newProber returns a prober that opens connections by dial, or by the default dialer if it is
 // nil.
 func newProber(n *Node, dial func(ctx context.Context, network, address string) (net.Conn, error)) *prober {
-	transport := &http.Transport{
+	transport := httpanswer.NewTransport(&http.Transport{
 		Proxy: http.ProxyFromEnvironment, DialContext: dial, IdleConnTimeout: maxIdleProbeTime, MaxResponseHeaderBytes: maxLoadHeadBytes,
-	}
+	})
 	client := &http.Client{Timeout: probeTimeout, Transport: transport}
 	return &prober{
 		n: n, client: client,
--- a/store/kvhttp/kvhttp.go
+++ b/store/kvhttp/kvhttp.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/currantferry/currantferry/internal/httpanswer"
 	"github.com/currantferry/currantferry/internal/itemreader"
 	"github.com/currantferry/currantferry/store"
 )
@@ -39,7 +40,8 @@
 	// ServiceName is the name under which the platform lists this system's VMs. Empty
 	// means "currantferry".
 	ServiceName string
-	// Transport replaces the transport in tests. Nil means a new http.Transport.
+	// Transport replaces the transport in tests. Nil means a new one
+	// that rejects broken replies.
 	Transport http.RoundTripper
 }
 
@@ -82,12 +84,12 @@
 		o.ServiceName = "currantferry"
 	}
 	if o.Transport == nil {
-		o.Transport = &http.Transport{
+		o.Transport = httpanswer.NewTransport(&http.Transport{
 			DialContext:            (&net.Dialer{Timeout: o.Timeout}).DialContext,
 			MaxIdleConnsPerHost:    8,
 			IdleConnTimeout:        time.Minute,
 			MaxResponseHeaderBytes: maxHeadBytes,
-		}
+		})
 	}
 	return &Client{options: o, http: &http.Client{Transport: o.Transport}}, nil
 }
