Reject answers with malformed heads in other readers

The other readers of answers took what isn't an answer for one, as the client of instances did: the caller library handed an application a status of 0 or 99, a line with a blank in its name as a field, or a body without the length that such a line stated; its probes and those of the daemon's instances took a status of 0 for a sign of life or a load report; the clients of the store, followers of other VMs' records and the administration client accepted the fields and the status lines that net/http accepts.

Cause: that of the same fault at the client of instances. The transport of httpanswer.NewTransport now checks the head of each answer by CheckHead, and the fields of interim answers. Connections that are idle then are closed: net/http keeps one whose answer has no body, and bytes that follow would be the answer to the next request.

--- a/adminclient/broken_test.go
+++ b/adminclient/broken_test.go
@@ -19,6 +19,13 @@
 	})
 }
 
+// Malformed responses must not be taken for those of a VM.
+func TestMalformedResponsesAreRejected(t *testing.T) {
+	testkit.CheckMalformed(t, "", "{}", func(ctx context.Context, address string) error {
+		return call(ctx, address, http.MethodGet, nil, "{}")
+	})
+}
+
 // call sends a request, and returns an error if the body of the response isn't the wanted one.
 func call(ctx context.Context, address, method string, body []byte, want string) error {
 	c, err := New(Options{Address: address})
--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -30,3 +30,30 @@
 		return checkBody(a, err, body)
 	})
 }
+
+// Malformed answers must not reach the application, nor be taken for answers to lookups.
+func TestMalformedAnswersAreRejected(t *testing.T) {
+	t.Run("request", func(t *testing.T) {
+		testkit.CheckMalformed(t, "", "body", func(ctx context.Context, address string) error {
+			c := New(Options{Bootstrap: []string{address}})
+			defer c.Close()
+			a, err := c.send(ctx, lookup.ResponseVM{Address: address}, &Request{Method: "GET", Path: "/", Service: "shop"})
+			return checkBody(a, err, "body")
+		})
+	})
+	t.Run("lookup", func(t *testing.T) {
+		testkit.CheckMalformed(t, "", `{"vms":[]}`, func(ctx context.Context, address string) error {
+			c := New(Options{Bootstrap: []string{address}})
+			defer c.Close()
+			_, err := c.lookupAt(ctx, address, "shop")
+			return err
+		})
+	})
+	t.Run("probe", func(t *testing.T) {
+		testkit.CheckMalformed(t, "", "{}", func(_ context.Context, address string) error {
+			c := New(Options{Bootstrap: []string{address}})
+			defer c.Close()
+			return c.sendProbe(address)
+		})
+	})
+}
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -20,7 +20,12 @@
 	case res.StatusCode < http.StatusContinue, !httptext.IsFieldValue(res.Status):
 		return errors.WithMessagef(ErrMalformed, "status %.40q", res.Status)
 	}
-	for name := range res.Header {
+	return checkNames(res.Header)
+}
+
+// checkNames checks the names of fields.
+func checkNames(h http.Header) error {
+	for name := range h {
 		if !httptext.IsToken(name) {
 			return errors.WithMessagef(ErrMalformed, "field name %.40q", name)
 		}
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -3,11 +3,13 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 )
 
-// NewTransport returns a transport for HTTP/1.1 that rejects broken answers: those without a length
-// whose connection was lost with the loss, when their body is read. It changes base, which must not
-// be used otherwise.
+// NewTransport returns a transport for HTTP/1.1 that rejects broken answers: those with a malformed
+// head with an error that wraps ErrMalformed, and those without a length whose connection was lost
+// with the loss, when their body is read. It changes base, which must not be used otherwise.
 func NewTransport(base *http.Transport) http.RoundTripper {
 	if base.DialContext == nil {
 		base.DialContext = new(net.Dialer).DialContext
@@ -15,5 +17,30 @@
 	base.DialContext = Dialer(base.DialContext)
 	base.Protocols = new(http.Protocols)
 	base.Protocols.SetHTTP1(true)
-	return base
+	return &transport{base}
 }
+
+// transport checks the heads of answers.
+type transport struct{ base *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
+	})
+	res, err := t.base.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(res); err != nil {
+		res.Body.Close()
+		// What follows on the connection may look like the answer to the next request. It is
+		// idle if the answer had no body; net/http has no means to close it alone.
+		t.base.CloseIdleConnections()
+		return nil, err
+	}
+	return res, nil
+}
+
+// CloseIdleConnections is called by http.Client.CloseIdleConnections.
+func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/testkit/broken.go
+++ b/internal/testkit/broken.go
@@ -6,9 +6,26 @@
 	"time"
 )
 
-// brokenCallTimeout bounds a call in the check below.
+// brokenCallTimeout bounds a call in the checks below.
 const brokenCallTimeout = 5 * time.Second
 
+// CheckMalformed runs a call against a server for each malformed answer, which must fail, and for
+// each sound one, which must not. fields and body are those of an answer that the call needs.
+func CheckMalformed(t *testing.T, fields, body string, call func(ctx context.Context, address string) error) {
+	t.Helper()
+	check := func(forms map[string]string, isSound bool) {
+		for name, text := range forms {
+			ctx, cancel := context.WithTimeout(t.Context(), brokenCallTimeout)
+			if err := call(ctx, StartServer(t, ServeText(text))); (err == nil) != isSound {
+				t.Errorf("%s: %v; accepted, want %t", name, err, isSound)
+			}
+			cancel()
+		}
+	}
+	check(MalformedAnswers(fields, body), false)
+	check(SoundAnswers(fields, body), true)
+}
+
 // CheckEarly runs a call that sends an upload against a server for each early answer without a
 // length. It must fail if the connection is reset, and must not if it ends in an orderly way.
 func CheckEarly(t *testing.T, fields, body string, call func(ctx context.Context, address string) error) {
--- a/store/kvhttp/broken_test.go
+++ b/store/kvhttp/broken_test.go
@@ -24,3 +24,25 @@
 		return c.CompareAndSwap(ctx, store.Write{Key: "key", Value: make([]byte, store.MaxValueBytes)})
 	})
 }
+
+// Malformed replies must not be taken for those of the store.
+func TestMalformedRepliesAreRejected(t *testing.T) {
+	for name, tc := range map[string]struct {
+		body string
+		call func(context.Context, *Client) error
+	}{
+		"get":   {`[{"Key":"key"}]`, func(ctx context.Context, c *Client) error { _, err := c.Get(ctx, "key"); return err }},
+		"list":  {`[]`, func(ctx context.Context, c *Client) error { _, err := c.List(ctx, "prefix/"); return err }},
+		"write": {"true", func(ctx context.Context, c *Client) error { return c.CompareAndSwap(ctx, store.Write{Key: "key"}) }},
+		"renew": {"", func(ctx context.Context, c *Client) error { return c.RenewLease(ctx, "lease") }},
+		"vms":   {`[]`, func(ctx context.Context, c *Client) error { _, err := c.ListVMs(ctx); return err }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testkit.CheckMalformed(t, "", tc.body, func(ctx context.Context, address string) error {
+				c := newClient(address)
+				defer c.Close()
+				return tc.call(ctx, c)
+			})
+		})
+	}
+}
