--- /dev/null
+++ b/proxy/broken_test.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/currantferry/currantferry/internal/testkit"
+	"github.com/currantferry/currantferry/verdict"
+)
+
+// The handler with the options of the native daemon must pass no malformed answer on, nor say of its
+// request that it has not run.
+func TestMalformedAnswersArePassedOnToNobody(t *testing.T) {
+	const fields, body = HeaderRequestID + ": r\r\n", "body"
+	forms := testkit.MalformedAnswers(fields, body)
+	maps.Copy(forms, testkit.ChunkedHTTP10Answers(fields, body))
+	for name, text := range forms {
+		f := newFixture(t, testkit.StartServer(t, testkit.ServeText(text)))
+		res, got, err := f.do(t, http.MethodPost, "/order", "x", HeaderRequestID, "r")
+		if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get(verdict.HeaderVerdict) != verdict.MayHaveRun.String() {
+			t.Errorf("%s: %v, body %q, %v; want 502 that may have run", name, res, got, err)
+		}
+	}
+}
+
+// A part of an answer must not be passed on as the whole one when an instance resets the connection
+// during an upload, whether answers without a length are accepted or not.
+func TestResetDuringUploadIsPassedOnToNobody(t *testing.T) {
+	const body = "a part"
+	testkit.CheckEarly(t, HeaderRequestID+": r\r\n", body, func(_ context.Context, address string) error {
+		f := newFixture(t, address)
+		f.handler.options.AcceptUnframed = true
+		res, got, err := f.do(t, http.MethodPost, "/order", string(make([]byte, 8<<20)), HeaderRequestID, "r")
+		if err == nil && (res.StatusCode != http.StatusOK || string(got) != body) {
+			err = errors.Errorf("status %d, body %q", res.StatusCode, got)
+		}
+		return err
+	})
+}
