Reset callers of HTTP/1.0 whose answer ends early

A caller of HTTP/1.0 got a part of an answer as the whole one: an instance's answer in chunks ended early after the first part had been passed on.

Cause: to a version without chunks the answer ends with the connection. The handler ends an answer that is cut off by a panic, and net/http's server then closes the connection in an orderly way. That server serves the callers of the native daemon, and those of entry VMs unless pipeline_most is above 1. callerconn resets such a connection already.

The handler takes over the connection of such a caller and resets it.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"strconv"
@@ -65,6 +66,7 @@
 		}
 		x.h.options.Metrics.CountRefusal(a.err.Reason)
 		event.AnswerAborted.Log(x.h.options.Log, append(x.logAttrs(), "instance", a.selection.Instance().ID, "bytes", n, "error", err)...)
+		x.resetHTTP10()
 		panic(http.ErrAbortHandler)
 	}
 	if res.ContentLength >= 0 && n != res.ContentLength && x.isCallerConnected() && x.r.Method != http.MethodHead {
@@ -80,6 +82,27 @@
 	return nil
 }
 
+// resetHTTP10 resets the connection of a caller of HTTP/1.0 whose answer ended early: it may know the
+// end of the answer only by that of the connection, and net/http would end it in an orderly way.
+func (x *exchange) resetHTTP10() {
+	if x.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	c, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		// callerconn hands no connection over, and resets it when the handler panics.
+		return
+	}
+	defer c.Close()
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		// An error means that the connection has already ended.
+		_ = t.SetLinger(0)
+	}
+}
+
 // reserveAnswer reserves the buffer of an answer that doesn't fit into a pooled one. If it
 // returns false, the answer is forwarded as it arrives.
 func (x *exchange) reserveAnswer(n int64) bool {
--- a/proxy/broken_test.go
+++ b/proxy/broken_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -41,3 +46,22 @@
 		return err
 	})
 }
+
+// A caller of HTTP/1.0 must not take a part of an answer for the whole one: without a length, it knows
+// the end of an answer only by that of the connection.
+func TestCutAnswerIsNotWholeToHTTP10(t *testing.T) {
+	address, _ := rawUpstream(t, func(int) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n" + strings.Repeat("x", 200_000), false
+	})
+	f := newFixture(t, address)
+	c, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(c, "GET /read HTTP/1.0\r\nHost: proefbank.example\r\n\r\n")
+	if data, err := io.ReadAll(c); err == nil {
+		t.Errorf("%d bytes look like a whole answer: %.40q", len(data), data)
+	}
+}
