Reject a transfer encoding in HTTP/1.0 in other readers

Like the client of instances before, the readers that use net/http's transport took an answer of HTTP/1.0 with "Transfer-Encoding: chunked" for one that ends at its length or with its connection, so that the caller library handed a body with the sizes of the chunks to an application.

net/http drops the field before anybody sees it. The scan of heads moves from the client of instances to httpanswer, and connections of NewTransport scan the head of each answer, from the moment at which a request gets its connection, and CheckHead takes its result.

Tests: before, CheckMalformed with the four forms of ChunkedHTTP10Answers was accepted in two or four of them by each of the readers; where a whole body is checked, the two without a length failed by that. Two more forms have an interim answer before.

--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -41,11 +42,43 @@
 	// mu is held during each write. It guards lost, the loss that a write was told of, or nil.
 	mu   sync.Mutex
 	lost error
+
+	// scanMu guards scan, which scans the head of the answer that is expected, if any.
+	scanMu sync.Mutex
+	scan   HeadScan
+}
+
+// expectAnswer scans the head of the next answer. Nothing of it may have arrived.
+func (c *conn) expectAnswer() {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	c.scan.Begin(math.MaxInt)
+}
+
+// scanned returns the scan of the answer's head.
+func (c *conn) scanned() *HeadScan {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	scan := c.scan
+	return &scan
+}
+
+// scanRead scans bytes that were read. The head of an answer follows those of its interim answers.
+func (c *conn) scanRead(p []byte) {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	for len(p) > 0 && c.scan.isActive {
+		p, _ = c.scan.Scan(p)
+		if !c.scan.isActive && c.scan.isInterim {
+			c.scan.Begin(math.MaxInt)
+		}
+	}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.scanRead(p[:n])
 	if err != io.EOF { //nolint:errorlint // Only the end itself is compared, as io.Reader requires.
 		return n, err
 	}
--- a/internal/testkit/broken.go
+++ b/internal/testkit/broken.go
@@ -23,6 +23,7 @@
 		}
 	}
 	check(MalformedAnswers(fields, body), false)
+	check(ChunkedHTTP10Answers(fields, body), false)
 	check(SoundAnswers(fields, body), true)
 }
 
--- a/internal/testkit/malformed.go
+++ b/internal/testkit/malformed.go
@@ -56,6 +56,7 @@
 	for name, field := range map[string]string{"": "Transfer-Encoding: chunked\r\n", " in lower case": "transfer-encoding:chunked\r\n"} {
 		head := "HTTP/1.0 200 OK\r\n" + fields + field
 		out["chunks in HTTP/1.0"+name] = fmt.Sprintf("%s\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+		out["chunks in HTTP/1.0 behind an interim answer"+name] = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + out["chunks in HTTP/1.0"+name]
 		out["chunks and length in HTTP/1.0"+name] = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	}
 	return out
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -63,68 +62,13 @@
 // answers before it exceeded their bounds, or that a header has too many fields.
 var ErrTooLong = errors.New("upstream: header or skipped answer is too long")
 
-// errEncodingHTTP10 means that it isn't known where the body of an answer ends (RFC 9112, section
-// 6.1). http.ReadResponse ignores the encoding.
-var errEncodingHTTP10 = errors.WithMessage(httpanswer.ErrMalformed, "transfer encoding in HTTP/1.0")
-
-// headScan counts the lines of a head, up to the empty line at its end, and finds what
-// http.ReadResponse doesn't report. The zero value counts nothing.
-type headScan struct {
-	linesLeft int
-	isActive  bool
-	// isLineEmpty says that the current line has no bytes so far except carriage returns.
-	isLineEmpty bool
-	// lineStart holds the first bytes of the current line, and startBytes their number.
-	lineStart  [len(encodingField)]byte
-	startBytes int
-	// hasEncoding says that a line has the field Transfer-Encoding.
-	hasEncoding bool
-}
-
-// encodingField begins the line of the field Transfer-Encoding, in any case.
-const encodingField = "transfer-encoding:"
-
-// begin begins a head with the bytes that were read already. It returns false if they have
-// more lines than allowed.
-func (h *headScan) begin(maxLines int, buffered []byte) bool {
-	*h = headScan{linesLeft: maxLines, isActive: true}
-	return h.scan(buffered)
-}
-
-// scan scans the lines in bytes that were read, and returns false if there are too many.
-func (h *headScan) scan(p []byte) bool {
-	for len(p) > 0 && h.isActive {
-		k := bytes.IndexByte(p, '\n')
-		line, hasEnd := p, k >= 0
-		if hasEnd {
-			line = p[:k]
-		}
-		h.isLineEmpty = h.isLineEmpty && len(bytes.TrimRight(line, "\r")) == 0
-		h.startBytes += copy(h.lineStart[h.startBytes:], line)
-		if !hasEnd {
-			return true
-		}
-		p = p[k+1:]
-		if h.isLineEmpty {
-			h.isActive = false
-			return true
-		}
-		h.hasEncoding = h.hasEncoding || strings.EqualFold(string(h.lineStart[:h.startBytes]), encodingField)
-		h.isLineEmpty, h.startBytes = true, 0
-		if h.linesLeft--; h.linesLeft < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // limitedReader fails when more bytes are read than its limit allows.
 type limitedReader struct {
 	source io.Reader
 	// remaining is the number of bytes that may still be read while isLimited is set.
 	remaining int64
 	isLimited bool
-	head      headScan
+	head      httpanswer.HeadScan
 	// isExceeded is set once a bound was exceeded, after which every limited read fails.
 	isExceeded bool
 }
@@ -138,7 +82,8 @@
 	}
 	n, err := r.source.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
-	if r.isExceeded = !r.head.scan(p[:n]); r.isExceeded {
+	if _, ok := r.head.Scan(p[:n]); !ok {
+		r.isExceeded = true
 		return 0, ErrTooLong
 	}
 	return n, err
@@ -255,7 +200,8 @@
 		}
 		e.answered = true
 		buffered, _ := n.reader.Peek(n.reader.Buffered())
-		if !n.input.head.begin(1+options.MaxHeaderFields, buffered) {
+		n.input.head.Begin(1 + options.MaxHeaderFields)
+		if _, ok := n.input.head.Scan(buffered); !ok {
 			return nil, ErrTooLong
 		}
 		// If setting the deadline fails, the next read fails too.
@@ -268,12 +214,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := httpanswer.CheckHead(res); err != nil {
+		if err := httpanswer.CheckHead(res, &n.input.head); err != nil {
 			return nil, err
 		}
-		if n.input.head.hasEncoding && !res.ProtoAtLeast(1, 1) {
-			return nil, errEncodingHTTP10
-		}
 		headerBytesLeft = n.input.remaining
 		_ = n.raw.SetReadDeadline(time.Time{})
 		n.input.removeLimit()
