Send no close_notify to callers of HTTP/1.0 that are reset

With TLS, a caller of HTTP/1.0 still took a part of an answer for the whole one: the reset of its connection was preceded by close_notify, which tls.Conn.Close sends, and which tells that the connection ends in an orderly way. The handler now closes the connection below.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -93,10 +93,11 @@
 		// callerconn hands no connection over, and resets it when the handler panics.
 		return
 	}
-	defer c.Close()
 	if t, ok := c.(*tls.Conn); ok {
+		// Its own Close would tell the caller that the connection ends in an orderly way.
 		c = t.NetConn()
 	}
+	defer c.Close()
 	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		// An error means that the connection has already ended.
 		_ = t.SetLinger(0)
--- a/proxy/broken_test.go
+++ b/proxy/broken_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -54,14 +56,24 @@
 		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n" + strings.Repeat("x", 200_000), false
 	})
 	f := newFixture(t, address)
-	c, err := net.Dial("tcp", f.server.Listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-	fmt.Fprintf(c, "GET /read HTTP/1.0\r\nHost: proefbank.example\r\n\r\n")
-	if data, err := io.ReadAll(c); err == nil {
-		t.Errorf("%d bytes look like a whole answer: %.40q", len(data), data)
+	encrypted := httptest.NewUnstartedServer(f.handler)
+	encrypted.StartTLS()
+	defer encrypted.Close()
+	for name, dial := range map[string]func() (net.Conn, error){
+		"plain": func() (net.Conn, error) { return net.Dial("tcp", f.server.Listener.Addr().String()) },
+		"TLS": func() (net.Conn, error) {
+			return tls.Dial("tcp", encrypted.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // The certificate is that of a test.
+		},
+	} {
+		c, err := dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "GET /read HTTP/1.0\r\nHost: proefbank.example\r\n\r\n")
+		if data, err := io.ReadAll(c); err == nil {
+			t.Errorf("%s: %d bytes look like a whole answer: %.40q", name, len(data), data)
+		}
 	}
 }
--- a/store/kvhttp/kvhttp.go
+++ b/store/kvhttp/kvhttp.go
@@ -40,8 +40,8 @@
 	// ServiceName is the name under which the platform lists this system's VMs. Empty
 	// means "currantferry".
 	ServiceName string
-	// Transport replaces the transport in tests. Nil means a new one
-	// that rejects broken replies.
+	// Transport replaces the transport in tests. Nil means a new one that rejects broken
+	// replies.
 	Transport http.RoundTripper
 }
 
