--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -5,8 +5,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"github.com/pkg/errors"
 )
 
+// MaxInterimAnswers bounds the interim answers before an answer: one every few seconds while a server
+// processes a long request.
+const MaxInterimAnswers = 64
+
 // NewTransport returns a transport for HTTP/1.1 that rejects broken answers: those with a malformed
 // head with an error that wraps ErrMalformed, and those without a length whose connection was lost
 // with the loss, when their body is read. It changes base, which must not be used otherwise.
@@ -28,6 +34,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	scan := func() *HeadScan { return new(HeadScan) }
+	numInterim := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			// Those with TLS aren't scanned.
@@ -36,7 +43,13 @@
 				scan = c.scanned
 			}
 		},
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(http.Header(h)) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			// With this function net/http accepts them without end.
+			if numInterim++; numInterim > MaxInterimAnswers {
+				return errors.WithMessagef(ErrMalformed, "more than %d interim answers", MaxInterimAnswers)
+			}
+			return checkNames(http.Header(h))
+		},
 	})
 	res, err := t.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -224,7 +224,7 @@
 		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("upstream: unexpected protocol switch")
 		case res.StatusCode < http.StatusOK:
-			if numInterim++; numInterim > maxInterimAnswers {
+			if numInterim++; numInterim > httpanswer.MaxInterimAnswers {
 				return nil, ErrTooLong
 			}
 			continue
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -49,10 +49,7 @@
 	// connection is closed, and maxStrayBytes their bodies.
 	maxStrayAnswers = 4
 	maxStrayBytes   = 1 << 20
-	// maxInterimAnswers bounds the interim answers before an answer: one every few
-	// seconds while an instance processes a long request.
-	maxInterimAnswers = 64
-	bufferBytes       = 8 << 10
+	bufferBytes     = 8 << 10
 	// maxRequests is the number of requests after which a connection is closed. It bounds the
 	// IDs that are kept for each, 2 KB.
 	maxRequests = 256
