--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -36,45 +36,19 @@
 	}
 }
 
-// conn is a connection whose reader learns of a loss that was reported to a writer.
+// conn is a connection whose reader learns of a loss that was reported to a writer. For NewTransport
+// it also scans the heads of answers.
 type conn struct {
 	net.Conn
-	// mu is held during each write. It guards lost, the loss that a write was told of, or nil.
+	// mu is held during each write. It guards lost, the loss that was reported to a write, or nil.
 	mu   sync.Mutex
 	lost error
 
-	// scanMu guards scan, which scans the head of the answer that is expected, if any.
+	// scanMu guards scan, which is inactive unless the head of an answer is expected.
 	scanMu sync.Mutex
 	scan   HeadScan
 }
 
-// expectAnswer scans the head of the next answer. Nothing of it may have arrived.
-func (c *conn) expectAnswer() {
-	c.scanMu.Lock()
-	defer c.scanMu.Unlock()
-	c.scan.Begin(math.MaxInt)
-}
-
-// scanned returns the scan of the answer's head.
-func (c *conn) scanned() *HeadScan {
-	c.scanMu.Lock()
-	defer c.scanMu.Unlock()
-	scan := c.scan
-	return &scan
-}
-
-// scanRead scans bytes that were read. The head of an answer follows those of its interim answers.
-func (c *conn) scanRead(p []byte) {
-	c.scanMu.Lock()
-	defer c.scanMu.Unlock()
-	for len(p) > 0 && c.scan.isActive {
-		p, _ = c.scan.Scan(p)
-		if !c.scan.isActive && c.scan.isInterim {
-			c.scan.Begin(math.MaxInt)
-		}
-	}
-}
-
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -82,8 +56,8 @@
 	if err != io.EOF { //nolint:errorlint // Only the end itself is compared, as io.Reader requires.
 		return n, err
 	}
-	// A write in progress may have been told of the loss already. It is interrupted, since it
-	// may wait for as long as the peer reads nothing.
+	// A write in progress may have the report of a loss already. It is interrupted, since it may
+	// wait for as long as the peer reads nothing.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -111,6 +85,33 @@
 	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
 
+// expectAnswer begins to scan the head of the next answer, of which nothing may have arrived.
+func (c *conn) expectAnswer() {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	c.scan.Begin(math.MaxInt)
+}
+
+// scanned returns the scan of the answer's head.
+func (c *conn) scanned() *HeadScan {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	scan := c.scan
+	return &scan
+}
+
+// scanRead scans bytes that were read. The head of an answer follows those of its interim answers.
+func (c *conn) scanRead(p []byte) {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	for len(p) > 0 && c.scan.isActive {
+		p, _ = c.scan.Scan(p)
+		if !c.scan.isActive && c.scan.isInterim {
+			c.scan.Begin(math.MaxInt)
+		}
+	}
+}
+
 // SyscallConn implements syscall.Conn. It fails if the connection has no socket.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -203,6 +203,7 @@
 	if o.Dial == nil {
 		o.Dial = o.newDialer().DialContext
 	}
+	// Below TLS, where the kernel reports a loss.
 	o.Dial = httpanswer.Dialer(o.Dial)
 	if o.TLS != nil {
 		o.Dial = dialTLS(o.Dial, o.TLS)
