Keep one list of malformed answers for all readers

Every reader rejects a transfer encoding in HTTP/1.0 now, so that its forms are part of MalformedAnswers, and EarlyAnswer serves them. No form and no check is dropped.

--- a/internal/testkit/broken.go
+++ b/internal/testkit/broken.go
@@ -17,14 +17,13 @@
 	check := func(forms map[string]string, isSound bool) {
 		for name, text := range forms {
 			ctx, cancel := context.WithTimeout(t.Context(), brokenCallTimeout)
-			if err := call(ctx, StartServer(t, ServeText(text))); (err == nil) != isSound {
+			if err := call(ctx, StartServer(t, EarlyAnswer{ReadBytes: -1}.Serve(text))); (err == nil) != isSound {
 				t.Errorf("%s: %v; accepted, want %t", name, err, isSound)
 			}
 			cancel()
 		}
 	}
 	check(MalformedAnswers(fields, body), false)
-	check(ChunkedHTTP10Answers(fields, body), false)
 	check(SoundAnswers(fields, body), true)
 }
 
--- a/internal/testkit/malformed.go
+++ b/internal/testkit/malformed.go
@@ -1,31 +1,11 @@
 package testkit
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"maps"
-	"net"
-	"net/http"
 	"strings"
 )
 
-// ServeText returns a function for StartServer that reads each request, writes the text and
-// ends its side of the connection. It goes on reading until the client closes.
-func ServeText(text string) func(c *net.TCPConn) {
-	return func(c *net.TCPConn) {
-		r := bufio.NewReader(c)
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = io.WriteString(c, text)
-		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, r)
-	}
-}
-
 // MalformedAnswers returns answers that no client may accept, by their fault. fields holds
 // the lines by which they would match their request, each with its line end.
 func MalformedAnswers(fields, body string) map[string]string {
@@ -37,6 +17,7 @@
 		"status 000 around an answer": fmt.Sprintf("HTTP/1.1 000 None\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(sound), sound),
 	}
 	maps.Copy(out, malformedFields(fields, body))
+	maps.Copy(out, chunkedHTTP10(fields, body))
 	for _, status := range []string{"000", "099", "+20", "-00"} {
 		out["status "+status] = "HTTP/1.1 " + status + " None\r\n" + fields + whole
 	}
@@ -49,9 +30,9 @@
 	return out
 }
 
-// ChunkedHTTP10Answers returns answers of HTTP/1.0 with a field that this version doesn't have,
-// which leaves the end of their bodies open.
-func ChunkedHTTP10Answers(fields, body string) map[string]string {
+// chunkedHTTP10 returns answers of HTTP/1.0 with a field that this version doesn't have, which leaves
+// the end of their bodies open.
+func chunkedHTTP10(fields, body string) map[string]string {
 	out := make(map[string]string)
 	for name, field := range map[string]string{"": "Transfer-Encoding: chunked\r\n", " in lower case": "transfer-encoding:chunked\r\n"} {
 		head := "HTTP/1.0 200 OK\r\n" + fields + field
--- a/proxy/broken_test.go
+++ b/proxy/broken_test.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -23,10 +22,8 @@
 // request that it has not run.
 func TestMalformedAnswersArePassedOnToNobody(t *testing.T) {
 	const fields, body = HeaderRequestID + ": r\r\n", "body"
-	forms := testkit.MalformedAnswers(fields, body)
-	maps.Copy(forms, testkit.ChunkedHTTP10Answers(fields, body))
-	for name, text := range forms {
-		f := newFixture(t, testkit.StartServer(t, testkit.ServeText(text)))
+	for name, text := range testkit.MalformedAnswers(fields, body) {
+		f := newFixture(t, testkit.StartServer(t, testkit.EarlyAnswer{ReadBytes: -1}.Serve(text)))
 		res, got, err := f.do(t, http.MethodPost, "/order", "x", HeaderRequestID, "r")
 		if err != nil || res.StatusCode != http.StatusBadGateway || res.Header.Get(verdict.HeaderVerdict) != verdict.MayHaveRun.String() {
 			t.Errorf("%s: %v, body %q, %v; want 502 that may have run", name, res, got, err)
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -81,10 +80,8 @@
 // are sound must be accepted.
 func TestMalformedAnswersAreRejected(t *testing.T) {
 	const fields, body = "X-Request-Id: r\r\n", "body"
-	forms := testkit.MalformedAnswers(fields, body)
-	maps.Copy(forms, testkit.ChunkedHTTP10Answers(fields, body))
-	for name, text := range forms {
-		address := testkit.StartServer(t, testkit.ServeText(text))
+	for name, text := range testkit.MalformedAnswers(fields, body) {
+		address := testkit.StartServer(t, testkit.EarlyAnswer{ReadBytes: -1}.Serve(text))
 		got, err := do(t, New(Options{}), address, "r", true)
 		var failed *Error
 		if !errors.As(err, &failed) || !failed.Written || !failed.Answered {
@@ -92,7 +89,7 @@
 		}
 	}
 	for name, text := range testkit.SoundAnswers(fields, body) {
-		address := testkit.StartServer(t, testkit.ServeText(text))
+		address := testkit.StartServer(t, testkit.EarlyAnswer{ReadBytes: -1}.Serve(text))
 		if got, err := do(t, New(Options{}), address, "r", true); err != nil || got != body {
 			t.Errorf("%s: body %q, %v", name, got, err)
 		}
