Return to callers only VMs that can take an even share

Cause: callers spread evenly over the addresses of a lookup. An answer had at least eight, so that in a region of four VMs with 200 Mbit/s and 17 with 10 Mbit/s half of the callers came to four of the small ones, whose links were full at the peaks. Their records, probes and new connections then waited for seconds behind callers' bytes.

Change: an answer lists the largest VMs, as many as serve most requests together if each gets as many as the smallest of them can handle, and at least two.

Measured: the new case of TestCallersFollowVMCapacity failed before (83 requests/s at VMs that can handle 62).

--- a/entry/view.go
+++ b/entry/view.go
@@ -23,11 +23,13 @@
 	// requests are uploads of 60 KB, which cross the link twice.
 	requestCPUTime = 450 * time.Microsecond
 	requestBits    = 160e3
-	// An answer to a caller lists VMs, as a rule the largest first, until they have
-	// answerCapacityShare of the total capacity. It lists at least minAnswerAddresses if
-	// there are as many.
+	// An answer to a caller lists VMs that callers can spread evenly over, see largest, until they
+	// have answerCapacityShare of the total capacity. It lists at least minAnswerAddresses of
+	// these if there are as many.
 	answerCapacityShare = 0.8
 	minAnswerAddresses  = 8
+	// minEvenAddresses keeps callers from losing all VMs of an answer at once.
+	minEvenAddresses = 2
 	// maxAnswerAddresses is the number of addresses that callers accept.
 	maxAnswerAddresses = 64
 )
@@ -187,6 +189,7 @@
 	for i := range local {
 		total += weightOf(&local[i])
 	}
+	local = largest(local)
 	out := make([]string, 0, min(len(local), maxAnswerAddresses))
 	for i := range local {
 		if len(out) == maxAnswerAddresses || (len(out) >= minAnswerAddresses && sum >= answerCapacityShare*total) {
@@ -198,6 +201,20 @@
 	return out
 }
 
+// largest returns the VMs that together serve most requests if callers spread evenly over them, as
+// they do: each then gets as many as the smallest can handle. At least minEvenAddresses are
+// returned if there are as many. VMs of the same size keep their order.
+func largest(vms []inventory.VM) []inventory.VM {
+	slices.SortStableFunc(vms, func(a, b inventory.VM) int { return cmp.Compare(weightOf(&b), weightOf(&a)) })
+	most, length := 0.0, 0
+	for i := range vms {
+		if served := float64(i+1) * weightOf(&vms[i]); served >= most || i < minEvenAddresses {
+			most, length = max(most, served), i+1
+		}
+	}
+	return vms[:length]
+}
+
 // hasRecord reports whether a VM of this region has a record.
 func (v *view) hasRecord(id string) bool {
 	return slices.ContainsFunc(v.ranked, func(vm inventory.VM) bool { return vm.ID == id })
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -169,6 +169,19 @@
 			t.Errorf("data centre %d lost: large VMs get %.2f of the requests", lost, large)
 		}
 	}
+	// Two of the three data centres, at the peak of their demand.
+	var vms []inventory.VM
+	for k := range all {
+		if k != 0 && k != 1 {
+			vms = append(vms, all[k])
+		}
+	}
+	for id, share := range callerShares(newView(nil, time.Unix(0, 0), vms, "a"), "a") {
+		i := slices.IndexFunc(vms, func(vm inventory.VM) bool { return vm.ID == id })
+		if rate := 2000 * share; rate > vms[i].Capacity {
+			t.Errorf("peak: %s gets %.0f requests/s and can handle %.0f", id, rate, vms[i].Capacity)
+		}
+	}
 	small := all[6:]
 	for id, share := range callerShares(newView(nil, time.Unix(0, 0), small, "a"), "a") {
 		if rate := 667 * share; rate > 2*small[0].Capacity {
