Let late sources of records answer, and ask others beside them

Cause: a request for records was given up after a fixed time, which closed its connection and threw away an answer on its way. The next source needed a new connection, whose packets waited behind the same bytes, and was given up too; sources were asked one after the other; the store's connections had 350 ms to open whatever the link, and were not reused after an answer that was decoded but not read to its end.

Change: a late source goes on being awaited while the next one is asked, and whichever answers first counts. While answers are late, the VM keeps the relay whose connection is open, waits longer at it, and sends the next request before the answer, so that a change always finds one. Connections are raced. An answer counts as old as it may be, instead of being dropped. Events 2315 to 2318 name the source, how long ago the first VM had the change (lag_ms) and how long ago it was requested.

TestGraceFallsAgain and TestCongestedFollowerLearnsOfChanges are unchanged; TestAnswerFromBeforeAPauseIsNotFresh checks the age of a late answer, where it checked that it was dropped.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,8 +75,8 @@
 	// Log receives events. Nil disables logging.
 	Log *slog.Logger
 	// Dial, if not nil, opens the connections to instances. Tests use it to cut this VM
-	// off. DialPeer is the same for connections to other VMs for requests.
-	Dial, DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	// off. DialPeer is the same for connections to other VMs for requests, DialRelay for records.
+	Dial, DialPeer, DialRelay func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 const (
@@ -205,7 +205,7 @@
 	n.reach.Open = n.proxy.Client().Open
 	n.reach.OpenPeer = n.proxy.TransitClient().Open
 	n.follower = feed.New(feed.Options{
-		Store: o.Platform.Source, Sink: n, Lister: o.Platform.Source, RelayPrefix: vmPrefix, Log: n.log,
+		Store: o.Platform.Source, Sink: n, Lister: o.Platform.Source, RelayPrefix: vmPrefix, Log: n.log, Dial: o.DialRelay,
 		Relays:        func() ([]string, bool) { return n.view.Load().relays(n.self.ID) },
 		MaxStartDelay: startSpread, OnNoRelay: n.announceEarly,
 	})
--- a/entry/state.go
+++ b/entry/state.go
@@ -63,18 +63,19 @@
 }
 
 // ReportContact implements feed.Sink.
-func (n *Node) ReportContact(now time.Time, steady time.Duration, failed bool) {
+func (n *Node) ReportContact(now time.Time, c feed.Contact) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.inv.RecordContact(now, steady, failed)
-	if failed {
+	n.inv.RecordContact(now, c.Steady, c.Failed)
+	if c.Failed {
 		// The refresh failed, so requests must not wait for it.
 		n.pause.markRefreshed()
 	}
 }
 
 // Reset implements feed.Sink.
-func (n *Node) Reset(now time.Time, at history.Position, records []feed.Record) {
+func (n *Node) Reset(now time.Time, o feed.Origin, records []feed.Record) {
+	at := o.Position
 	changes := n.decodeAll(at.Epoch, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -88,16 +89,21 @@
 		})
 		n.onRestored()
 	}
-	n.applyEffects(now, effects)
-	n.pause.markRefreshed()
+	n.applyReceived(now, o, effects)
 }
 
 // Apply implements feed.Sink.
-func (n *Node) Apply(now time.Time, epoch uint64, records []feed.Record) {
-	changes := n.decodeAll(epoch, records)
+func (n *Node) Apply(now time.Time, o feed.Origin, records []feed.Record) {
+	changes := n.decodeAll(o.Position.Epoch, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.applyEffects(now, n.inv.Apply(now, changes))
+	n.applyReceived(now, o, n.inv.Apply(now, changes))
+}
+
+// applyReceived applies the effects of changes that were received, and then lets the requests go on
+// that wait for them. The lock is held.
+func (n *Node) applyReceived(now time.Time, o feed.Origin, effects []inventory.Effect) {
+	n.applyEffects(now, effects, "source", o.Source, "lag_ms", o.Lag.Milliseconds(), "asked_ms", (feed.Uptime() - o.SentAt).Milliseconds())
 	n.pause.markRefreshed()
 }
 
@@ -119,7 +125,9 @@
 }
 
 // applyEffects applies changes of the inventory to all parts of the node. The lock is held.
-func (n *Node) applyEffects(now time.Time, effects []inventory.Effect) {
+//
+// Attrs are further fields of the log lines about the operators' changes.
+func (n *Node) applyEffects(now time.Time, effects []inventory.Effect, attrs ...any) {
 	if len(effects) == 0 {
 		return
 	}
@@ -127,7 +135,7 @@
 	var changed []string
 	for i := range effects {
 		e := &effects[i]
-		n.logEffect(e)
+		n.logEffect(e, attrs)
 		if e.Doubted {
 			continue
 		}
@@ -180,7 +188,7 @@
 	}
 }
 
-func (n *Node) logEffect(e *inventory.Effect) {
+func (n *Node) logEffect(e *inventory.Effect, origin []any) {
 	c := &e.Change
 	attrs := []any{"id", c.ID, "epoch", c.Epoch, "revision", c.Revision}
 	if i := c.Instance; i != nil {
@@ -190,6 +198,9 @@
 	if r := c.Routes; r != nil {
 		attrs = append(attrs, "version", r.Version, "routes", len(r.Routes))
 	}
+	if c.Kind == inventory.KindRoutes || c.Kind == inventory.KindEvacuation {
+		attrs = append(attrs, origin...)
+	}
 	ev := event.InstanceChanged
 	switch {
 	case e.Doubted:
--- a/feed/earlier.go
+++ b/feed/earlier.go
@@ -99,7 +99,7 @@
 
 // replayEarlier passes the state of the epoch before to the sink, so that it knows what the
 // state after the restore lacks. The restored state must follow.
-func replayEarlier(sink Sink, now time.Time, earlier, restored *Answer) {
+func replayEarlier(sink Sink, now time.Time, o Origin, earlier, restored *Answer) {
 	known := make(map[string]bool)
 	var records, removals []Record
 	for _, r := range earlier.Records {
@@ -115,6 +115,7 @@
 			records = append(records, r)
 		}
 	}
-	sink.Reset(now, earlier.Position, records)
-	sink.Apply(now, earlier.Epoch, removals)
+	o.Position = earlier.Position
+	sink.Reset(now, o, records)
+	sink.Apply(now, o, removals)
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -19,6 +19,9 @@
 	Value    []byte `json:"v,omitempty"`
 	Revision uint64 `json:"r"`
 	Removed  bool   `json:"x,omitempty"`
+	// receivedAt is the uptime at which the first VM received the change from the store, as far
+	// as it is known.
+	receivedAt time.Duration
 }
 
 // Answer is the answer of a Source.
@@ -36,6 +39,9 @@
 	// Steady is how long a relay had been in contact with the store, without a gap, when the
 	// store confirmed Revision. It is zero if that is not known, and in answers of the store.
 	Steady time.Duration
+	// Lag is how long ago the first VM received the oldest of the changes from the store. It is
+	// zero in answers of the store, with the whole state, and of older releases.
+	Lag time.Duration
 }
 
 // ErrCompacted is returned by a source that does not have the changes after the
@@ -63,18 +69,41 @@
 	List(ctx context.Context, prefix string) (Answer, error)
 }
 
+// Origin says where records come from.
+type Origin struct {
+	// Source is the address of a relay, or "store".
+	Source string
+	// SentAt is the uptime at which the request was sent. The source had these records then, or
+	// received them later.
+	SentAt time.Duration
+	// Position is the one up to which the records are complete. Its revision is zero if they
+	// are a part of the state.
+	Position history.Position
+	// Lag is how long ago the first VM received the oldest of the changes from the store. It is
+	// zero if the store sent them to this VM, and where an older release relays them.
+	Lag time.Duration
+}
+
+// Contact is a contact with the store, directly or through a relay, or a failure of the store to
+// answer this VM.
+type Contact struct {
+	// Steady is how long this VM or its relay has been in contact with the store without a gap:
+	// in that time the store had no outage.
+	Steady time.Duration
+	Failed bool
+	// SentAt is the uptime at which the request was sent.
+	SentAt time.Duration
+}
+
 // Sink receives the records of a Follower. Its methods are never called concurrently.
 type Sink interface {
-	// Reset replaces the whole state by that of a position. It is called before Apply,
+	// Reset replaces the whole state by that of o.Position. It is called before Apply,
 	// except that a starting Follower first passes the records of relays to Apply. A
 	// later epoch than before means that the store was restored from an older copy.
-	Reset(now time.Time, at history.Position, records []Record)
-	// Apply receives changes of an epoch; records is empty if an answer had none. The same
-	// record may be delivered more than once.
-	Apply(now time.Time, epoch uint64, records []Record)
-	// ReportContact reports contact with the store, directly or through a relay, or that
-	// the store failed to answer this VM. It is called before the records of the same
-	// answer are delivered. Steady is how long this VM or its relay has been in contact with
-	// the store without a gap: in that time the store had no outage.
-	ReportContact(now time.Time, steady time.Duration, failed bool)
+	Reset(now time.Time, o Origin, records []Record)
+	// Apply receives changes of the epoch of o.Position; records is empty if an answer had none.
+	// The same record may be delivered more than once.
+	Apply(now time.Time, o Origin, records []Record)
+	// ReportContact is called before the records of the same answer are delivered.
+	ReportContact(now time.Time, c Contact)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -106,7 +106,7 @@
 	steady time.Duration
 }
 
-func (s *sink) Reset(_ time.Time, _ history.Position, records []Record) {
+func (s *sink) Reset(_ time.Time, _ Origin, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keys = make(map[string]bool)
@@ -115,7 +115,7 @@
 	}
 }
 
-func (s *sink) Apply(_ time.Time, _ uint64, records []Record) {
+func (s *sink) Apply(_ time.Time, _ Origin, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range records {
@@ -123,10 +123,10 @@
 	}
 }
 
-func (s *sink) ReportContact(_ time.Time, steady time.Duration, failed bool) {
+func (s *sink) ReportContact(_ time.Time, c Contact) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed, s.steady = failed, steady
+	s.failed, s.steady = c.Failed, c.Steady
 }
 
 func (s *sink) contact() time.Duration {
@@ -402,8 +402,12 @@
 	if _, age := vm.follower.replica.position(uptime()); age < 9*time.Second {
 		t.Errorf("revision %d was confirmed %s ago after a pause of 10 s", before, age)
 	}
-	if !vm.follower.isLate(uptime()-11*time.Second, time.Second) || vm.follower.isLate(uptime()-time.Second, time.Second) {
-		t.Error("late answers are not distinguished from timely ones")
+	// An answer that is processed only now may have been received before the pause.
+	if age := vm.follower.excessAge(&call{sentAt: uptime() - 11*time.Second, wait: time.Second}); age < 9*time.Second {
+		t.Errorf("an answer that took 11 s counts as %s old", age)
+	}
+	if age := vm.follower.excessAge(&call{sentAt: uptime() - time.Second, wait: time.Second}); age != 0 {
+		t.Errorf("a timely answer counts as %s old", age)
 	}
 }
 
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -6,13 +6,15 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/history"
+	"github.com/currantferry/currantferry/internal/dialrace"
 	"github.com/currantferry/currantferry/internal/httpanswer"
 )
 
@@ -31,7 +33,8 @@
 	// DefaultAnswerGrace is how long an answer may take beyond its wait. It allows for
 	// two round trips between regions and a busy VM.
 	DefaultAnswerGrace = 350 * time.Millisecond
-	// DefaultReadTimeout bounds a read of the whole state.
+	// DefaultReadTimeout is how long a read of the whole state may make no progress until
+	// another source is asked as well.
 	DefaultReadTimeout = 2 * time.Second
 	// DefaultMaxAge is the age of the store's confirmation above which a relay is
 	// considered to have lost the store: one wait and its grace.
@@ -45,6 +48,9 @@
 	// is doubled after each further one, up to maxRetryBackoff.
 	minRetryBackoff = 100 * time.Millisecond
 	maxRetryBackoff = 500 * time.Millisecond
+	// dialTimeout bounds the time until a connection is open. It exceeds that of the second
+	// repeat of the first packet.
+	dialTimeout = 4 * time.Second
 )
 
 // Options configures a Follower. A duration of zero stands for its default above.
@@ -59,6 +65,8 @@
 	Lister      Lister
 	RelayPrefix string
 	Log         *slog.Logger
+	// Dial opens the connections to relays. Nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now replaces time.Now in tests. Nil means time.Now.
 	Now func() time.Time
 	// Uptime replaces the function Uptime in tests. Nil means that function.
@@ -114,70 +122,79 @@
 	avoidUntil map[string]time.Time
 	// lateness says how long an answer is awaited beyond the time that was asked for.
 	lateness *lateness
-	// source is the address of the relay that answered last, or storeName.
+	// source is the address of the relay that answered last, or StoreName.
 	source string
 	// reloaded is set when the last answer was the whole state although a state was
 	// already loaded.
 	reloaded bool
+	// calls are the requests under way, in the order in which they were sent. Each is sent on
+	// done when it has ended.
+	calls []*call
+	done  chan *call
+	group conc.WaitGroup
 
 	mu sync.Mutex
-	// refresh requests that the next request returns without waiting. interrupt
-	// cancels the request in flight, or is nil.
+	// refresh requests the latest changes at once, and wanted names relays that have some.
+	// requested is signalled then.
 	refresh   bool
-	interrupt context.CancelFunc
+	wanted    []string
+	requested chan struct{}
 }
 
-// errPaused means that this VM was paused while it waited for an answer.
-var errPaused = errors.New("feed: this VM was paused")
-
-// Refresh requests the latest changes from the current source at once. It is called
-// when this VM may have been paused: earlier answers don't cover the time of the
-// pause.
+// Refresh requests the latest changes from the best source at once. It is called when this VM
+// may have been paused: answers to earlier requests don't cover the time of the pause.
 func (f *Follower) Refresh() {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.refresh = true
-	if f.interrupt != nil {
-		f.interrupt()
-	}
+	f.mu.Unlock()
+	f.signalRequest()
 }
 
-// beginRequest returns the context of a request, and how long it may wait for a
-// change.
-func (f *Follower) beginRequest(ctx context.Context, wait time.Duration) (context.Context, time.Duration) {
+// CatchUp requests the latest changes from a relay that is known to have some, beside the
+// requests under way.
+func (f *Follower) CatchUp(relay string) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.refresh {
-		f.refresh, wait = false, time.Millisecond
+	if len(f.wanted) < maxCalls && !slices.Contains(f.wanted, relay) {
+		f.wanted = append(f.wanted, relay)
+	}
+	f.mu.Unlock()
+	f.signalRequest()
+}
+
+func (f *Follower) signalRequest() {
+	select {
+	case f.requested <- struct{}{}:
+	default:
 	}
-	ctx, f.interrupt = context.WithTimeout(ctx, wait+f.lateness.grace())
-	return ctx, wait
 }
 
-// endRequest ends a request and reports whether Refresh interrupted it.
-func (f *Follower) endRequest() (refresh bool) {
+// takeRequests returns and clears what Refresh and CatchUp requested.
+func (f *Follower) takeRequests() (refresh bool, wanted []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.interrupt()
-	f.interrupt = nil
-	return f.refresh
+	refresh, wanted = f.refresh, f.wanted
+	f.refresh, f.wanted = false, nil
+	return refresh, wanted
 }
 
-// storeName identifies the store where relays are identified by their addresses.
-const storeName = "store"
+// StoreName identifies the store where relays are identified by their addresses.
+const StoreName = "store"
 
 // New returns a follower without any records.
 func New(o Options) *Follower {
 	o.setDefaults()
 	records := newReplica()
 	records.maxGap = o.MaxAge
-	f := &Follower{options: o, replica: records, avoidUntil: make(map[string]time.Time), lateness: newLateness(o.AnswerGrace)}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		dialer := net.Dialer{Timeout: f.lateness.grace()}
-		return dialer.DialContext(ctx, network, address)
+	f := &Follower{
+		options: o, replica: records, avoidUntil: make(map[string]time.Time), lateness: newLateness(o.AnswerGrace),
+		done: make(chan *call, maxCalls), requested: make(chan struct{}, 1),
+	}
+	dial := dialrace.DialFunc(o.Dial)
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
 	}
 	f.client = &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
-		DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dialrace.New(dial, f.lateness.grace, dialTimeout), DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
 	})}
 	return f
 }
@@ -185,12 +202,17 @@
 // Run follows the sources until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minRetryBackoff
+	ctx, cancel := context.WithCancel(ctx)
+	defer f.group.Wait()
+	defer cancel()
 	if f.options.MaxStartDelay > 0 {
 		sleep(ctx, rand.N(f.options.MaxStartDelay))
 	}
 	for ctx.Err() == nil {
 		direct, err := f.step(ctx)
 		switch {
+		case err != nil && len(f.calls) > 0:
+			// The step has waited for late answers.
 		case err != nil:
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxRetryBackoff)
@@ -233,9 +255,10 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
 	defer cancel()
+	sentAt := f.options.Uptime()
 	a, err := f.options.Lister.List(bounded, f.options.RelayPrefix)
 	if err != nil {
-		f.recordFailure(storeName, err)
+		f.recordFailure(StoreName, sentAt, err)
 		return
 	}
 	f.listedAt = a.Position
@@ -243,56 +266,28 @@
 	for i := range a.Records {
 		a.Records[i].Revision = 0
 	}
-	f.options.Sink.Apply(f.options.Now(), a.Epoch, a.Records)
+	f.options.Sink.Apply(f.options.Now(), Origin{Source: StoreName, SentAt: sentAt, Position: history.Position{Epoch: a.Epoch}}, a.Records)
 	if relays, _ := f.options.Relays(); len(relays) == 0 && f.options.OnNoRelay != nil {
 		f.options.OnNoRelay()
 	}
 }
 
-// minLateSources is the number of sources that must be late, or all, while none has records, until
-// this VM's own link is suspected. One that is late may be down.
-const minLateSources = 2
-
-// step tries the sources in order until one answers.
-func (f *Follower) step(ctx context.Context) (direct bool, err error) {
-	f.listRelays(ctx)
-	err = errors.New("feed: no source")
-	numLate := 0
-	names := f.sourceOrder()
-	for _, name := range names {
-		if err = f.fetch(ctx, name); errors.Is(err, errPaused) && ctx.Err() == nil {
-			// The pause was on this VM: the source has not failed.
-			err = f.fetch(ctx, name)
-		}
-		if err == nil {
-			f.recordSuccess(name)
-			return name == storeName, nil
-		}
-		if ctx.Err() != nil {
-			return false, err
-		}
-		f.recordFailure(name, err)
-		if isTimeout(err) {
-			numLate++
-		}
-	}
-	if numLate >= min(minLateSources, len(names)) {
-		f.lateness.recordNoAnswer()
-	}
-	return false, err
-}
-
 // sourceOrder returns the sources to try, best first. Those that failed recently come
 // last.
 func (f *Follower) sourceOrder() []string {
 	relays, direct := f.options.Relays()
 	names := make([]string, 0, len(relays)+1)
 	if direct || len(relays) == 0 {
-		names = append(append(names, storeName), relays...)
+		names = append(append(names, StoreName), relays...)
 	} else {
 		// The store comes before the second relay: neither a change nor a start must
 		// be delayed until several relays were found unresponsive.
-		names = append(append(names, relays[0], storeName), relays[1:]...)
+		names = append(append(names, relays[0], StoreName), relays[1:]...)
+	}
+	if i := slices.Index(names, f.source); i > 0 && f.source != StoreName && f.lateness.isCongested() {
+		// A connection to another source takes two more round trips. Answers of the store are not
+		// compressed.
+		names = slices.Insert(slices.Delete(names, i, i+1), 0, f.source)
 	}
 	now := f.options.Now()
 	var avoided []string
@@ -307,49 +302,6 @@
 	return append(preferred, avoided...)
 }
 
-// fetch sends a request to one source and applies its answer.
-func (f *Follower) fetch(ctx context.Context, name string) error {
-	source, wait := f.options.Store, f.options.StoreWait
-	if name != storeName {
-		source, wait = &relaySource{f.client, name, f.options.StateWait, f.listedAt}, f.options.RelayWait
-	}
-	if !f.replica.isLoaded() {
-		return f.readState(ctx, source)
-	}
-	at, _ := f.replica.position(f.options.Uptime())
-	sentAt := f.options.Uptime()
-	bounded, wait := f.beginRequest(ctx, wait)
-	a, err := source.Watch(bounded, at, wait)
-	if f.endRequest() || f.isLate(sentAt, wait) {
-		return errPaused
-	}
-	if errors.Is(err, ErrCompacted) {
-		event.FeedCompacted.Log(f.options.Log, "source", name, "epoch", at.Epoch, "revision", at.Revision)
-		return f.readState(ctx, source)
-	}
-	if err != nil {
-		return err
-	}
-	f.lateness.recordAnswer(f.options.Uptime() - sentAt - wait)
-	if a.Age > f.options.MaxAge {
-		return errors.Errorf("feed: relay %s had its last contact with the store %s ago", name, a.Age)
-	}
-	f.completePosition(source, &a)
-	now := f.options.Now()
-	changes, err := f.replica.apply(f.options.Uptime(), &a)
-	switch {
-	case errors.Is(err, ErrCompacted):
-		event.FeedCompacted.Log(f.options.Log, "source", name, "epoch", at.Epoch, "revision", at.Revision, "answer_epoch", a.Epoch)
-		return f.readState(ctx, source)
-	case err != nil:
-		f.logRejected(source, &a)
-		return err
-	}
-	f.reportContact(now, false)
-	f.options.Sink.Apply(now, a.Epoch, changes)
-	return nil
-}
-
 // completePosition sets the epoch of an answer of a store that does not tell it: it is
 // taken to be the one of this VM. A relay without an epoch is of an older release, or has
 // seen no restore.
@@ -360,95 +312,25 @@
 	}
 }
 
-// isLate reports whether an answer took so long that this VM must have been paused.
-// The answer may have been received before the pause, and then doesn't cover the time
-// since.
-func (f *Follower) isLate(sentAt, wait time.Duration) bool {
-	took := f.options.Uptime() - sentAt
-	if took <= wait+2*f.lateness.grace() {
-		return false
-	}
-	event.FeedPaused.Log(f.options.Log, "took_ms", took.Milliseconds())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.refresh = true
-	return true
-}
-
-// reportContact reports contact with the store to the sink, or that the store failed.
-func (f *Follower) reportContact(now time.Time, failed bool) {
+// reportContact reports contact with the store to the sink, or that the store failed to answer
+// a request.
+func (f *Follower) reportContact(now time.Time, failed bool, sentAt time.Duration) {
 	if failed {
 		f.replica.loseContact()
 	}
-	f.options.Sink.ReportContact(now, f.replica.contact(f.options.Uptime()), failed)
-}
-
-// readState reads the whole state of a source. It rejects a state that is older than
-// that of this VM; one of a later epoch never is.
-func (f *Follower) readState(ctx context.Context, source Source) error {
-	bounded, cancel := context.WithTimeout(ctx, f.options.ReadTimeout)
-	defer cancel()
-	sentAt := f.options.Uptime()
-	a, err := source.Read(bounded)
-	if err != nil {
-		return err
-	}
-	if f.isLate(sentAt, f.options.ReadTimeout) {
-		return errPaused
-	}
-	f.completePosition(source, &a)
-	now := f.options.Now()
-	before, _ := f.replica.position(f.options.Uptime())
-	wasLoaded := f.replica.isLoaded()
-	var minPosition history.Position
-	if _, isRelay := source.(*relaySource); isRelay {
-		minPosition = f.listedAt
-	}
-	if a.Age > f.options.MaxAge {
-		f.logRejected(source, &a)
-		return errors.Errorf("feed: state was confirmed %s ago", a.Age)
-	}
-	if err := f.replica.load(f.options.Uptime(), &a, minPosition); err != nil {
-		f.logRejected(source, &a)
-		return err
-	}
-	f.reloaded = wasLoaded
-	if wasLoaded && a.Epoch != before.Epoch {
-		event.FeedRestored.Log(f.options.Log, "source", f.nameOf(source), "epoch", a.Epoch, "revision", a.Revision,
-			"epoch_before", before.Epoch, "revision_before", before.Revision)
-	}
-	f.reportContact(now, false)
-	if relay, ok := source.(*relaySource); ok && a.HasEarlier && !wasLoaded {
-		earlier, err := relay.Earlier(bounded)
-		if err != nil {
-			// This VM then knows the restored state only, as it does without a relay.
-			event.FeedLost.Log(f.options.Log, "source", relay.address, "error", err)
-		} else {
-			replayEarlier(f.options.Sink, now, &earlier, &a)
-		}
-	}
-	f.options.Sink.Reset(now, a.Position, a.Records)
-	return nil
+	f.options.Sink.ReportContact(now, Contact{Steady: f.replica.contact(f.options.Uptime()), Failed: failed, SentAt: sentAt})
 }
 
 // logRejected logs an answer that is older than the records of this VM.
-func (f *Follower) logRejected(source Source, a *Answer) {
+func (f *Follower) logRejected(c *call) {
 	at, _ := f.replica.position(f.options.Uptime())
-	event.FeedRejected.Log(f.options.Log, "source", f.nameOf(source), "epoch", a.Epoch, "revision", a.Revision, "age_ms", a.Age.Milliseconds(),
+	a := &c.answer
+	event.FeedRejected.Log(f.options.Log, "source", c.name, "epoch", a.Epoch, "revision", a.Revision, "age_ms", a.Age.Milliseconds(),
 		"own_epoch", at.Epoch, "own_revision", at.Revision, "listed_epoch", f.listedAt.Epoch, "listed_revision", f.listedAt.Revision)
 }
 
-// nameOf returns the name of a source for the log.
-func (f *Follower) nameOf(source Source) string {
-	if relay, ok := source.(*relaySource); ok {
-		return relay.address
-	}
-	return storeName
-}
-
 // recordSuccess makes the source that answered the current one.
 func (f *Follower) recordSuccess(name string) {
-	delete(f.avoidUntil, name)
 	if name != f.source {
 		event.FeedSource.Log(f.options.Log, "source", name, "before", f.source)
 		f.source = name
@@ -457,14 +339,14 @@
 
 // recordFailure moves a source to the end of the order for avoidPeriod. A failure of
 // the store is also reported to the sink.
-func (f *Follower) recordFailure(name string, err error) {
+func (f *Follower) recordFailure(name string, sentAt time.Duration, err error) {
 	now := f.options.Now()
 	if !now.Before(f.avoidUntil[name]) {
 		event.FeedLost.Log(f.options.Log, "source", name, "error", err)
 	}
 	f.avoidUntil[name] = now.Add(avoidPeriod)
-	if name == storeName {
-		f.reportContact(now, true)
+	if name == StoreName {
+		f.reportContact(now, true, sentAt)
 	}
 }
 
--- a/feed/lateness.go
+++ b/feed/lateness.go
@@ -41,10 +41,13 @@
 	if late > 0 {
 		l.set(2 * late)
 	} else {
-		l.set(l.grace() * 3 / 4)
+		l.set(l.grace() * 9 / 10)
 	}
 }
 
+// isCongested reports whether answers are later than usual.
+func (l *lateness) isCongested() bool { return l.grace() > l.usual }
+
 func (l *lateness) set(grace time.Duration) {
 	l.current.Store(int64(min(max(grace, l.usual), maxGraceFactor*l.usual)))
 }
--- a/feed/relay.go
+++ b/feed/relay.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"net/url"
@@ -18,6 +19,7 @@
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/history"
 	"github.com/currantferry/currantferry/internal/itemreader"
+	"github.com/currantferry/currantferry/internal/progress"
 )
 
 // Paths of the requests between VMs.
@@ -51,6 +53,8 @@
 	// headerSteady holds the steady contact with the store in microseconds. Older releases
 	// leave it out.
 	headerSteady = "Feed-Steady-Us"
+	// headerLag holds Answer.Lag in microseconds. Older releases leave it out.
+	headerLag = "Feed-Lag-Us"
 )
 
 // maxCachedBodies bounds the bodies that are cached for one revision. Followers lag by
@@ -238,6 +242,9 @@
 	if a.Steady > 0 {
 		h.Set(headerSteady, strconv.FormatInt(a.Steady.Microseconds(), 10))
 	}
+	if a.Lag > 0 {
+		h.Set(headerLag, strconv.FormatInt(a.Lag.Microseconds(), 10))
+	}
 	// Most answers have no records, and this header would be most of their size.
 	h["Date"] = nil
 	if len(a.Records) == 0 && after != wholeState {
@@ -251,6 +258,7 @@
 		return
 	}
 	h.Set("Content-Type", "application/gzip")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	// A failed write means that the follower has disconnected; it tries another
 	// source.
 	_, _ = w.Write(body)
@@ -296,6 +304,10 @@
 		return Answer{}, err
 	}
 	defer res.Body.Close()
+	res.Body = struct {
+		io.Reader
+		io.Closer
+	}{progress.Reader(ctx, res.Body), res.Body}
 	a, err := readAnswer(res)
 	return a, errors.Wrapf(err, "relay %s", s.address)
 }
@@ -320,17 +332,14 @@
 		}
 	}
 	a.HasEarlier = res.Header.Get(headerEarlier) != ""
-	age, err := strconv.ParseInt(res.Header.Get(headerAge), 10, 64)
-	if err != nil || age < 0 || age > math.MaxInt64/int64(time.Microsecond) {
-		return a, errors.Errorf("%s: %q", headerAge, res.Header.Get(headerAge))
-	}
-	a.Age = time.Duration(age) * time.Microsecond
-	if text := res.Header.Get(headerSteady); text != "" {
-		steady, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || steady < 0 || steady > math.MaxInt64/int64(time.Microsecond) {
-			return a, errors.Errorf("%s: %q", headerSteady, text)
-		}
-		a.Steady = time.Duration(steady) * time.Microsecond
+	if a.Age, err = parseMicroseconds(res.Header, headerAge, true); err != nil {
+		return a, err
+	}
+	if a.Steady, err = parseMicroseconds(res.Header, headerSteady, false); err != nil {
+		return a, err
+	}
+	if a.Lag, err = parseMicroseconds(res.Header, headerLag, false); err != nil {
+		return a, err
 	}
 	if res.StatusCode == http.StatusNoContent {
 		return a, nil
@@ -341,6 +350,30 @@
 	}
 	defer body.Close()
 	bounded := itemreader.New(body, relayLimits)
-	err = itemreader.Decode(json.NewDecoder(bounded), bounded, func(r *Record) { a.Records = append(a.Records, *r) })
+	if err = itemreader.Decode(json.NewDecoder(bounded), bounded, func(r *Record) { a.Records = append(a.Records, *r) }); err != nil {
+		return a, err
+	}
+	// The connection can be reused only after the end of the body.
+	_, err = io.CopyN(io.Discard, body, maxTrailingBytes)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
 	return a, err
 }
+
+// maxTrailingBytes bounds what is read after the records.
+const maxTrailingBytes = 1 << 10
+
+// parseMicroseconds returns the duration in a header, or zero if the header is missing and not
+// required.
+func parseMicroseconds(h http.Header, name string, required bool) (time.Duration, error) {
+	text := h.Get(name)
+	if text == "" && !required {
+		return 0, nil
+	}
+	us, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || us < 0 || us > math.MaxInt64/int64(time.Microsecond) {
+		return 0, errors.Errorf("%s: %q", name, text)
+	}
+	return time.Duration(us) * time.Microsecond, nil
+}
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -91,6 +91,7 @@
 		if r.Revision <= c.at.Revision {
 			continue
 		}
+		r.receivedAt = uptime - a.Lag
 		changes = append(changes, r)
 		delete(c.earlier.records, r.Key)
 		if r.Removed {
@@ -200,6 +201,9 @@
 	a.Revision = max(a.Revision, after.Revision)
 	first := sort.Search(len(c.changes), func(i int) bool { return c.changes[i].Revision > after.Revision })
 	a.Records = append(a.Records, c.changes[first:]...)
+	for i := range a.Records {
+		a.Lag = max(a.Lag, uptime-a.Records[i].receivedAt)
+	}
 	return a, c.changed, nil
 }
 
--- a/internal/testkit/links.go
+++ b/internal/testkit/links.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -60,17 +61,25 @@
 	freeAt [2]time.Time
 	// healed is closed when the present cut ends.
 	healed chan struct{}
+	// DialTimeout is when Dial gives up; zero means 500 ms, as the dialer of requests does.
+	DialTimeout time.Duration
 }
 
 // Speed is how fast links are. The zero value means that nothing is held up.
 type Speed struct {
 	// OpenDelay is how much later connections open.
 	OpenDelay time.Duration
+	// Backlog is how long bytes and opening packets wait behind the traffic of others, in each
+	// direction.
+	Backlog time.Duration
 	// BytesPerSecond is the rate of all connections together in each direction; zero means
 	// that bytes aren't held up.
 	BytesPerSecond int
 }
 
+// windowBytes is what a connection carries within a Backlog.
+const windowBytes = 64 << 10
+
 // maxPaced is the number of bytes that a connection moves at once over slow links, so that
 // the connections take turns.
 const maxPaced = 4 << 10
@@ -92,7 +101,14 @@
 func (l *Links) openDelay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.speed.OpenDelay
+	return l.speed.OpenDelay + 2*l.speed.Backlog
+}
+
+// backlog returns how long bytes wait.
+func (l *Links) backlog() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.speed.Backlog
 }
 
 // isPaced reports whether bytes are held up.
@@ -117,7 +133,7 @@
 	return l.freeAt[direction].Sub(now)
 }
 
-// dialTimeout is when Dial gives up, as the dialer that it replaces does.
+// dialTimeout is the default of Links.DialTimeout.
 const dialTimeout = 500 * time.Millisecond
 
 // Cut cuts the links, or heals them with NoCut. Bytes that were dropped are lost, so their
@@ -175,7 +191,7 @@
 
 // Dial opens a connection to an address.
 func (l *Links) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(l.DialTimeout, dialTimeout))
 	defer cancel()
 	for {
 		c, err := l.dial(ctx, network, address)
@@ -246,6 +262,18 @@
 	address   string
 	closeOnce sync.Once
 	closed    chan struct{}
+	// inWindow is how many bytes may be read before the next ones wait for a Backlog.
+	inWindow int
+}
+
+// wait waits for a Backlog, or until the connection is closed.
+func (c *linkConn) wait() {
+	if d := c.links.backlog(); d > 0 {
+		select {
+		case <-time.After(d):
+		case <-c.closed:
+		}
+	}
 }
 
 // hold waits until the link has carried n more bytes, or the connection is closed.
@@ -264,7 +292,13 @@
 	if len(p) > maxPaced && c.links.isPaced() {
 		p = p[:maxPaced]
 	}
+	began := time.Now()
 	n, err := c.TCPConn.Read(p)
+	if time.Since(began) > time.Millisecond || c.inWindow < n {
+		c.wait()
+		c.inWindow = windowBytes
+	}
+	c.inWindow -= n
 	c.hold(inbound, n)
 	if kind, healed := c.links.state(c.address); kind.dropsBytes() {
 		// The bytes are lost; the end of the cut resets the connection.
@@ -282,6 +316,7 @@
 	if kind, _ := c.links.state(c.address); kind.dropsBytes() {
 		return len(p), nil
 	}
+	c.wait()
 	written := 0
 	for len(p) > maxPaced && c.links.isPaced() {
 		c.hold(outbound, maxPaced)
