Decide by no routes that are known to be older than another VM's

A VM that had stood still looked up the route first and waited for fresh records only then. A VM that was behind on its own answered 404 on new routes.

Cause: a request that was passed on did not say by which routes it was accepted; no VM knew what others had; the wait after a pause came after the route was chosen, and ended by itself after 0.7 s.

Change: a request that is passed on states the position of the operators' last change and the version by which it was accepted, the answer those of the other VM. A VM that lacks them fetches them from the VM that has them while the request waits, or refuses it as not run with the new reason outdated, which is not final: the request goes to another VM. One that is ahead serves by its own. A caller's answer by newer routes binds the VM that passed it on. VMs notify each other of the operators' last change by datagram, at once and each second; one that knows of a newer one requests it from the sender, and refuses requests from 0.4 of [bounds] config_time on. A request waits for fresh records before its route is looked up, for callers and other VMs; if none come it is refused. Answers to requests from before the pause don't count. 404 and 401 become 503 while the store has not confirmed the routes for config_time. A missing statement, of an older release, is no error.

--- a/entry/digest.go
+++ b/entry/digest.go
@@ -134,6 +134,10 @@
 			n.receiveTeamCap(buffer[:size], sender)
 			continue
 		}
+		if size > 0 && buffer[0] == routesNoticeFormat {
+			n.receiveRoutesNotice(buffer[:size], sender)
+			continue
+		}
 		from, digest, crashes, err := decodeDigest(buffer[:size])
 		if err != nil {
 			// A malformed datagram is dropped as a whole; the next digest follows soon.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,6 +121,7 @@
 	proxy    *proxy.Handler
 	follower *feed.Follower
 	pause    *pauseGuard
+	currency *currency
 	router   *router
 	selector *selector
 	reach    *monitor.Monitor
@@ -175,7 +176,7 @@
 	s := o.Settings
 	n := &Node{
 		platform: o.Platform, log: o.Log.With("vm", s.ID), metrics: metric.New(),
-		inv: inventory.New(), unknownDataCentres: make(map[string]bool), router: newRouter(), announceSignal: make(chan struct{}, 1),
+		inv: inventory.New(), unknownDataCentres: make(map[string]bool), announceSignal: make(chan struct{}, 1),
 		budget: budget.NewRetry(budget.Config{Ratio: retryShare * s.RetryRatio, Burst: retryBurst}),
 		self: inventory.VM{
 			ID: s.ID, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller.String(), Relay: s.Peer.String(),
@@ -183,11 +184,16 @@
 		},
 	}
 	n.settings.Store(s)
+	n.currency = newCurrency(n.log, feed.Uptime)
+	n.currency.tolerance = func() time.Duration { return time.Duration(toleranceShare * float64(n.settings.Load().ConfigTime)) }
+	n.router = newRouter(n.currency)
+	n.router.confirmTime = func() time.Duration { return n.settings.Load().ConfigTime }
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, ObjectAffinity: placement.ObjectAffinity(s.ObjectAffinity),
 		IgnoresPriority: s.Precedence != precedenceOn, Random: mathrand.Float64,
 	}, n.log, n.metrics.Scope())
+	n.selector.currency = n.currency
 	n.selector.reach = monitor.New(s.Region, n.log, n.metrics.Scope())
 	n.selector.admission = transit.NewAdmission(n.self.Capacity)
 	n.reach = n.selector.reach
@@ -211,6 +217,8 @@
 	})
 	n.pause = newPauseGuard(feed.Uptime, n.follower.Refresh)
 	n.selector.pause = n.pause
+	n.router.awaitRefresh = n.selector.awaitRefresh
+	n.currency.catchUp = n.catchUp
 	n.selector.onPaused = func() { n.teamCaps.paused.Store(true) }
 	n.teamCaps.checkPause = func() {
 		if paused, _ := n.pause.check(); paused > 0 {
@@ -236,6 +244,7 @@
 		func() { n.runEvery(tickInterval, n.tick) },
 		func() { n.runEvery(digestInterval, n.sendDigest) },
 		n.receiveDigests,
+		func() { n.runEvery(routesNoticeInterval, func(time.Time) { n.sendRoutesNotice() }) },
 		func() { n.runEvery(teamCapInterval, n.teamCaps.tick) },
 		func() { n.runEvery(callerguard.SweepInterval, n.guard.Sweep) },
 		func() { n.runEvery(sweepInterval, func(time.Time) { n.proxy.Sweep() }) },
--- a/entry/pause.go
+++ b/entry/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/currantferry/currantferry/verdict"
 )
 
 const (
@@ -26,7 +28,9 @@
 	mu        sync.Mutex
 	lastCheck time.Duration
 	// refreshed is closed when the records are refreshed; nil unless the VM was paused.
+	// noticedAt is the uptime at which the pause was noticed.
 	refreshed chan struct{}
+	noticedAt time.Duration
 }
 
 func newPauseGuard(uptime func() time.Duration, refresh func()) *pauseGuard {
@@ -45,34 +49,41 @@
 		if g.refreshed == nil {
 			g.refreshed = make(chan struct{})
 		}
+		g.noticedAt = up
 		g.refresh()
 	}
 	g.lastCheck = up
 	return paused, g.refreshed
 }
 
-// markRefreshed records that the refresh has succeeded, or that it can't succeed now.
-func (g *pauseGuard) markRefreshed() {
+// markRefreshed records that a request for records that was sent at an uptime has succeeded, or
+// that it can't succeed now. One that was sent before the pause doesn't count.
+func (g *pauseGuard) markRefreshed(sentAt time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.refreshed != nil {
+	if g.refreshed != nil && sentAt >= g.noticedAt {
 		close(g.refreshed)
 		g.refreshed = nil
 	}
 }
 
 // wait holds a request after a pause until the records are refreshed, at most for
-// refreshTimeout.
-func (g *pauseGuard) wait(ctx context.Context, refreshed <-chan struct{}) {
+// refreshTimeout after the pause was noticed. It returns an error with the verdict NotRun if they
+// are not.
+func (g *pauseGuard) wait(ctx context.Context, refreshed <-chan struct{}) error {
 	if refreshed == nil {
-		return
+		return nil
 	}
-	timer := time.NewTimer(refreshTimeout)
+	g.mu.Lock()
+	left := g.noticedAt + refreshTimeout - g.uptime()
+	g.mu.Unlock()
+	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case <-refreshed:
+		return nil
 	case <-timer.C:
-		g.markRefreshed()
 	case <-ctx.Done():
 	}
+	return verdict.New(verdict.NotRun, verdict.ReasonOutdated, defaultRetryAfter)
 }
--- a/entry/router.go
+++ b/entry/router.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"context"
 	"crypto/rand"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/currantferry/currantferry/inventory"
 	"github.com/currantferry/currantferry/proxy"
 	"github.com/currantferry/currantferry/register"
@@ -26,11 +30,26 @@
 	// teams is nil if requests need no key. secret is the key of its hashes.
 	teams  *inventory.TeamTable
 	secret []byte
+
+	// currency says whether the routes are as new as those of other VMs.
+	currency *currency
+	// awaitRefresh waits until the records are refreshed after a pause of this VM.
+	awaitRefresh func(context.Context) error
+	// confirmTime is how old the store's confirmation of the routes may be for a final refusal.
+	confirmTime func() time.Duration
 }
 
 var _ proxy.Router = (*router)(nil)
 
-func newRouter() *router { return &router{secret: []byte(rand.Text())} }
+func newRouter(c *currency) *router {
+	return &router{
+		secret: []byte(rand.Text()), currency: c, awaitRefresh: func(context.Context) error { return nil },
+		confirmTime: func() time.Duration { return math.MaxInt64 },
+	}
+}
+
+// RoutesState returns the state of the routes, for other VMs.
+func (r *router) RoutesState() proxy.RoutesState { return r.currency.current() }
 
 // set replaces the routes and returns the new teams, or nil if there are none.
 func (r *router) set(routes *inventory.Routes) *inventory.TeamTable {
@@ -58,8 +77,31 @@
 	return r.table.Version
 }
 
-// Route implements proxy.Router.
+// Route implements proxy.Router. It waits until this VM knows that its routes are as new as those
+// by which another VM accepted the request or answered this VM's callers.
 func (r *router) Route(req *http.Request, m *proxy.Meta) (proxy.Routed, error) {
+	err := r.awaitRefresh(req.Context())
+	if err == nil {
+		err = r.currency.await(req.Context(), m.TransitRoutes)
+	}
+	if err != nil {
+		return proxy.Routed{Attrs: []any{"version", r.version()}}, err
+	}
+	routed, err := r.route(req, m)
+	var refusal *verdict.Error
+	if errors.As(err, &refusal) && isFinalRefusal(refusal.Reason) && !r.currency.isConfirmed(r.confirmTime()) {
+		err = verdict.New(verdict.NotRun, verdict.ReasonOutdated, defaultRetryAfter)
+	}
+	return routed, err
+}
+
+// isFinalRefusal reports whether callers don't repeat a request that is refused for a reason,
+// which newer routes may lift.
+func isFinalRefusal(r verdict.Reason) bool {
+	return r == verdict.ReasonUnknownService || r == verdict.ReasonUnknownTeam
+}
+
+func (r *router) route(req *http.Request, m *proxy.Meta) (proxy.Routed, error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if r.table == nil {
@@ -96,7 +138,7 @@
 		Route:   register.Route{Prefix: route.Prefix, Idempotent: &idempotent},
 		Timeout: route.Timeout, DefaultTimeout: defaultTimeout, MaxAttempts: route.MaxAttempts, MaxBody: r.maxBodyBytes,
 		Regions: regions, Target: route.Target, Priority: priority, Sticky: route.Sticky,
-		HasTeams: r.teams != nil, Team: teamName, Attrs: attrs,
+		HasTeams: r.teams != nil, Team: teamName, Attrs: attrs, Routes: r.currency.current(),
 	}, nil
 }
 
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -26,6 +26,8 @@
 	log *slog.Logger
 	// pause holds requests after a pause of this VM. Nil disables it.
 	pause *pauseGuard
+	// currency knows whether this VM's records are as new as those of other VMs.
+	currency *currency
 	// onPaused is called after a pause of this VM.
 	onPaused func()
 	// probe checks whether a process crashed after a connection to it was lost.
@@ -273,12 +275,8 @@
 
 // Select implements proxy.Selector. It blocks only after a pause of this VM.
 func (s *selector) Select(ctx context.Context, q *proxy.Query) (proxy.Selection, error) {
-	if s.pause != nil {
-		paused, refreshed := s.pause.check()
-		if paused > 0 {
-			s.recordPause(paused)
-		}
-		s.pause.wait(ctx, refreshed)
+	if err := s.awaitRefresh(ctx); err != nil {
+		return nil, err
 	}
 	r := placement.Request{
 		Service: q.Service.Name, Route: q.Route.Prefix, Key: q.AffinityKey, Idempotent: q.Idempotent,
@@ -323,6 +321,19 @@
 	return &selection{s: s, ticket: t, key: r.Key, fingerprint: fingerprint, chosenAt: now}, nil
 }
 
+// awaitRefresh waits until the records are refreshed after a pause of this VM, or returns an error
+// with the verdict NotRun.
+func (s *selector) awaitRefresh(ctx context.Context) error {
+	if s.pause == nil {
+		return nil
+	}
+	paused, refreshed := s.pause.check()
+	if paused > 0 {
+		s.recordPause(paused)
+	}
+	return s.pause.wait(ctx, refreshed)
+}
+
 // maxLeavingIDs bounds the leaving instances that are named to another VM.
 const maxLeavingIDs = 32
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -40,6 +40,7 @@
 	StableWindow           time.Duration
 	DrainTime              time.Duration
 	MaxLookupTTL           time.Duration
+	ConfigTime             time.Duration
 	// In any TeamWindow, a team's requests stay under its cap times 1 + TeamOver, plus
 	// TeamSlack.
 	TeamWindow          time.Duration
@@ -123,6 +124,7 @@
 	reloads(duration("bounds", "drain_time", "2.5", "time for which a leaving instance still serves", func(s *Settings) *time.Duration { return &s.DrainTime })),
 	reloads(duration("bounds", "stable_window", "4", "time after a disturbance from which bounds hold again; the record of a crashed VM is kept for about as long", func(s *Settings) *time.Duration { return &s.StableWindow })),
 	reloads(duration("bounds", "lookup_ttl_most", "5", "maximum time for which callers cache an answer", func(s *Settings) *time.Duration { return &s.MaxLookupTTL })),
+	reloads(duration("bounds", "config_time", "2.5", "time within which every VM has a change of the operators; from 0.4 of it on, a VM that knows that others have newer ones refuses requests", func(s *Settings) *time.Duration { return &s.ConfigTime })),
 	reloads(duration("bounds", "team_window", "5", "window of time in which the requests of a team are bounded by its cap, over all VMs", func(s *Settings) *time.Duration { return &s.TeamWindow })),
 	reloads(number("bounds", "team_over", "", "0.1", 100, "part of the cap that may be run beyond it in a window", func(s *Settings) *float64 { return &s.TeamOver })),
 	reloads(number("bounds", "team_slack", "requests", "0", 1e6, "added to that bound in each window", func(s *Settings) *float64 { return &s.TeamSlack })),
--- a/entry/state.go
+++ b/entry/state.go
@@ -69,7 +69,7 @@
 	n.inv.RecordContact(now, c.Steady, c.Failed)
 	if c.Failed {
 		// The refresh failed, so requests must not wait for it.
-		n.pause.markRefreshed()
+		n.pause.markRefreshed(c.SentAt)
 	}
 }
 
@@ -89,7 +89,7 @@
 		})
 		n.onRestored()
 	}
-	n.applyReceived(now, o, effects)
+	n.applyReceived(now, o, changes, effects)
 }
 
 // Apply implements feed.Sink.
@@ -97,14 +97,25 @@
 	changes := n.decodeAll(o.Position.Epoch, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.applyReceived(now, o, n.inv.Apply(now, changes))
+	n.applyReceived(now, o, changes, n.inv.Apply(now, changes))
 }
 
 // applyReceived applies the effects of changes that were received, and then lets the requests go on
 // that wait for them. The lock is held.
-func (n *Node) applyReceived(now time.Time, o feed.Origin, effects []inventory.Effect) {
+func (n *Node) applyReceived(now time.Time, o feed.Origin, changes []inventory.Change, effects []inventory.Effect) {
 	n.applyEffects(now, effects, "source", o.Source, "lag_ms", o.Lag.Milliseconds(), "asked_ms", (feed.Uptime() - o.SentAt).Milliseconds())
-	n.pause.markRefreshed()
+	isNotified := false
+	for i := range changes {
+		if c := &changes[i]; c.Kind == inventory.KindEvacuation || (c.Kind == inventory.KindRoutes && c.Unusable == nil) {
+			n.currency.setState(c.Position, n.router.version())
+			isNotified = true
+		}
+	}
+	n.currency.setPosition(o.Position, o.SentAt, o.Source == feed.StoreName)
+	n.pause.markRefreshed(o.SentAt)
+	if isNotified {
+		n.sendRoutesNotice()
+	}
 }
 
 // tick ends deferrals of removals and adapts the placement.
--- a/entry/transit.go
+++ b/entry/transit.go
@@ -70,8 +70,9 @@
 	key      string
 	chosenAt time.Time
 	leaving  []string
-	// instance is the one that answered.
+	// instance is the one that answered, and version that of the other VM's routes.
 	instance string
+	version  uint64
 }
 
 // Instance implements proxy.Selection.
@@ -85,12 +86,17 @@
 // Leaving returns the IDs of instances that leave.
 func (c *transitSelection) Leaving() []string { return c.leaving }
 
-// SetInstance records the instance that answered.
-func (c *transitSelection) SetInstance(id string) { c.instance = id }
+// SetAnswer records the instance that answered, and that the other VM may have newer routes.
+func (c *transitSelection) SetAnswer(instance string, routes proxy.RoutesState) {
+	c.instance, c.version = instance, routes.Version
+	if instance != "" {
+		c.s.currency.bind(routes, c.peer.Address)
+	}
+}
 
 // LogAttrs returns the log attributes that explain the choice.
 func (c *transitSelection) LogAttrs() []any {
-	return []any{"key", c.key, "instance", c.instance, "via", c.peer.ID}
+	return []any{"key", c.key, "instance", c.instance, "via", c.peer.ID, "via_version", c.version}
 }
 
 // HedgeAfter implements proxy.Selection.
--- a/node/transit.go
+++ b/node/transit.go
@@ -169,8 +169,8 @@
 // Leaving returns no instances: the register tells all VMs which leave.
 func (c *transitSelection) Leaving() []string { return nil }
 
-// SetInstance records the instance that answered.
-func (c *transitSelection) SetInstance(id string) { c.instance = id }
+// SetAnswer records the instance that answered.
+func (c *transitSelection) SetAnswer(instance string, _ proxy.RoutesState) { c.instance = instance }
 
 // LogAttrs returns the log attributes that explain the choice.
 func (c *transitSelection) LogAttrs() []any {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -65,11 +65,12 @@
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest)
 	}
 	if x.transit != nil {
-		x.meta.IsTransit, x.meta.TransitTeam = true, x.transit.team
+		x.meta.IsTransit, x.meta.TransitTeam, x.meta.TransitRoutes = true, x.transit.team, x.transit.routes
 	}
 	x.target = parseTarget(x.r)
 	routed, err := o.Router.Route(x.r, &x.meta)
 	if err != nil {
+		x.query.Attrs = routed.Attrs
 		return err
 	}
 	if _, err := x.target.forwardURL(""); err != nil {
@@ -175,6 +176,7 @@
 		Timeout:    x.meta.Timeout,
 		Team:       routed.Team,
 		Attrs:      routed.Attrs,
+		Routes:     routed.Routes,
 	}
 	if routed.Sticky {
 		x.query.AffinityKey = x.meta.AffinityKey
--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -54,7 +54,7 @@
 func (v vmSelection) Done(o Outcome)                  { v.s.Done(o) }
 func (vmSelection) Key() string                       { return "key" }
 func (vmSelection) Leaving() []string                 { return nil }
-func (vmSelection) SetInstance(string)                {}
+func (vmSelection) SetAnswer(string, RoutesState)     {}
 
 func (s *pathSelector) Select(ctx context.Context, q *Query) (Selection, error) {
 	if s.path.Err() == nil {
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -35,6 +35,8 @@
 	// it named, if any.
 	IsTransit   bool
 	TransitTeam string
+	// TransitRoutes are the routes by which that VM accepted the request, if it states them.
+	TransitRoutes RoutesState
 }
 
 // Protocol defines the headers by which callers and instances exchange metadata.
@@ -93,6 +95,8 @@
 	Sticky bool
 	// Attrs are additional fields of log lines, such as the version of the routes.
 	Attrs []any
+	// Routes are the routes by which the request was routed.
+	Routes RoutesState
 }
 
 // Router finds the route of a request. Its errors are of type *verdict.Error.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -78,6 +78,8 @@
 	IsTransit bool
 	// Attrs are additional fields for log lines about the request.
 	Attrs []any
+	// Routes are the routes by which the request was routed.
+	Routes RoutesState
 }
 
 // Instance is the target of an attempt.
@@ -427,6 +429,9 @@
 	}
 	if x.transit != nil {
 		x.w.Header().Set(headerTransitVerdict, formatTransitVerdict(&e))
+		if r, ok := o.Router.(routesTracker); ok {
+			x.setTransitRoutes(r.RoutesState())
+		}
 		if x.body == nil && (x.r.ContentLength < 0 || x.r.ContentLength > maxDiscardedBytes) {
 			// Without it the server would read the body to keep the connection.
 			x.w.Header().Set("Connection", "close")
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -145,6 +145,7 @@
 	}
 	if x.transit != nil {
 		x.w.Header().Set(headerTransitInstance, winner.selection.Instance().ID)
+		x.setTransitRoutes(x.query.Routes)
 	}
 	return x.deliver(winner)
 }
--- a/proxy/transit.go
+++ b/proxy/transit.go
@@ -35,6 +35,9 @@
 	// verdict, the reason and the Retry-After in milliseconds of a refusal.
 	headerTransitInstance = transitPrefix + "-Instance"
 	headerTransitVerdict  = transitPrefix + "-Verdict"
+	// headerTransitRoutes states by which routes the VM accepted the request, and in an answer by
+	// which the other VM routed it. Older releases leave it out.
+	headerTransitRoutes = transitPrefix + "-Routes"
 )
 
 // unreadRefusal is the value of headerTransitVerdict in refusals of requests that were not read.
@@ -54,8 +57,9 @@
 	// Leaving returns the IDs of instances that leave as far as this VM knows. The other VM
 	// may not know it yet.
 	Leaving() []string
-	// SetInstance is called with the instance that answered.
-	SetInstance(id string)
+	// SetAnswer is called with the instance that answered, empty for a refusal, and with the
+	// routes of the other VM, if it states them.
+	SetAnswer(instance string, routes RoutesState)
 }
 
 // transitAdmitter is implemented by selectors that bound the requests which other VMs pass on.
@@ -105,6 +109,7 @@
 	attempts int
 	tried    []string
 	team     string
+	routes   RoutesState
 }
 
 func parseTransit(r *http.Request) (*transitRequest, error) {
@@ -119,6 +124,11 @@
 		return t, errors.Errorf("%s: %q", headerTransitAttempts, r.Header.Get(headerTransitAttempts))
 	}
 	t.attempts = int(attempts)
+	if text := r.Header.Get(headerTransitRoutes); text != "" {
+		if t.routes, err = parseRoutesState(text); err != nil {
+			return t, err
+		}
+	}
 	return t, nil
 }
 
@@ -127,7 +137,7 @@
 	x.query.IsTransit = true
 	x.query.Deadline = x.received.Add(t.left)
 	x.query.Exclude = append(x.query.Exclude, t.tried...)
-	x.query.Attrs = append(x.query.Attrs, "from", t.from)
+	x.query.Attrs = append(x.query.Attrs, "from", t.from, "from_version", t.routes.Version)
 	x.maxAttempts = min(x.maxAttempts, t.attempts)
 }
 
@@ -171,6 +181,9 @@
 	if x.query.Team != "" {
 		h.Set(headerTransitTeam, x.query.Team)
 	}
+	if x.query.Routes.Version > 0 {
+		h.Set(headerTransitRoutes, x.query.Routes.String())
+	}
 	for _, id := range slices.Concat(s.Leaving(), x.query.Exclude) {
 		h.Add(headerTransitTried, id)
 	}
@@ -200,9 +213,10 @@
 	}
 	a.written, a.answeredAt, a.status = true, a.x.h.options.Now(), res.StatusCode
 	refusal, instance := res.Header.Get(headerTransitVerdict), res.Header.Get(headerTransitInstance)
+	routes := a.routesOf(res)
 	removeTransitHeaders(res.Header)
+	s.SetAnswer(instance, routes)
 	if refusal == "" {
-		s.SetInstance(instance)
 		if receiver, ok := s.(noticeReceiver); ok {
 			receiver.ReceiveNotice(a.x.h.options.Protocol.Notice(res))
 		}
@@ -211,6 +225,12 @@
 	}
 	a.discardRefusal(res)
 	a.err = parseTransitVerdict(refusal)
+	if a.err.Reason == verdict.ReasonUnknownService && (routes.Version == 0 || routes.Position.Before(a.x.query.Routes.Position)) {
+		// By the routes of this VM the request has a route.
+		text := errors.Errorf("no route at a VM with version %d", routes.Version)
+		a.err = verdict.Wrap(text, verdict.NotRun, verdict.ReasonOutdated)
+		a.err.RetryAfter = a.x.h.options.DefaultRetryAfter
+	}
 	// The other VM has made all attempts that the request allows, unless it could not
 	// accept it.
 	a.isRefusalFinal = !isVMReason(a.err.Reason)
@@ -220,7 +240,7 @@
 // VM may serve the request.
 func isVMReason(r verdict.Reason) bool {
 	switch r {
-	case verdict.ReasonNotReady, verdict.ReasonStopping, verdict.ReasonOverloaded, verdict.ReasonIsolated:
+	case verdict.ReasonNotReady, verdict.ReasonStopping, verdict.ReasonOverloaded, verdict.ReasonIsolated, verdict.ReasonOutdated:
 		return true
 	default:
 		return false
--- a/proxy/transit_test.go
+++ b/proxy/transit_test.go
@@ -92,3 +92,22 @@
 		})
 	}
 }
+
+// A VM of an older release states no routes, which is no error; a malformed statement is one.
+func TestRoutesOfPassedOnRequests(t *testing.T) {
+	for text, want := range map[string]bool{"": true, "0.7.3": true, "2.18446744073709551615.3": true, "7.3": false, "1.2.3.4": false, "1.-2.3": false, "01.2.3": false, "x": false} {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set(headerTransitLeft, "100")
+		r.Header.Set(headerTransitAttempts, "1")
+		if text != "" {
+			r.Header.Set(headerTransitRoutes, text)
+		}
+		got, err := parseTransit(r)
+		if (err == nil) != want {
+			t.Errorf("%q: %v", text, err)
+		}
+		if want && text != "" && got.routes.String() != text {
+			t.Errorf("%q is read as %s", text, got.routes)
+		}
+	}
+}
--- a/transit/monitor/monitor.go
+++ b/transit/monitor/monitor.go
@@ -432,7 +432,7 @@
 	defer m.mu.Unlock()
 	m.peers.Done(peer)
 	switch o.Reason {
-	case verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded:
+	case verdict.ReasonIsolated, verdict.ReasonStopping, verdict.ReasonNotReady, verdict.ReasonOverloaded, verdict.ReasonOutdated:
 		m.peers.Avoid(time.Now(), peer)
 	case verdict.ReasonConnectFailed, verdict.ReasonConnectionLost:
 		// If the VM answered, its own connection to an instance failed.
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -48,6 +48,7 @@
 	ReasonTeamCap           Reason = "team-cap"
 	ReasonPrecedence        Reason = "precedence"
 	ReasonTeamShare         Reason = "team-share"
+	ReasonOutdated          Reason = "outdated"
 )
 
 // Describe returns each reason with its description, in the order of the docs.
@@ -103,6 +104,7 @@
 	{ReasonTeamCap, http.StatusTooManyRequests, "connection_limit_reached", "the team is at its cap of requests"},
 	{ReasonPrecedence, http.StatusServiceUnavailable, "connection_limit_reached", "the capacity is kept for more urgent requests"},
 	{ReasonTeamShare, http.StatusServiceUnavailable, "connection_limit_reached", "the team has its share of the capacity and others have not"},
+	{ReasonOutdated, http.StatusServiceUnavailable, "proxy_internal_response", "this VM can't confirm that its routes are as new as those of other VMs"},
 	{ReasonBodyNotRepeatable, http.StatusBadGateway, "connection_terminated", "the body was partly sent and cannot be sent again"},
 }
 
