--- a/entry/state.go
+++ b/entry/state.go
@@ -48,14 +48,14 @@
 	return c
 }
 
-// decodeAll decodes the records of an epoch.
-func (n *Node) decodeAll(epoch uint64, records []feed.Record) []inventory.Change {
+// decodeAll decodes the records of an answer.
+func (n *Node) decodeAll(o feed.Origin, records []feed.Record) []inventory.Change {
 	out := make([]inventory.Change, 0, len(records))
 	for _, r := range records {
 		c := n.decode(r)
-		c.Epoch = epoch
+		c.Epoch = o.Position.Epoch
 		if c.Unusable != nil {
-			event.RecordIgnored.Log(n.log, "key", r.Key, "revision", r.Revision, "error", c.Unusable)
+			event.RecordIgnored.Log(n.log, "key", r.Key, "revision", r.Revision, "source", o.Source, "lag_ms", o.Lag.Milliseconds(), "error", c.Unusable)
 		}
 		out = append(out, c)
 	}
@@ -76,7 +76,7 @@
 // Reset implements feed.Sink.
 func (n *Node) Reset(now time.Time, o feed.Origin, records []feed.Record) {
 	at := o.Position
-	changes := n.decodeAll(at.Epoch, records)
+	changes := n.decodeAll(o, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	effects := n.inv.Reset(now, at, changes)
@@ -94,7 +94,7 @@
 
 // Apply implements feed.Sink.
 func (n *Node) Apply(now time.Time, o feed.Origin, records []feed.Record) {
-	changes := n.decodeAll(o.Position.Epoch, records)
+	changes := n.decodeAll(o, records)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.applyReceived(now, o, changes, n.inv.Apply(now, changes))
