Request newer records only where the usual source is late

A VM now waits 0.4 s for its own source, and the warning is given where requests wait or are refused.

--- a/entry/currency.go
+++ b/entry/currency.go
@@ -9,7 +9,6 @@
 	"github.com/currantferry/currantferry/event"
 	"github.com/currantferry/currantferry/history"
 	"github.com/currantferry/currantferry/proxy"
-	"github.com/currantferry/currantferry/verdict"
 )
 
 const (
@@ -19,6 +18,9 @@
 	// catchUpTimeout bounds the wait of a request for newer records, from the moment at which this
 	// VM first knew of them: a connection and two round trips between regions.
 	catchUpTimeout = 500 * time.Millisecond
+	// catchUpDelay is how long this VM may lack a change that another one has until it requests it
+	// from that VM. As a rule its own source delivers it before.
+	catchUpDelay = 400 * time.Millisecond
 	// catchUpInterval is the time between two requests for newer records.
 	catchUpInterval = 300 * time.Millisecond
 	// claimTTL is how long the state of another VM counts if it is not stated again.
@@ -52,6 +54,8 @@
 	// isBinding says that a caller has received an answer by newer records.
 	isBinding   bool
 	requestedAt time.Duration
+	// isReported says that the log tells that this VM is behind.
+	isReported bool
 	// changed is closed at each change of at.
 	changed chan struct{}
 }
@@ -79,14 +83,16 @@
 	}
 	switch {
 	case !c.at.Before(c.newest.Position):
-		event.RoutesCaughtUp.Log(c.log, "version", c.state.Version, "took_ms", (c.uptime() - c.behindSince).Milliseconds())
 	case isFromStore && asOf > c.statedAt:
 		// The store has no such record.
-		event.RoutesCaughtUp.Log(c.log, "version", c.state.Version, "refuted", c.newest.String())
+		event.RoutesRefuted.Log(c.log, "version", c.state.Version, "stated", c.newest.String(), "relay", c.relay)
 	default:
 		return
 	}
-	c.newest, c.isBinding = proxy.RoutesState{}, false
+	if c.isReported {
+		event.RoutesCaughtUp.Log(c.log, "version", c.state.Version, "took_ms", (c.uptime() - c.behindSince).Milliseconds())
+	}
+	c.newest, c.isBinding, c.isReported = proxy.RoutesState{}, false, false
 }
 
 // setState records a change of the operators that is in force here.
@@ -129,18 +135,26 @@
 	now := c.uptime()
 	if c.newest.Version == 0 || now-c.statedAt > claimTTL {
 		c.behindSince = now
+		time.AfterFunc(catchUpDelay, c.requestIfBehind)
 	}
 	if !s.Position.Before(c.newest.Position) {
-		if c.newest.Position.Before(s.Position) {
-			event.RoutesOutdated.Log(c.log, "version", c.state.Version, "newest", s.Version, "relay", relay)
-		}
 		c.newest, c.statedAt = s, now
 		if relay != "" {
 			c.relay = relay
 		}
 	}
 	c.isBinding = c.isBinding || isBinding
-	c.request(now)
+	if c.isBinding || now-c.behindSince >= catchUpDelay {
+		c.request(now)
+	}
+}
+
+func (c *currency) requestIfBehind() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newest.Version > 0 {
+		c.request(c.uptime())
+	}
 }
 
 // request requests newer records, unless it did lately. The lock is held.
@@ -172,6 +186,10 @@
 	if !c.at.Before(at) {
 		return at, 0, nil, false
 	}
+	if !c.isReported && at == c.newest.Position {
+		c.isReported = true
+		event.RoutesOutdated.Log(c.log, "version", c.state.Version, "newest", c.newest.Version, "relay", c.relay, "binding", c.isBinding)
+	}
 	c.request(now)
 	return at, since + catchUpTimeout, c.changed, true
 }
@@ -189,19 +207,20 @@
 		case <-changed:
 			timer.Stop()
 		case <-timer.C:
-			return c.outdated(at)
+			return c.outdated(ctx, at)
 		case <-ctx.Done():
 			timer.Stop()
-			return c.outdated(at)
+			return c.outdated(ctx, at)
 		}
 	}
 }
 
-func (c *currency) outdated(at history.Position) error {
+// outdated returns an error unless this VM has reached a position.
+func (c *currency) outdated(ctx context.Context, at history.Position) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.at.Before(at) {
 		return nil
 	}
-	return verdict.New(verdict.NotRun, verdict.ReasonOutdated, defaultRetryAfter)
+	return outdatedError(ctx)
 }
--- a/entry/pause.go
+++ b/entry/pause.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/currantferry/currantferry/verdict"
 )
 
@@ -85,5 +87,13 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return outdatedError(ctx)
+}
+
+// outdatedError returns the refusal of a request that could not wait longer for newer records.
+func outdatedError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verdict.New(verdict.NotRun, verdict.ReasonCallerGone, 0)
+	}
 	return verdict.New(verdict.NotRun, verdict.ReasonOutdated, defaultRetryAfter)
 }
