Spare cold instances while a VM may not know the others

The VMs of the region start together; each divided a cold instance's rate by the VMs that it knew, itself.

Change: for 2 s after a VM knows its first instances it sends cold ones nothing, the time for which teams' caps are guarded already.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,6 +101,8 @@
 	tickInterval = 100 * time.Millisecond
 	// sweepInterval is how often idle connections are closed.
 	sweepInterval = time.Second
+	// coldStartGuard is the time within which VMs that start together know of each other.
+	coldStartGuard = 2 * time.Second
 	// retryShare is the part of the retry limit that the VMs use. The rest covers retries
 	// that fall into another window than their request.
 	retryShare = 0.75
@@ -191,7 +193,7 @@
 	n.view.Store(newView(nil, time.Now(), nil, s.Region))
 	n.selector = newSelector(placement.Config{
 		VM: s.ID, Region: s.Region, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxShift: s.MaxShift, DrainTime: s.DrainTime, ObjectAffinity: placement.ObjectAffinity(s.ObjectAffinity),
-		IgnoresPriority: s.Precedence != precedenceOn, Random: mathrand.Float64,
+		IgnoresPriority: s.Precedence != precedenceOn, StartGuard: coldStartGuard, Random: mathrand.Float64,
 	}, n.log, n.metrics.Scope())
 	n.selector.currency = n.currency
 	n.selector.reach = monitor.New(s.Region, n.log, n.metrics.Scope())
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -137,6 +137,33 @@
 	}
 }
 
+// VMs that start together, as after the loss of their region, must not each take the whole rate of cold instances
+// while they don't know each other.
+func TestStartingVMsSpareColdInstances(t *testing.T) {
+	const vms, rate, over, slack = 19, 7.4, 1.5, 5
+	start := time.Unix(1000, 0)
+	arrivals := 0
+	for n := range vms {
+		p := New(Config{VM: fmt.Sprint("vm-", n), Region: "a", ColdOver: over, ColdSlack: slack, StartGuard: 2 * time.Second})
+		p.SetVMs([]VM{{ID: fmt.Sprint("vm-", n), Weight: 1}})
+		p.Update(start, []Instance{{ID: "i", Service: "s", Region: "a", Address: "i", Slots: 9, ColdUntil: start.Add(time.Minute), ColdRate: rate}}, nil)
+		for k := range 100 {
+			// All are known a second after the start.
+			now := start.Add(time.Duration(k) * 10 * time.Millisecond)
+			if _, refused := p.Pick(now, &Request{Service: "s", Route: "/", Deadline: now.Add(time.Second)}); refused == nil {
+				arrivals++
+			}
+		}
+		late := start.Add(3 * time.Second)
+		if _, refused := p.Pick(late, &Request{Service: "s", Route: "/", Deadline: late.Add(time.Second)}); refused != nil {
+			t.Fatalf("refused after the guard: %v", refused)
+		}
+	}
+	if float64(arrivals) > rate*over+slack {
+		t.Errorf("%d requests within a second", arrivals)
+	}
+}
+
 // An instance that is removed must not change the placement of objects that other
 // instances hold.
 func TestLeavingInstanceMovesOnlyItsObjects(t *testing.T) {
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -421,7 +421,7 @@
 
 // admitCold takes a token from this VM's part of a cold instance's rate.
 func (p *Picker) admitCold(now time.Time, i *instance) bool {
-	if i.Region != p.cfg.Region {
+	if i.Region != p.cfg.Region || now.Sub(p.startedAt) < p.cfg.StartGuard {
 		return false
 	}
 	numSenders := min(len(p.vms), maxColdVMs)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,6 +37,9 @@
 	IgnoresPriority bool
 	// ObjectAffinity is how the instances of an object are chosen. Default AffinityObserved.
 	ObjectAffinity ObjectAffinity
+	// StartGuard is how long after the first instances are known cold ones get no requests: this
+	// VM may not know yet which other VMs share their rates. Default 0.
+	StartGuard time.Duration
 	// Random returns random numbers in [0, 1). Default 0.5.
 	Random func() float64
 }
@@ -174,6 +177,8 @@
 	// numVMs are the VMs that serve the region, including this one.
 	vms      []VM
 	lastTick time.Time
+	// startedAt is when instances were first known.
+	startedAt time.Time
 	// numUnkeyed counts requests without a key, which spreads them over the instances.
 	numUnkeyed uint64
 	// overflowTokens bounds the single requests that leave the region beyond the spill
@@ -306,6 +311,9 @@
 // Update adds or changes the instances of list and removes those in gone. All others
 // are unchanged. The cost is proportional to the number of changes.
 func (p *Picker) Update(now time.Time, list []Instance, gone []string) {
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
 	touched := make(map[*service]bool)
 	for _, id := range gone {
 		for _, s := range p.services {
