--- a/entry/entry.go
+++ b/entry/entry.go
@@ -246,7 +246,7 @@
 		func() { n.runEvery(tickInterval, n.tick) },
 		func() { n.runEvery(digestInterval, n.sendDigest) },
 		n.receiveDigests,
-		func() { n.runEvery(routesNoticeInterval, func(time.Time) { n.sendRoutesNotice() }) },
+		func() { n.runEvery(routesNoticeInterval, func(time.Time) { n.sendRoutesNotice(repeatedNotices) }) },
 		func() { n.runEvery(teamCapInterval, n.teamCaps.tick) },
 		func() { n.runEvery(callerguard.SweepInterval, n.guard.Sweep) },
 		func() { n.runEvery(sweepInterval, func(time.Time) { n.proxy.Sweep() }) },
--- a/entry/routesnotice.go
+++ b/entry/routesnotice.go
@@ -21,20 +21,23 @@
 	// routesNoticeInterval is how often a notice is repeated, since datagrams are lost when a link
 	// is full.
 	routesNoticeInterval = time.Second
+	// repeatedNotices is the number of VMs of the region that get a repeated notice.
+	repeatedNotices = 8
 )
 
-// sendRoutesNotice tells the VMs of the region, and one of each other region, which routes are in
-// force here. Those that lack them need not wait for their sources to notice.
-func (n *Node) sendRoutesNotice() {
+// sendRoutesNotice states to some VMs of the region, drawn at random, and to one of each other region,
+// which routes are in force here. Those that lack them need not wait for their sources to notice.
+func (n *Node) sendRoutesNotice(receivers int) {
 	s := n.currency.current()
 	if s.Version == 0 {
 		return
 	}
 	v := n.view.Load()
 	data := encodeRoutesNotice(n.self.ID, s)
-	for i := range v.ranked {
-		if v.ranked[i].ID != n.self.ID {
-			n.sendDatagram(data, v.ranked[i].Relay)
+	for _, i := range rand.Perm(len(v.ranked)) {
+		if vm := &v.ranked[i]; vm.ID != n.self.ID && receivers > 0 {
+			n.sendDatagram(data, vm.Relay)
+			receivers--
 		}
 	}
 	for i := range v.previous {
--- a/entry/state.go
+++ b/entry/state.go
@@ -114,7 +114,7 @@
 	n.currency.setPosition(o.Position, o.SentAt, o.Source == feed.StoreName)
 	n.pause.markRefreshed(o.SentAt)
 	if isNotified {
-		n.sendRoutesNotice()
+		n.sendRoutesNotice(maxDigestPeers)
 	}
 }
 
