State the operators' last change before it takes effect

A request that was routed between the two steps stated less than it was routed by, so that a VM with older routes could have decided about it.

--- a/entry/state.go
+++ b/entry/state.go
@@ -103,21 +103,32 @@
 // applyReceived applies the effects of changes that were received, and then lets the requests go on
 // that wait for them. The lock is held.
 func (n *Node) applyReceived(now time.Time, o feed.Origin, changes []inventory.Change, effects []inventory.Effect) {
-	n.applyEffects(now, effects, "source", o.Source, "lag_ms", o.Lag.Milliseconds(), "asked_ms", (feed.Uptime() - o.SentAt).Milliseconds())
-	isNotified := false
+	isOperators := false
 	for i := range changes {
-		if c := &changes[i]; c.Kind == inventory.KindEvacuation || (c.Kind == inventory.KindRoutes && c.Unusable == nil) {
-			n.currency.setState(c.Position, n.router.version())
-			isNotified = true
+		version, ok := operatorChange(&changes[i])
+		if ok {
+			// Before the change takes effect: a request must not state less than it was routed by.
+			n.currency.setState(changes[i].Position, version)
 		}
+		isOperators = isOperators || ok
 	}
+	n.applyEffects(now, effects, "source", o.Source, "lag_ms", o.Lag.Milliseconds(), "asked_ms", (feed.Uptime() - o.SentAt).Milliseconds())
 	n.currency.setPosition(o.Position, o.SentAt, o.Source == feed.StoreName)
 	n.pause.markRefreshed(o.SentAt)
-	if isNotified {
+	if isOperators {
 		n.sendRoutesNotice(maxDigestPeers)
 	}
 }
 
+// operatorChange reports whether a change is one of the operators by which VMs decide about
+// requests, and returns its version of the routes or zero.
+func operatorChange(c *inventory.Change) (version uint64, ok bool) {
+	if c.Routes != nil {
+		return c.Routes.Version, true
+	}
+	return 0, c.Kind == inventory.KindEvacuation
+}
+
 // tick ends deferrals of removals and adapts the placement.
 func (n *Node) tick(now time.Time) {
 	if paused, _ := n.pause.check(); paused > 0 {
