Keep a pause from looking like a full link

An answer from before a pause of some seconds counted as late, so that the VM waited longer at its relay for the next dozen of answers; a request that nobody had waited for since an earlier step was taken for a pause of this VM (event 2306). Answers later than any grace are left out, and such a request counts as late. Each answer of another VM by newer routes binds, a final 404 too. TestGraceFallsAgain has the case of a pause, and fails without it.

--- a/entry/transit.go
+++ b/entry/transit.go
@@ -89,9 +89,7 @@
 // SetAnswer records the instance that answered, and that the other VM may have newer routes.
 func (c *transitSelection) SetAnswer(instance string, routes proxy.RoutesState) {
 	c.instance, c.version = instance, routes.Version
-	if instance != "" {
-		c.s.currency.bind(routes, c.peer.Address)
-	}
+	c.s.currency.bind(routes, c.peer.Address)
 }
 
 // LogAttrs returns the log attributes that explain the choice.
--- a/feed/calls.go
+++ b/feed/calls.go
@@ -125,17 +125,20 @@
 // begin returns the request to a source that is under way, or sends one. It returns nil if the
 // source has been asked lately and is late.
 func (f *Follower) begin(ctx context.Context, name string) *call {
-	if i := slices.IndexFunc(f.calls, func(c *call) bool { return c.name == name && !c.isLate }); i >= 0 {
-		return f.calls[i]
-	}
-	number := 0
+	number, isRecent := 0, false
 	for _, c := range f.calls {
 		if c.name != name {
 			continue
 		}
-		if number++; f.options.Uptime()-c.sentAt < avoidPeriod {
-			return nil
+		if !c.isLate && f.patience(c) > 0 {
+			return c
 		}
+		c.isLate = true
+		number++
+		isRecent = isRecent || f.options.Uptime()-c.sentAt < avoidPeriod
+	}
+	if isRecent {
+		return nil
 	}
 	if number >= maxCallsPerSource || len(f.calls) >= maxCalls {
 		return nil
@@ -340,7 +343,9 @@
 		f.lateness.recordAnswer(f.options.Uptime() - c.sentAt - c.wait)
 	}
 	if a.Age > f.options.MaxAge {
-		f.logRejected(c)
+		if c.isState {
+			f.logRejected(c)
+		}
 		return errors.Errorf("feed: %s had its last contact with the store %s ago", c.name, a.Age)
 	}
 	a.Age += f.excessAge(c)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -638,6 +638,8 @@
 	for range 1000 {
 		l.recordAnswer(-400 * time.Millisecond)
 	}
+	// An answer from before a pause of some seconds says nothing about the link.
+	l.recordAnswer(4 * time.Second)
 	if got := l.grace(); got != 350*time.Millisecond {
 		t.Errorf("grace %s after 1000 answers in time", got)
 	}
--- a/feed/lateness.go
+++ b/feed/lateness.go
@@ -38,9 +38,12 @@
 // which came before the time that was asked for. It says little about lateness, so the grace
 // falls slowly.
 func (l *lateness) recordAnswer(late time.Duration) {
-	if late > 0 {
+	switch {
+	case late > 2*maxGraceFactor*l.usual:
+		// This VM was paused, or the source was.
+	case late > 0:
 		l.set(2 * late)
-	} else {
+	default:
 		l.set(l.grace() * 9 / 10)
 	}
 }
