--- a/entry/currency.go
+++ b/entry/currency.go
@@ -23,8 +23,8 @@
 	catchUpDelay = 400 * time.Millisecond
 	// catchUpInterval is the time between two requests for newer records.
 	catchUpInterval = 300 * time.Millisecond
-	// claimTTL is how long the state of another VM counts if it is not stated again.
-	claimTTL = 10 * time.Second
+	// statedTTL is how long the state of another VM counts if it is not stated again.
+	statedTTL = 10 * time.Second
 )
 
 // currency decides whether this VM's records are as new as those by which other VMs decide. It
@@ -133,7 +133,7 @@
 		return
 	}
 	now := c.uptime()
-	if c.newest.Version == 0 || now-c.statedAt > claimTTL {
+	if c.newest.Version == 0 || now-c.statedAt > statedTTL {
 		c.behindSince = now
 		time.AfterFunc(catchUpDelay, c.requestIfBehind)
 	}
@@ -174,7 +174,7 @@
 	defer c.mu.Unlock()
 	now := c.uptime()
 	since := now
-	if c.newest.Version > 0 && now-c.statedAt <= claimTTL && (c.isBinding || now-c.behindSince > c.tolerance()) {
+	if c.newest.Version > 0 && now-c.statedAt <= statedTTL && (c.isBinding || now-c.behindSince > c.tolerance()) {
 		at, since = c.newest.Position, c.behindSince
 		if !c.isBinding {
 			since += c.tolerance()
--- a/entry/currency_test.go
+++ b/entry/currency_test.go
@@ -56,7 +56,7 @@
 		"bound at once":       {func(c *currency, _ *time.Duration) { c.bind(newer, "vm") }, false},
 		"known for too long":  {func(c *currency, up *time.Duration) { c.observe(newer, "vm"); *up += 2 * time.Second }, false},
 		"repeated":            {func(c *currency, up *time.Duration) { repeatFor(c, up, newer, 30*time.Second) }, false},
-		"no longer stated":    {func(c *currency, up *time.Duration) { c.bind(newer, "vm"); *up += claimTTL + time.Second }, true},
+		"no longer stated":    {func(c *currency, up *time.Duration) { c.bind(newer, "vm"); *up += statedTTL + time.Second }, true},
 		"caught up":           {func(c *currency, up *time.Duration) { c.bind(newer, "vm"); c.setPosition(newer.Position, *up, false) }, true},
 		"not caught up":       {func(c *currency, up *time.Duration) { c.bind(newer, "vm"); *up++; c.setPosition(c.at, *up, false) }, false},
 		"refuted by store":    {func(c *currency, up *time.Duration) { c.bind(newer, "vm"); *up++; c.setPosition(c.at, *up, true) }, true},
