--- a/review/kit3/fleet/fleet.go
+++ b/review/kit3/fleet/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -53,9 +54,11 @@
 	os.Exit(2)
 }
 
-// FreeAddress returns a loopback address with a free port.
+// FreeAddress returns a free port at a loopback address drawn at random, which other programs are
+// unlikely to use.
 func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.%d.%d.%d", 16+rand.IntN(200), rand.IntN(256), 1+rand.IntN(250))
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		panic(err)
 	}
--- a/review/kit3/fleet/instance.go
+++ b/review/kit3/fleet/instance.go
@@ -41,6 +41,9 @@
 	l        net.Listener
 	slots    chan struct{}
 	born     int64
+	// Limit, unless empty, is the Server-Limit that all answers name. It is set before the
+	// instance is registered.
+	Limit string
 
 	mu        sync.Mutex
 	coldFrom  time.Time
@@ -141,6 +144,9 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Currantferry-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 		return err == nil
 	}
+	if i.Limit != "" {
+		head += "Server-Limit: " + i.Limit + "\r\n"
+	}
 	now := time.Now()
 	i.arrivals = append(i.arrivals, Arrival{id, now})
 	isCold := now.Before(i.coldUntil)
