--- a/review/kit3/cold/main.go
+++ b/review/kit3/cold/main.go
@@ -24,8 +24,8 @@
 	// outage is the longest platform_down among the site's troubles.
 	outage       = 4500 * time.Millisecond
 	numInstances = 4
-	// ratePerS keeps the instances four fifths busy.
-	ratePerS = 80 * numInstances
+	// ratePerS keeps the instances at 0.86 of what they serve.
+	ratePerS = 86 * numInstances
 	work     = 90 * time.Millisecond
 	// Times from the start of traffic.
 	outageAt = 8 * time.Second
